--- /dev/null
+++ b/coltsfootchute/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log: elections, replication, membership, storage."""
--- /dev/null
+++ b/coltsfootchute/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Target selection, limits, retries and hedges; no I/O."""
--- /dev/null
+++ b/coltsfootchute/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/coltsfootchute/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role."""
--- /dev/null
+++ b/coltsfootchute/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role."""
--- /dev/null
+++ b/coltsfootchute/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes; the modules are generated."""
--- /dev/null
+++ b/coltsfootchute/sections/__init__.py
@@ -0,0 +1,1 @@
+"""Section documents, their checks, and rule matching."""
--- /dev/null
+++ b/coltsfootchute/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files and their schemas."""
--- /dev/null
+++ b/coltsfootchute/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for targets, callers and links."""
--- /dev/null
+++ b/coltsfootchute/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine."""
