state: apply sections, targets, claims and quarantines

Cause: the replicated log had no state machine. Change: one module for each part of the state, and the machine that applies commands by kind.

--- a/coltsfootchute/state/__init__.py
+++ b/coltsfootchute/state/__init__.py
@@ -1,1 +1,7 @@
 """The replicated state machine."""
+
+from coltsfootchute.state.claims import key_time_ms
+from coltsfootchute.state.machines import Machine, commands
+from coltsfootchute.state.outcomes import Applied
+
+__all__ = ["Applied", "Machine", "commands", "key_time_ms"]
--- /dev/null
+++ b/coltsfootchute/state/claims.py
@@ -0,0 +1,180 @@
+"""Claims: which attempt may send a request that is not repeatable."""
+
+import dataclasses
+import heapq
+
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["ANSWER_KEPT_BYTES", "FUTURE_LIMIT_MS", "ClaimTable", "key_time_ms"]
+
+FUTURE_LIMIT_MS = 60_000
+ANSWER_KEPT_BYTES = 16 * 1024
+KEY_BYTES = 16
+BUCKET_MS = 1000
+# Keeps the time of expiry within the 64 bits of its field.
+RETENTION_LIMIT_S = 365 * 24 * 3600
+
+
+def key_time_ms(key: bytes) -> int | None:
+    """Return the time of a UUIDv7 in ms, or None if it is not a UUIDv7.
+
+    References
+    ----------
+    RFC 9562, section 5.7.
+    """
+    if len(key) != KEY_BYTES or key[6] >> 4 != 7 or key[8] >> 6 != 2:
+        return None
+    return int.from_bytes(key[:6], "big")
+
+
+@dataclasses.dataclass(slots=True)
+class _Claim:
+    digest: bytes
+    entry: str
+    attempt_id: bytes
+    expires_ms: int
+    ran: bool = False
+    answer: pb.StoredAnswer | None = None
+
+
+class ClaimTable:
+    """Claims by service and key.
+
+    Notes
+    -----
+    Expired claims are dropped in buckets of one second, at O(1) per claim. A
+    bucket is dropped after its second has passed, which depends only on the
+    clock, so all replicas drop the same claims at the same command.
+
+    Dropping raises the floor of the service to the key time. An unknown key at or
+    under the floor is refused: without this, raising the retention of a service
+    would allow keys to run again whose claims were dropped under the old one.
+    """
+
+    def __init__(self):
+        self._claims: dict[tuple[str, bytes], _Claim] = {}
+        self._buckets: dict[int, list[tuple[str, bytes]]] = {}
+        self._bucket_heap: list[int] = []
+        self._floors: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    def find(self, command: pb.ClaimCommand) -> pb.ClaimOutcome | None:
+        """Return the outcome for a key that is already claimed, else None.
+
+        Parameters
+        ----------
+        command
+            The claim. The attempt that holds the claim is granted it again,
+            because an entry resends the command when a reply was lost.
+        """
+        claim = self._claims.get((command.service, command.key))
+        if claim is None:
+            return None
+        if claim.digest != command.digest:
+            return pb.ClaimOutcome(status=pb.CLAIM_STATUS_DIGEST_MISMATCH)
+        if claim.ran:
+            return pb.ClaimOutcome(status=pb.CLAIM_STATUS_RAN, answer=claim.answer)
+        if claim.attempt_id == command.attempt_id:
+            return pb.ClaimOutcome(status=pb.CLAIM_STATUS_GRANTED)
+        return pb.ClaimOutcome(status=pb.CLAIM_STATUS_CLAIMED)
+
+    def check_time(self, command: pb.ClaimCommand, clock_ms: int) -> pb.ClaimStatus:
+        """Return why the time of an unclaimed key forbids a claim, or ``GRANTED``."""
+        key_ms = key_time_ms(command.key)
+        if key_ms is None or key_ms > clock_ms + FUTURE_LIMIT_MS:
+            return pb.CLAIM_STATUS_KEY_IN_FUTURE
+        expired = self._expires_ms(command, key_ms) <= clock_ms
+        if expired or key_ms <= self._floors.get(command.service, -1):
+            return pb.CLAIM_STATUS_KEY_EXPIRED
+        return pb.CLAIM_STATUS_GRANTED
+
+    @staticmethod
+    def _expires_ms(command: pb.ClaimCommand, key_ms: int) -> int:
+        return key_ms + min(command.retention_s, RETENTION_LIMIT_S) * 1000
+
+    def grant(self, command: pb.ClaimCommand) -> None:
+        """Store the claim of a key that is free and whose time is valid."""
+        expires_ms = self._expires_ms(command, key_time_ms(command.key))
+        claim = _Claim(command.digest, command.entry, command.attempt_id, expires_ms)
+        self._insert(command.service, command.key, claim)
+
+    def settle(self, command: pb.SettleCommand) -> None:
+        """Release a claim, or store the answer of its attempt.
+
+        Only the attempt that holds the claim can settle it, and only once.
+        """
+        name = (command.service, command.key)
+        claim = self._claims.get(name)
+        if claim is None or claim.ran or claim.attempt_id != command.attempt_id:
+            return
+        if command.released:
+            del self._claims[name]
+            return
+        claim.ran = True
+        claim.answer = pb.StoredAnswer()
+        claim.answer.CopyFrom(command.answer)
+        if len(claim.answer.body) > ANSWER_KEPT_BYTES:
+            claim.answer.body = b""
+            claim.answer.body_kept = False
+
+    def drop_expired(self, clock_ms: int) -> None:
+        """Drop the claims whose time has passed and raise the floors."""
+        while self._bucket_heap and (self._bucket_heap[0] + 1) * BUCKET_MS <= clock_ms:
+            for name in self._buckets.pop(heapq.heappop(self._bucket_heap)):
+                self._drop(name, clock_ms)
+
+    def _drop(self, name: tuple[str, bytes], clock_ms: int) -> None:
+        claim = self._claims.get(name)
+        # A key that was released and claimed again is in a second bucket.
+        if claim is None or claim.expires_ms > clock_ms:
+            return
+        del self._claims[name]
+        service, key = name
+        key_ms = key_time_ms(key)
+        self._floors[service] = max(self._floors.get(service, 0), key_ms)
+
+    def _insert(self, service: str, key: bytes, claim: _Claim) -> None:
+        self._claims[service, key] = claim
+        bucket = claim.expires_ms // BUCKET_MS
+        if bucket not in self._buckets:
+            self._buckets[bucket] = []
+            heapq.heappush(self._bucket_heap, bucket)
+        self._buckets[bucket].append((service, key))
+
+    def dump(self) -> tuple[list[pb.StoredClaim], list[pb.ClaimFloor]]:
+        """Return all claims and the floors of the services."""
+        claims = [
+            pb.StoredClaim(
+                service=service,
+                key=key,
+                digest=claim.digest,
+                entry=claim.entry,
+                attempt_id=claim.attempt_id,
+                ran=claim.ran,
+                answer=claim.answer,
+                expires_ms=claim.expires_ms,
+            )
+            for (service, key), claim in self._claims.items()
+        ]
+        floors = [
+            pb.ClaimFloor(service=service, key_ms=key_ms)
+            for service, key_ms in sorted(self._floors.items())
+        ]
+        return claims, floors
+
+    def load(self, claims: list[pb.StoredClaim], floors: list[pb.ClaimFloor]) -> None:
+        """Replace the table by dumped claims and floors."""
+        self.__init__()
+        for stored in claims:
+            claim = _Claim(
+                digest=stored.digest,
+                entry=stored.entry,
+                attempt_id=stored.attempt_id,
+                expires_ms=stored.expires_ms,
+                ran=stored.ran,
+                answer=stored.answer if stored.ran else None,
+            )
+            self._insert(stored.service, stored.key, claim)
+        self._floors = {floor.service: floor.key_ms for floor in floors}
--- /dev/null
+++ b/coltsfootchute/state/machines.py
@@ -0,0 +1,188 @@
+"""The state machine that every control instance applies the log to."""
+
+from coltsfootchute import registries
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+from coltsfootchute.state import claims, outcomes, quarantines, registers, targets
+
+__all__ = ["Machine", "commands"]
+
+commands = registries.Registry("command")
+
+
+class Machine:
+    """Sections, targets, claims, quarantines and outcomes of requests.
+
+    Notes
+    -----
+    The machine is deterministic: its clock is the largest time in the commands
+    applied so far, and it draws no randomness.
+
+    Attributes
+    ----------
+    index
+        Log index of the last applied command.
+    revision
+        Log index of the last command that changed what watchers see.
+    clock_ms
+        The clock of the machine in ms.
+    """
+
+    def __init__(self):
+        self.index = 0
+        self.revision = 0
+        self.clock_ms = 0
+        self.sections = registers.SectionRegister()
+        self.outcomes = outcomes.OutcomeTable()
+        self.targets = targets.TargetRegister()
+        self.claims = claims.ClaimTable()
+        self.quarantines = quarantines.QuarantineTable()
+
+    def apply(self, index: int, command: pb.Command) -> outcomes.Applied:
+        """Apply one committed command.
+
+        Parameters
+        ----------
+        index
+            Its log index. A command at or below the last applied index changes
+            nothing.
+        command
+            The command; without a body it only advances the clock.
+
+        Returns
+        -------
+        coltsfootchute.state.outcomes.Applied
+            The reply for the proposer, and the changes for the feed.
+        """
+        if index <= self.index:
+            return outcomes.Applied()
+        self.index = index
+        self.clock_ms = max(self.clock_ms, command.time_ms)
+        ended = self._drop_expired()
+        kind = command.WhichOneof("body")
+        applied = outcomes.Applied()
+        if kind is not None:
+            applied = commands[kind](self, getattr(command, kind))
+        changes = [pb.FeedChange(quarantine=item) for item in ended]
+        applied.changes = changes + applied.changes
+        for change in applied.changes:
+            change.revision = index
+        if applied.changes:
+            self.revision = index
+        return applied
+
+    def _drop_expired(self) -> list[pb.Quarantine]:
+        self.outcomes.drop_expired(self.clock_ms)
+        self.claims.drop_expired(self.clock_ms)
+        return self.quarantines.drop_expired(self.clock_ms)
+
+    def due_ms(self) -> int | None:
+        """Return the time at which the clock must advance, if any.
+
+        Quarantines end in the feed only when a command advances the clock; the
+        leader proposes an empty command at this time.
+        """
+        return self.quarantines.due_ms()
+
+    def view(self) -> list[pb.FeedChange]:
+        """Return everything that watchers see, as changes of the last revision."""
+        parts = [
+            *({"section": self.sections.in_force(n)} for n in self.sections.names()),
+            *({"target": target} for target in self.targets.all()),
+            *({"quarantine": item} for item in self.quarantines.dump()),
+        ]
+        return [pb.FeedChange(revision=self.revision, **part) for part in parts]
+
+    def dump(self) -> bytes:
+        """Return the whole state as a serialized ``MachineSnapshot``."""
+        stored, floors = self.claims.dump()
+        snapshot = pb.MachineSnapshot(
+            index=self.index,
+            clock_ms=self.clock_ms,
+            sections=self.sections.read(),
+            outcomes=self.outcomes.dump(),
+            targets=self.targets.all(),
+            claims=stored,
+            quarantines=self.quarantines.dump(),
+            revision=self.revision,
+            floors=floors,
+        )
+        return snapshot.SerializeToString(deterministic=True)
+
+    def load(self, data: bytes) -> None:
+        """Replace the whole state by a dumped one.
+
+        Raises
+        ------
+        google.protobuf.message.DecodeError
+            If the data is no ``MachineSnapshot``.
+        """
+        snapshot = pb.MachineSnapshot.FromString(data)
+        self.index = snapshot.index
+        self.revision = snapshot.revision
+        self.clock_ms = snapshot.clock_ms
+        self.sections.load(list(snapshot.sections))
+        self.outcomes.load(list(snapshot.outcomes))
+        self.targets.load(list(snapshot.targets))
+        self.claims.load(list(snapshot.claims), list(snapshot.floors))
+        self.quarantines.load(list(snapshot.quarantines))
+
+
+@commands.register("proposal")
+def _propose(machine: Machine, proposal: pb.Proposal) -> outcomes.Applied:
+    known = machine.outcomes.find(proposal)
+    if known is not None:
+        return outcomes.Applied(known)
+    outcome = machine.sections.propose(proposal, machine.index, machine.clock_ms)
+    machine.outcomes.store(proposal, outcome, machine.clock_ms)
+    if outcome.status != pb.PROPOSAL_STATUS_ACCEPTED:
+        return outcomes.Applied(outcome)
+    section = machine.sections.in_force(proposal.section)
+    return outcomes.Applied(outcome, [pb.FeedChange(section=section)])
+
+
+@commands.register("target")
+def _change_target(machine: Machine, command: pb.TargetCommand) -> outcomes.Applied:
+    outcome, changed = machine.targets.apply(command, machine.clock_ms)
+    if not changed:
+        return outcomes.Applied(outcome)
+    target_id = command.target.target_id
+    target = machine.targets.get(target_id)
+    if target is None:
+        change = pb.FeedChange(removed_target_id=target_id)
+    else:
+        change = pb.FeedChange(target=target)
+    return outcomes.Applied(outcome, [change])
+
+
+@commands.register("claim")
+def _claim(machine: Machine, command: pb.ClaimCommand) -> outcomes.Applied:
+    known = machine.claims.find(command)
+    if known is not None:
+        return outcomes.Applied(known)
+    status = machine.claims.check_time(command, machine.clock_ms)
+    if status == pb.CLAIM_STATUS_GRANTED:
+        if _is_quarantined(machine, command):
+            status = pb.CLAIM_STATUS_QUARANTINED
+        else:
+            machine.claims.grant(command)
+    return outcomes.Applied(pb.ClaimOutcome(status=status))
+
+
+def _is_quarantined(machine: Machine, command: pb.ClaimCommand) -> bool:
+    if not command.crash_digest:
+        return False
+    return machine.quarantines.is_active(command.service, command.crash_digest)
+
+
+@commands.register("settle")
+def _settle(machine: Machine, command: pb.SettleCommand) -> outcomes.Applied:
+    machine.claims.settle(command)
+    return outcomes.Applied()
+
+
+@commands.register("crash")
+def _count_crash(machine: Machine, command: pb.CrashCommand) -> outcomes.Applied:
+    changed = machine.quarantines.apply(command, machine.index, machine.clock_ms)
+    if changed is None:
+        return outcomes.Applied()
+    return outcomes.Applied(None, [pb.FeedChange(quarantine=changed)])
--- /dev/null
+++ b/coltsfootchute/state/quarantines.py
@@ -0,0 +1,96 @@
+"""Counts of crashes by request digest, and the quarantine that follows."""
+
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["QUARANTINE_KEPT_MS", "QuarantineTable"]
+
+QUARANTINE_KEPT_MS = 10 * 60 * 1000
+
+
+class QuarantineTable:
+    """Quarantines by service and crash digest.
+
+    Notes
+    -----
+    The second crash counts only if its attempt started at an entry that had the
+    first crash in force. The entry's revision shows this without comparing
+    clocks.
+    """
+
+    def __init__(self):
+        self._items: dict[tuple[str, bytes], pb.Quarantine] = {}
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def is_active(self, service: str, digest: bytes) -> bool:
+        """Tell whether requests with a digest are refused."""
+        item = self._items.get((service, digest))
+        return item is not None and item.active
+
+    def apply(
+        self, command: pb.CrashCommand, index: int, clock_ms: int
+    ) -> pb.Quarantine | None:
+        """Count a crash, or end a count after a complete response.
+
+        Returns
+        -------
+        coltsfootchute_pb2.Quarantine or None
+            The changed quarantine, or None if nothing changed.
+        """
+        name = (command.service, command.digest)
+        item = self._items.get(name)
+        if command.cleared:
+            # An active quarantine runs for its full time: a response that was
+            # under way does not undo two crashes.
+            if item is None or item.active:
+                return None
+            del self._items[name]
+            return self._removed(item)
+        if item is None:
+            item = pb.Quarantine(
+                service=command.service,
+                digest=command.digest,
+                target_ids=[command.target_id],
+                first_ms=clock_ms,
+                index=index,
+                expires_ms=clock_ms + QUARANTINE_KEPT_MS,
+            )
+        elif self._counts(item, command):
+            previous, item = item, pb.Quarantine()
+            item.CopyFrom(previous)
+            item.target_ids.append(command.target_id)
+            item.active = True
+            item.expires_ms = clock_ms + QUARANTINE_KEPT_MS
+        else:
+            return None
+        self._items[name] = item
+        return item
+
+    @staticmethod
+    def _counts(item: pb.Quarantine, command: pb.CrashCommand) -> bool:
+        seen = command.seen_revision >= item.index
+        return seen and not item.active and command.target_id not in item.target_ids
+
+    @staticmethod
+    def _removed(item: pb.Quarantine) -> pb.Quarantine:
+        return pb.Quarantine(service=item.service, digest=item.digest, removed=True)
+
+    def drop_expired(self, clock_ms: int) -> list[pb.Quarantine]:
+        """Drop the quarantines whose time has passed; return their removals."""
+        ended = [
+            name for name, item in self._items.items() if item.expires_ms <= clock_ms
+        ]
+        return [self._removed(self._items.pop(name)) for name in ended]
+
+    def due_ms(self) -> int | None:
+        """Return the time at which the next quarantine ends, if any."""
+        return min((item.expires_ms for item in self._items.values()), default=None)
+
+    def dump(self) -> list[pb.Quarantine]:
+        """Return all quarantines."""
+        return list(self._items.values())
+
+    def load(self, items: list[pb.Quarantine]) -> None:
+        """Replace the table by dumped quarantines."""
+        self._items = {(item.service, item.digest): item for item in items}
--- /dev/null
+++ b/coltsfootchute/state/registers.py
@@ -0,0 +1,97 @@
+"""The register of section documents, changed by compare-and-swap."""
+
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["REVISIONS_KEPT", "SectionRegister"]
+
+REVISIONS_KEPT = 20
+
+
+class SectionRegister:
+    """Sections with their owners and their last revisions."""
+
+    def __init__(self):
+        self._sections: dict[str, pb.Section] = {}
+
+    def propose(
+        self, proposal: pb.Proposal, index: int, time_ms: int
+    ) -> pb.ProposalOutcome:
+        """Apply a proposal if it names the present revision and the owner.
+
+        Parameters
+        ----------
+        proposal
+            The proposal; its document was checked before it was proposed.
+        index
+            Log index of the command.
+        time_ms
+            Clock of the machine.
+
+        Returns
+        -------
+        coltsfootchute_pb2.ProposalOutcome
+            ``ACCEPTED`` with the new revision; ``CONFLICT`` or ``NOT_OWNER`` with
+            the present one.
+        """
+        section = self._sections.get(proposal.section)
+        present = section.history[-1] if section else pb.SectionRevision()
+        if section and section.owner != proposal.team:
+            return self._refuse(pb.PROPOSAL_STATUS_NOT_OWNER, present)
+        if proposal.expected_revision != present.revision:
+            return self._refuse(pb.PROPOSAL_STATUS_CONFLICT, present)
+        if section is None:
+            section = pb.Section(name=proposal.section, owner=proposal.team)
+            self._sections[proposal.section] = section
+        section.history.add(
+            revision=present.revision + 1,
+            document=proposal.document,
+            author=proposal.author,
+            request_id=proposal.request_id,
+            time_ms=time_ms,
+        )
+        del section.history[:-REVISIONS_KEPT]
+        return pb.ProposalOutcome(
+            status=pb.PROPOSAL_STATUS_ACCEPTED,
+            revision=section.history[-1].revision,
+            author=proposal.author,
+            index=index,
+        )
+
+    @staticmethod
+    def _refuse(
+        status: pb.ProposalStatus, present: pb.SectionRevision
+    ) -> pb.ProposalOutcome:
+        return pb.ProposalOutcome(
+            status=status, revision=present.revision, author=present.author
+        )
+
+    def in_force(self, name: str) -> pb.SectionInForce:
+        """Return the revision of a section that is in force.
+
+        Raises
+        ------
+        KeyError
+            If there is no such section.
+        """
+        section = self._sections[name]
+        last = section.history[-1]
+        return pb.SectionInForce(
+            name=name,
+            owner=section.owner,
+            revision=last.revision,
+            document=last.document,
+        )
+
+    def read(self, name: str = "") -> list[pb.Section]:
+        """Return one section, or all of them for an empty name."""
+        if name:
+            return [self._sections[name]] if name in self._sections else []
+        return list(self._sections.values())
+
+    def names(self) -> list[str]:
+        """Return the names of all sections in the order of creation."""
+        return list(self._sections)
+
+    def load(self, sections: list[pb.Section]) -> None:
+        """Replace the register by dumped sections."""
+        self._sections = {section.name: section for section in sections}
