--- /dev/null
+++ b/coltsfootchute/settings/schemas.py
@@ -0,0 +1,235 @@
+"""Settings of one instance."""
+
+import ipaddress
+import itertools
+import pathlib
+import typing
+
+import msgspec
+
+from coltsfootchute import errors
+from coltsfootchute.settings import documents
+
+__all__ = [
+    "MAX_CONTROL_MEMBERS",
+    "ControlSettings",
+    "EntrySettings",
+    "InitialMember",
+    "InstanceSettings",
+    "LogSettings",
+    "Settings",
+    "load",
+    "parse",
+]
+
+MAX_CONTROL_MEMBERS = 8
+MAX_PORT = 65535
+
+Name = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]*$", max_length=64)
+]
+Address = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=64)]
+TokenHash = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+
+
+class InstanceSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """What an instance is called and where it stands."""
+
+    name: Name
+    failure_domain: Name
+
+
+class InitialMember(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """One of the control instances of the first start."""
+
+    name: Name
+    address: Address
+
+
+class ControlSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the control role.
+
+    Parameters
+    ----------
+    peer
+        IP number and port of the gRPC listener.
+    data
+        The data folder; a relative path counts from the settings file.
+    initial
+        The control instances of the first start, this one included or not.
+    metrics
+        IP number and port of the HTTP listener for metrics, if wanted.
+    """
+
+    peer: Address
+    data: typing.Annotated[str, msgspec.Meta(min_length=1)]
+    initial: typing.Annotated[
+        list[InitialMember], msgspec.Meta(min_length=1, max_length=MAX_CONTROL_MEMBERS)
+    ]
+    metrics: Address | None = None
+
+
+class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of the entry role.
+
+    Parameters
+    ----------
+    calls, api, peer
+        IP numbers and ports of the listeners.
+    control
+        Addresses of control instances.
+    keep_s
+        Seconds for which callers may keep an address response.
+    operators
+        SHA-256 in hex of the token of each team; without it the team header is
+        trusted.
+    """
+
+    calls: Address
+    api: Address
+    peer: Address
+    control: typing.Annotated[list[Address], msgspec.Meta(min_length=1)]
+    keep_s: typing.Annotated[float, msgspec.Meta(ge=0.1, le=300)] = 5.0
+    operators: dict[str, TokenHash] | None = None
+
+
+class LogSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Format and least level of log lines."""
+
+    format: typing.Literal["human", "json"] = "human"
+    level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class Settings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Settings of one instance with one role or both."""
+
+    instance: InstanceSettings
+    control: ControlSettings | None = None
+    entry: EntrySettings | None = None
+    log: LogSettings = LogSettings()
+
+
+def parse(text: str) -> Settings:
+    """Check settings.
+
+    Parameters
+    ----------
+    text
+        JSON with comments.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    coltsfootchute.errors.SettingsError
+        With the line or the path of each mistake.
+    """
+    try:
+        cfg = documents.check(documents.decode(text), Settings)
+    except errors.DocumentError as exc:
+        raise errors.SettingsError(exc.problems) from None
+    problems = list(_problems(cfg))
+    if problems:
+        raise errors.SettingsError(problems)
+    return cfg
+
+
+def load(path: str | pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path
+        The file.
+
+    Returns
+    -------
+    Settings
+        The checked settings; the data folder is an absolute path.
+
+    Raises
+    ------
+    coltsfootchute.errors.SettingsError
+        If the file can't be read or has mistakes.
+    """
+    file = pathlib.Path(path)
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        reason = getattr(exc, "strerror", None) or "not UTF-8"
+        raise errors.SettingsError([(str(path), reason)]) from None
+    cfg = parse(text)
+    if cfg.control is None:
+        return cfg
+    folder = file.resolve().parent / cfg.control.data
+    control = msgspec.structs.replace(cfg.control, data=str(folder))
+    return msgspec.structs.replace(cfg, control=control)
+
+
+def _problems(cfg: Settings) -> typing.Iterator[tuple[str, str]]:
+    if cfg.control is None and cfg.entry is None:
+        yield "$", "needs `control`, `entry` or both"
+    yield from (
+        (path, reason)
+        for path, address in _addresses(cfg)
+        if (reason := _address_problem(address))
+    )
+    yield from _repeated(_listeners(cfg), "the same address as")
+    if cfg.control is not None:
+        for field in ("name", "address"):
+            values = [
+                (f"$.control.initial[{position}].{field}", getattr(member, field))
+                for position, member in enumerate(cfg.control.initial)
+            ]
+            yield from _repeated(values, "the same as")
+
+
+def _repeated(
+    values: list[tuple[str, str]], reason: str
+) -> typing.Iterator[tuple[str, str]]:
+    for (first, left), (second, right) in itertools.combinations(values, 2):
+        if left == right and not left.endswith(":0"):
+            yield second, f"{reason} {first}"
+
+
+def _listeners(cfg: Settings) -> list[tuple[str, str]]:
+    listeners = []
+    if cfg.control is not None:
+        listeners.append(("$.control.peer", cfg.control.peer))
+        if cfg.control.metrics is not None:
+            listeners.append(("$.control.metrics", cfg.control.metrics))
+    if cfg.entry is not None:
+        listeners += [
+            (f"$.entry.{field}", getattr(cfg.entry, field))
+            for field in ("calls", "api", "peer")
+        ]
+    return listeners
+
+
+def _addresses(cfg: Settings) -> list[tuple[str, str]]:
+    addresses = _listeners(cfg)
+    if cfg.control is not None:
+        addresses += [
+            (f"$.control.initial[{position}].address", member.address)
+            for position, member in enumerate(cfg.control.initial)
+        ]
+    if cfg.entry is not None:
+        addresses += [
+            (f"$.entry.control[{position}]", address)
+            for position, address in enumerate(cfg.entry.control)
+        ]
+    return addresses
+
+
+def _address_problem(address: str) -> str | None:
+    host, separator, port = address.rpartition(":")
+    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+        return f"{address!r} is not an IP number and a port, such as 127.0.0.1:8001"
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return f"{host!r} is not an IP number"
+    return None
--- /dev/null
+++ b/coltsfootchute/settings/tests/test_schemas.py
@@ -0,0 +1,74 @@
+"""Guards against settings that are taken although a part of them is wrong."""
+
+import json
+
+import pytest
+
+from coltsfootchute import errors, settings
+
+GOOD = {
+    "instance": {"name": "i1", "failure_domain": "fd-a"},
+    "control": {
+        "peer": "127.0.0.1:7001",
+        "data": "data",
+        "initial": [{"name": "i1", "address": "127.0.0.1:7001"}],
+    },
+}
+
+
+def changed(path, value):
+    data = json.loads(json.dumps(GOOD))
+    *parents, last = path.split(".")
+    place = data
+    for parent in parents:
+        place = place[parent]
+    place[last] = value
+    return json.dumps(data)
+
+
+def test_comments_and_trailing_commas_are_accepted():
+    text = "// first\n" + json.dumps(GOOD)[:-1] + ", /* last */ }"
+    assert settings.parse(text).instance.name == "i1"
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "where"),
+    [
+        ("instance.name", "", "$.instance.name"),
+        ("instance.name", 3, "$.instance.name"),
+        ("instance.nam", "x", "$.instance.nam"),
+        ("control.peer", "localhost:1", "$.control.peer"),
+        ("control.peer", "127.0.0.1", "$.control.peer"),
+        ("control.peer", "127.0.0.1:99999", "$.control.peer"),
+        ("control.initial", [], "$.control.initial"),
+        ("control.initial", [{"name": "i1"}], "$.control.initial[0].address"),
+        ("control.metrics", "127.0.0.1:7001", "$.control.metrics"),
+        ("control.data", None, "$.control.data"),
+    ],
+)
+def test_a_mistake_is_named_by_its_path(path, value, where):
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse(changed(path, value))
+    assert where in [path for path, _ in caught.value.problems]
+
+
+def test_every_mistake_is_reported_at_once():
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse('{"instance": {"name": 1, "extra": 2}}')
+    assert len(caught.value.problems) == 3
+
+
+def test_a_syntax_error_names_its_line():
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse('{\n"instance": {"name" 1}}')
+    assert caught.value.problems[0][0] == "line 2"
+
+
+def test_settings_without_a_role_are_refused():
+    with pytest.raises(errors.SettingsError, match="needs `control`"):
+        settings.parse('{"instance": {"name": "a", "failure_domain": "b"}}')
+
+
+def test_a_missing_file_is_a_settings_error(tmp_path):
+    with pytest.raises(errors.SettingsError, match="No such file"):
+        settings.load(tmp_path / "absent.json")
