--- a/coltsfootchute/agreement/__init__.py
+++ b/coltsfootchute/agreement/__init__.py
@@ -1,1 +1,30 @@
-"""The replicated log: elections, replication, membership, storage."""
+"""The replicated log: elections, replication, membership, storage.
+
+The decision logic does no I/O; only `stores` does.
+"""
+
+from coltsfootchute.agreement.records import (
+    NOTHING,
+    Actions,
+    Identity,
+    Proposed,
+    Role,
+    SavedState,
+    Snapshot,
+    Timing,
+)
+from coltsfootchute.agreement.replicas import Replica
+from coltsfootchute.agreement.stores import FileStore
+
+__all__ = [
+    "NOTHING",
+    "Actions",
+    "FileStore",
+    "Identity",
+    "Proposed",
+    "Replica",
+    "Role",
+    "SavedState",
+    "Snapshot",
+    "Timing",
+]
