--- /dev/null
+++ b/coltsfootchute/agreement/frames.py
@@ -0,0 +1,127 @@
+"""Records in files: what is written with one sync, guarded by checksums.
+
+A record is a header (magic, length, CRC32 of the content, CRC32 of the header)
+and its content, a sequence of frames (kind, length, protobuf message). All that
+one sync makes durable is one record, so a crash tears at most the last record
+of a file. The checksum of the header tells a torn record from a damaged length.
+"""
+
+import collections.abc
+import enum
+import struct
+import zlib
+
+from coltsfootchute import errors
+
+__all__ = ["Kind", "frames_of", "pack", "records_of"]
+
+MAGIC = b"\xc5\x17AG"
+HEADER = struct.Struct("<4sII")
+CHECKSUM = struct.Struct("<I")
+FRAME = struct.Struct("<BI")
+HEADER_BYTES = HEADER.size + CHECKSUM.size
+
+FrameT = tuple[int, bytes]
+
+
+class Kind(enum.IntEnum):
+    """What a frame holds."""
+
+    HARD_STATE = 1
+    ENTRY = 2
+    SNAPSHOT_META = 3
+    SNAPSHOT_DATA = 4
+    IDENTITY = 5
+    RESET = 6  # A snapshot replaced all entries before it.
+
+
+def pack(frames: collections.abc.Iterable[FrameT]) -> bytes:
+    """Return a record.
+
+    Parameters
+    ----------
+    frames
+        Kind and content of each frame.
+    """
+    content = b"".join(
+        part for kind, data in frames for part in (FRAME.pack(kind, len(data)), data)
+    )
+    header = HEADER.pack(MAGIC, len(content), zlib.crc32(content))
+    return header + CHECKSUM.pack(zlib.crc32(header)) + content
+
+
+def _content_at(data: memoryview, offset: int) -> tuple[int, memoryview | None]:
+    """Return the end of the record at an offset and its content, if intact.
+
+    The end is 0 if the header is not intact.
+    """
+    header = data[offset : offset + HEADER.size]
+    start = offset + HEADER_BYTES
+    if start > len(data) or header[:4] != MAGIC:
+        return 0, None
+    (checksum,) = CHECKSUM.unpack_from(data, offset + HEADER.size)
+    if zlib.crc32(header) != checksum:
+        return 0, None
+    _, length, checksum = HEADER.unpack(header)
+    content = data[start : start + length]
+    intact = len(content) == length and zlib.crc32(content) == checksum
+    return start + length, content if intact else None
+
+
+def _has_record_after(data: bytes, offset: int) -> bool:
+    """Whether an intact record starts after an offset."""
+    view = memoryview(data)
+    while (offset := data.find(MAGIC, offset + 1)) >= 0:
+        if _content_at(view, offset)[1] is not None:
+            return True
+    return False
+
+
+def records_of(data: bytes, may_be_torn: bool) -> tuple[list[memoryview], int]:
+    """Return the contents of the records in a file and their size in bytes.
+
+    Parameters
+    ----------
+    data
+        Content of the file.
+    may_be_torn
+        Whether the last record may be torn; it is then left out.
+
+    Raises
+    ------
+    coltsfootchute.errors.DamagedStoreError
+        If a record is damaged that was synced before.
+
+    Notes
+    -----
+    O(size). A record that is not intact is the torn last one only if nothing
+    intact follows it and its header, if intact, reaches the end of the file.
+    """
+    view = memoryview(data)
+    contents, offset = [], 0
+    while offset < len(data):
+        end, content = _content_at(view, offset)
+        if content is None:
+            torn = end >= len(data) or not end
+            if torn and may_be_torn and not _has_record_after(data, offset):
+                break
+            raise errors.DamagedStoreError(f"damaged record at byte {offset}")
+        contents.append(content)
+        offset = end
+    return contents, offset
+
+
+def frames_of(content: memoryview) -> collections.abc.Iterator[FrameT]:
+    """Yield kind and content of each frame of a record.
+
+    Parameters
+    ----------
+    content
+        The content of an intact record.
+    """
+    offset = 0
+    while offset < len(content):
+        kind, length = FRAME.unpack_from(content, offset)
+        offset += FRAME.size
+        yield kind, bytes(content[offset : offset + length])
+        offset += length
--- /dev/null
+++ b/coltsfootchute/agreement/logs.py
@@ -0,0 +1,195 @@
+"""The entries in memory that follow the last snapshot."""
+
+import collections.abc
+
+from coltsfootchute import errors
+from coltsfootchute.agreement import memberships, records
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["Log"]
+
+
+class Log:
+    """Entries by index, the snapshot before them, and the memberships in both.
+
+    Parameters
+    ----------
+    saved
+        The stored state.
+
+    Notes
+    -----
+    Look-ups cost O(1), appends O(number of new entries). Entries before the
+    snapshot may be kept for followers that lag; `base_index` is the index
+    before the first entry held.
+    """
+
+    def __init__(self, saved: records.SavedState):
+        self.snapshot = saved.snapshot
+        self.entries = list(saved.entries)
+        self.base_index = self.snapshot_index
+        self.base_term = saved.snapshot.meta.term if saved.snapshot else 0
+        if self.entries and self.entries[0].index <= self.snapshot_index:
+            self.base_index = self.entries[0].index
+            self.base_term = self.entries[0].term
+            del self.entries[0]
+        self.history = memberships.History(self.snapshot, self.entries)
+
+    @property
+    def snapshot_index(self) -> int:
+        """Index of the last entry that the snapshot covers; 0 without one."""
+        return self.snapshot.meta.index if self.snapshot else 0
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.base_index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or `None` if it isn't held.
+
+        Parameters
+        ----------
+        index
+            Index of the entry; the entry before the first one held has a term.
+        """
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self.entries[index - self.base_index - 1].term
+        return None
+
+    def between(self, first: int, last: int) -> list[pb.LogEntry]:
+        """Return the entries from index `first` to index `last`, both included.
+
+        Parameters
+        ----------
+        first, last
+            Indexes of entries that are held.
+        """
+        return self.entries[first - self.base_index - 1 : last - self.base_index]
+
+    def chunk(self, first: int, last: int, size: int) -> list[pb.LogEntry]:
+        """Return entries from `first` on, at least one, up to a size.
+
+        Parameters
+        ----------
+        first, last
+            Indexes of the first and of the last entry wanted.
+        size
+            Bound of the payloads together, in bytes.
+        """
+        chosen = []
+        for entry in self.between(first, last):
+            size -= len(entry.payload) + 16  # About what an empty entry takes.
+            if chosen and size < 0:
+                break
+            chosen.append(entry)
+        return chosen
+
+    def append(self, entry: pb.LogEntry) -> None:
+        """Add an entry after the last one.
+
+        Parameters
+        ----------
+        entry
+            The entry.
+        """
+        self.entries.append(entry)
+        self.history.note(entry)
+
+    def merge(
+        self, entries: collections.abc.Sequence[pb.LogEntry], commit_index: int
+    ) -> list[pb.LogEntry]:
+        """Take over a leader's entries and return those that are new.
+
+        Parameters
+        ----------
+        entries
+            Entries that follow one that both logs have.
+        commit_index
+            Index of the last committed entry.
+
+        Raises
+        ------
+        coltsfootchute.errors.AgreementError
+            If a committed entry would change.
+        """
+        for position, entry in enumerate(entries):
+            if entry.index <= self.base_index:
+                continue
+            if self.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= commit_index:
+                raise errors.AgreementError(
+                    f"committed entry {entry.index} would be replaced"
+                )
+            new = list(entries[position:])
+            self._truncate(entry.index)
+            for added in new:
+                self.append(added)
+            return new
+        return []
+
+    def _truncate(self, first: int) -> None:
+        """Remove the entry `first` and all later ones."""
+        del self.entries[first - self.base_index - 1 :]
+        self.history.truncate(first)
+
+    def conflict_hint(self, index: int, commit_index: int) -> int:
+        """Return the last index at which a leader's log may agree with this one.
+
+        Parameters
+        ----------
+        index
+            Index of the entry that this log lacks or holds with another term.
+        commit_index
+            Index of the last committed entry; up to it the logs agree.
+
+        Notes
+        -----
+        Skips the whole conflicting term, so that a follower that lags by many
+        entries costs one rejection per term instead of one per entry.
+        """
+        if index > self.last_index:
+            return self.last_index
+        term = self.term_at(index)
+        while index > commit_index and self.term_at(index) == term:
+            index -= 1
+        return index
+
+    def compact(self, snapshot: records.Snapshot, kept: int) -> None:
+        """Drop entries that a snapshot covers.
+
+        Parameters
+        ----------
+        snapshot
+            The snapshot, which covers only entries that are held.
+        kept
+            Number of entries to keep before the end of the snapshot.
+        """
+        self.snapshot = snapshot
+        self.history.compact(snapshot.meta)
+        new_base = snapshot.meta.index - kept
+        if new_base > self.base_index:
+            term = self.term_at(new_base)
+            del self.entries[: new_base - self.base_index]
+            self.base_index, self.base_term = new_base, term
+
+    def reset(self, snapshot: records.Snapshot) -> None:
+        """Replace everything by a snapshot of the leader.
+
+        Parameters
+        ----------
+        snapshot
+            The snapshot.
+        """
+        self.snapshot = snapshot
+        self.entries = []
+        self.base_index, self.base_term = snapshot.meta.index, snapshot.meta.term
+        self.history = memberships.History(snapshot, ())
--- a/coltsfootchute/agreement/replicas.py
+++ b/coltsfootchute/agreement/replicas.py
@@ -1,17 +1,19 @@
 """The replicated log of one instance."""
 
-import random
+import math
 
-from coltsfootchute.agreement import records
+from coltsfootchute import errors
+from coltsfootchute.agreement import leaders, memberships, records, replication
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
 __all__ = ["Replica"]
 
 
-class Replica:
+class Replica(leaders.LogMember):
     """One member of the replicated log, without I/O.
 
-    A daemon drives it so::
+    A daemon loads `saved.snapshot` into its state machine, then drives the
+    replica so::
 
         actions = replica.step(message, now)     # or tick, propose(...).actions
         if actions.must_sync:
@@ -27,88 +29,296 @@
                 replica.compact(replica.applied_index, machine.dump())
             )
 
-    `tick` is called at `next_deadline` or later. `propose` takes all payloads
-    that have come in since the last call, so that they share one sync. Right
-    before a response is sent, `can_read` is asked again with a new time.
+    All of it is done before the next event, because a leader counts its own
+    entries as stored. `tick` is called at `next_deadline` or later, which may
+    change with each event; it is infinite for a learner, which only listens.
+    `propose` takes all payloads that have come in since the last call, so that
+    they share one sync. Right before a response is sent, `can_read` is asked
+    again with a new time.
 
     `now` is in seconds of a monotonic clock that also runs while the machine
     is suspended (`time.CLOCK_BOOTTIME`).
-    """
 
-    def __init__(
-        self,
-        identity: records.Identity,
-        saved: records.SavedState,
-        rng: random.Random,
-        timing: records.Timing | None = None,
-    ):
-        self.identity = identity
-        self.term = saved.hard_state.term
-        self.role = records.Role.LEARNER
-        self.leader_id = ""
-        self.commit_index = 0
-        self.applied_index = 0
-        self.next_deadline = 0.0
+    Parameters
+    ----------
+    identity
+        Who the instance is.
+    saved
+        The stored state; without a snapshot in it the instance is in no
+        cluster and waits for a leader to send it one.
+    rng
+        Source of randomness for election timeouts.
+    timing
+        Times and sizes; the defaults if absent.
 
-    @property
-    def membership(self) -> pb.Membership | None:
-        """Latest membership in the log, committed or not; `None` if unformed."""
-        raise NotImplementedError
+    Notes
+    -----
+    An event costs O(new entries), at most eight members counted. Entries are
+    committed by counting only in the leader's own term.
+
+    References
+    ----------
+    D. Ongaro, "Consensus: Bridging Theory and Practice", Stanford, 2014.
+    """
 
     @property
     def committed_membership(self) -> pb.Membership | None:
         """Latest committed membership, for `HelloReply`; `None` if unformed."""
-        raise NotImplementedError
+        return self.log.history.at(self.commit_index)
 
     @property
     def wants_snapshot(self) -> bool:
         """Whether enough was applied since the last snapshot for a new one."""
-        raise NotImplementedError
+        applied = self.applied_index - self.log.snapshot_index
+        if applied >= self.timing.snapshot_entries:
+            return True
+        return self._applied_bytes >= self.timing.snapshot_bytes
 
-    def step(self, message: pb.PeerMessage, now: float) -> records.Actions:
-        """Handle a message of another member."""
-        raise NotImplementedError
+    def can_read(self, now: float) -> bool:
+        """Return whether this replica may answer reads from its own state.
 
-    def tick(self, now: float) -> records.Actions:
-        """Handle the passing of time."""
-        raise NotImplementedError
+        Parameters
+        ----------
+        now
+            Time in seconds, read right before the response is sent.
+        """
+        lead = self._lead
+        if lead is None or self.commit_index < lead.first_index:
+            return False
+        return lead.has_lease(now)
+
+    def proof_age(self, now: float) -> float:
+        """Return how long ago the replica last knew that it was current.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+
+        Returns
+        -------
+        float
+            Age in seconds, infinite if it never knew.
+        """
+        proof_at = self._leader_proof(now) if self._lead else self._proof_at
+        return now - proof_at if proof_at > -math.inf else math.inf
+
+    def _require_lease(self, now: float) -> replication.Leadership:
+        """Return the leadership, or raise `NotLeaderError`."""
+        if self._lead is None:
+            raise errors.NotLeaderError(self.leader_id)
+        if not self._lead.has_lease(now):
+            raise errors.NotLeaderError()
+        return self._lead
 
     def propose(self, payloads: list[bytes], now: float) -> records.Proposed:
-        """Append commands; raises `NotLeaderError` without leadership and lease."""
-        raise NotImplementedError
+        """Append commands to the log.
 
-    def can_read(self, now: float) -> bool:
-        """Whether this replica is the leader and holds its lease."""
-        raise NotImplementedError
+        Parameters
+        ----------
+        payloads
+            Serialized commands, all that are waiting: they share one sync.
+        now
+            Time in seconds.
 
-    def proof_age(self, now: float) -> float:
-        """Seconds since the replica last knew that it was current; `inf`: never."""
-        raise NotImplementedError
+        Raises
+        ------
+        coltsfootchute.errors.NotLeaderError
+            If the replica doesn't lead or holds no lease; nothing was appended.
+        """
+        self._require_lease(now)
+        return self._propose([(pb.ENTRY_KIND_COMMAND, p) for p in payloads], now)
+
+    def _propose(self, items: list[tuple[int, bytes]], now: float) -> records.Proposed:
+        """Append entries as one event."""
+        self._begin(now)
+        indexes = self._append(items, now)
+        return records.Proposed(self.term, indexes, self._end(now))
 
     def transfer(self, now: float) -> records.Actions:
-        """Give up the lease and make another voter the leader."""
-        raise NotImplementedError
+        """Give up the lease and make the most advanced other voter the leader.
+
+        The transfer is done when `is_leader` is false. If it fails, the replica
+        leads on, or steps down if the other voter may still act on the request.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+
+        Raises
+        ------
+        coltsfootchute.errors.NotLeaderError
+            If the replica doesn't lead.
+        coltsfootchute.errors.AgreementError
+            If no other voter is up.
+        """
+        if self._lead is None:
+            raise errors.NotLeaderError(self.leader_id)
+        if self._lead.transfer:
+            return records.NOTHING
+        target = self._lead.best_voter(now)
+        if target is None:
+            raise errors.AgreementError("no other voter is up")
+        self._begin(now)
+        self._lead.transfer = replication.Transfer(target, now)
+        self._broadcast(now, heartbeat=True)
+        self._ask_for_election(now)
+        return self._end(now)
 
     def add_learner(self, member: pb.Member, now: float) -> records.Proposed:
-        """Add a member without a vote."""
-        raise NotImplementedError
+        """Add a member without a vote.
+
+        Parameters
+        ----------
+        member
+            The new member.
+        now
+            Time in seconds.
+
+        Raises
+        ------
+        coltsfootchute.errors.NotLeaderError
+            If the replica doesn't lead or holds no lease.
+        coltsfootchute.errors.AgreementError
+            If the id is a member's, eight members exist, or a change is pending.
+        """
+        self._require_no_change(now)
+        return self._change(memberships.with_learner(self.membership, member), now)
 
     def remove_member(self, member_id: str, now: float) -> records.Proposed:
-        """Remove a member other than the leader."""
-        raise NotImplementedError
+        """Remove a member other than the leader.
+
+        Parameters
+        ----------
+        member_id
+            Id of the member.
+        now
+            Time in seconds.
+
+        Raises
+        ------
+        coltsfootchute.errors.NotLeaderError
+            If the replica doesn't lead or holds no lease.
+        coltsfootchute.errors.AgreementError
+            If it is no member or the leader, or a change is pending.
+        """
+        self._require_no_change(now)
+        if member_id == self.identity.member_id:
+            raise errors.AgreementError(
+                "the leader can't remove itself; transfer first"
+            )
+        return self._change(memberships.without(self.membership, member_id), now)
 
     def promote(self, member_id: str, now: float) -> records.Proposed:
-        """Give a learner that has caught up a vote."""
-        raise NotImplementedError
+        """Give a learner that has caught up a vote.
+
+        Parameters
+        ----------
+        member_id
+            Id of the learner.
+        now
+            Time in seconds.
+
+        Raises
+        ------
+        coltsfootchute.errors.NotLeaderError
+            If the replica doesn't lead or holds no lease.
+        coltsfootchute.errors.AgreementError
+            If it lags or is silent, if a voter has its instance's name, or if a
+            change is pending.
+        """
+        lead = self._require_no_change(now)
+        changed = memberships.with_voter(self.membership, member_id)
+        if not lead.is_caught_up(member_id, self.commit_index, now):
+            raise errors.AgreementError(f"{member_id} has not caught up")
+        return self._change(changed, now)
 
     def advance_membership(self, now: float) -> records.Proposed | None:
-        """Propose the next step of promoting learners, if any is due.
+        """Propose the next step of bringing in learners, if one is due.
+
+        The daemon calls it on the leader about once a second. For a learner
+        that has caught up it removes the lost members with the same instance
+        name, one at a time, then promotes the learner. A member that still
+        acknowledges is not removed: two instances have the same name then.
 
-        A daemon calls it about once a second on the leader: it removes the lost
-        member whose name a caught-up learner has, then promotes the learner.
+        Parameters
+        ----------
+        now
+            Time in seconds.
+
+        Raises
+        ------
+        coltsfootchute.errors.NotLeaderError
+            If the replica doesn't lead or holds no lease.
+        """
+        lead = self._require_lease(now)
+        if self._is_change_pending():
+            return None
+        for learner in self.membership.members:
+            if learner.voter:
+                continue
+            if not lead.is_caught_up(learner.member_id, self.commit_index, now):
+                continue
+            lost = memberships.replaced(self.membership, learner)
+            if any(self._is_up(m.member_id, now) for m in lost):
+                continue
+            if lost:
+                return self.remove_member(lost[0].member_id, now)
+            return self.promote(learner.member_id, now)
+        return None
+
+    def _is_up(self, member_id: str, now: float) -> bool:
+        """Whether a member is the leader or acknowledged lately."""
+        own_id = self.identity.member_id
+        return member_id == own_id or self._lead.is_recent(member_id, now)
+
+    def _is_change_pending(self) -> bool:
+        """Whether a change of the membership must wait.
+
+        Before an entry of the own term is committed, a change of an earlier
+        leader may be pending unseen; two quorums could then be disjoint.
         """
-        raise NotImplementedError
+        if self.commit_index < self._lead.first_index:
+            return True
+        return self.log.history.latest_index > self.commit_index
+
+    def _require_no_change(self, now: float) -> replication.Leadership:
+        """Return the leadership if the membership may change now."""
+        lead = self._require_lease(now)
+        if self._is_change_pending():
+            raise errors.AgreementError("a change of the membership is pending")
+        return lead
+
+    def _change(self, membership: pb.Membership, now: float) -> records.Proposed:
+        """Append a membership."""
+        payload = membership.SerializeToString()
+        return self._propose([(pb.ENTRY_KIND_MEMBERSHIP, payload)], now)
 
     def compact(self, index: int, data: bytes) -> records.Snapshot:
-        """Drop entries up to `index`, given the dump of the machine there."""
-        raise NotImplementedError
+        """Drop entries up to an index and return the snapshot to save.
+
+        Parameters
+        ----------
+        index
+            Index of the last entry that the state machine has applied.
+        data
+            Its dump. The replica keeps it for followers that lag; a memory-mapped
+            file saves the memory.
+
+        Raises
+        ------
+        coltsfootchute.errors.AgreementError
+            If the entry is not applied or is covered by a snapshot already.
+        """
+        if not self.log.snapshot_index < index <= self.applied_index:
+            raise errors.AgreementError(f"no snapshot can be taken at {index}")
+        meta = pb.SnapshotMeta(
+            index=index,
+            term=self.log.term_at(index),
+            membership=self.log.history.at(index),
+        )
+        snapshot = records.Snapshot(meta, data)
+        self.log.compact(snapshot, self.timing.kept_entries)
+        self._applied_bytes = 0
+        return snapshot
--- /dev/null
+++ b/coltsfootchute/agreement/snapshots.py
@@ -0,0 +1,76 @@
+"""Snapshots sent in chunks."""
+
+from coltsfootchute.agreement import records
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["Incoming", "chunk_of"]
+
+
+def chunk_of(
+    snapshot: records.Snapshot, offset: int, size: int, sent: int
+) -> pb.SnapshotChunk:
+    """Return one chunk of a snapshot.
+
+    Parameters
+    ----------
+    snapshot
+        The snapshot to send.
+    offset
+        Position in its data, in bytes.
+    size
+        Size of a chunk, in bytes.
+    sent
+        Time of sending, as the `round` of the message.
+    """
+    data = bytes(snapshot.data[offset : offset + size])
+    return pb.SnapshotChunk(
+        meta=snapshot.meta,
+        offset=offset,
+        data=data,
+        last=offset + len(data) >= len(snapshot.data),
+        round=sent,
+    )
+
+
+class Incoming:
+    """The chunks of a snapshot received so far."""
+
+    def __init__(self):
+        self._meta: pb.SnapshotMeta | None = None
+        self._data = bytearray()
+
+    def take(self, chunk: pb.SnapshotChunk) -> records.Snapshot | None:
+        """Add a chunk and return the snapshot if it is complete.
+
+        A chunk of another snapshot starts anew; a chunk out of order is dropped.
+
+        Parameters
+        ----------
+        chunk
+            The chunk.
+        """
+        if self._meta is None or self._key(self._meta) != self._key(chunk.meta):
+            self._meta = chunk.meta
+            self._data = bytearray()
+        if chunk.offset != len(self._data):
+            return None
+        self._data += chunk.data
+        if not chunk.last:
+            return None
+        snapshot = records.Snapshot(self._meta, bytes(self._data))
+        self.clear()
+        return snapshot
+
+    @staticmethod
+    def _key(meta: pb.SnapshotMeta) -> tuple[int, int]:
+        return meta.index, meta.term
+
+    @property
+    def next_offset(self) -> int:
+        """Where the next chunk starts, in bytes."""
+        return len(self._data)
+
+    def clear(self) -> None:
+        """Forget an incomplete snapshot."""
+        self._meta = None
+        self._data = bytearray()
--- a/coltsfootchute/agreement/stores.py
+++ b/coltsfootchute/agreement/stores.py
@@ -1,12 +1,45 @@
 """Files in which a replica's state survives a restart."""
 
 import collections.abc
+import contextlib
+import dataclasses
+import os
 
-from coltsfootchute.agreement import records
+from coltsfootchute import errors, ids
+from coltsfootchute.agreement import disks, frames, records
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
 __all__ = ["FileStore"]
 
+IDENTITY = "identity"
+LOCK = "lock"
+LOG_PREFIX = "log-"
+SNAPSHOT_PREFIX = "snapshot-"
+TEMPORARY_SUFFIX = ".tmp"
+MEMBER_ID_BYTES = 16
+
+
+@dataclasses.dataclass(slots=True)
+class Segment:
+    """A file of the log.
+
+    Parameters
+    ----------
+    name
+        ``log-<first index>-<sequence>``. The sequence orders the files, because
+        after a change of leaders a later file may start at a lower index.
+    high
+        Greatest index of an entry in it.
+    """
+
+    name: str
+    high: int = 0
+
+    @property
+    def sequence(self) -> int:
+        """Position among the files."""
+        return int(self.name.rpartition("-")[2])
+
 
 class FileStore:
     """The data folder of one instance.
@@ -16,26 +49,171 @@
     folder
         The data folder; created if absent.
     name
-        Name of the instance. Data written under another name is set aside and
-        the instance gets a new member id.
+        Name of the instance. Data written under another name is moved to a
+        folder ``foreign-<member id>``, and the instance gets a new member id.
+    disk
+        The file operations.
 
     Attributes
     ----------
     member_id
         Random id, created when the folder was first opened.
     saved
-        The stored state, for `Replica`.
+        The state stored when the folder was opened, for `Replica`; the caller
+        deletes it (``store.saved = None``) to free the memory.
 
     Raises
     ------
     coltsfootchute.errors.FolderInUseError
         If another process uses the folder.
     coltsfootchute.errors.DamagedStoreError
-        If stored data is damaged.
+        If stored data is damaged anywhere but in a torn last record.
+
+    Notes
+    -----
+    An append costs one write and one sync. Opening reads the snapshot and the
+    entries since the snapshot before it.
     """
 
-    def __init__(self, folder: str, name: str):
-        raise NotImplementedError
+    def __init__(self, folder: str, name: str, disk: disks.Disk | None = None):
+        self._folder = folder
+        self._disk = disk or disks.LocalDisk()
+        self._is_usable = True
+        self._segments: list[Segment] = []
+        self._hard_state = pb.HardState()
+        self._disk.make_folder(folder)
+        self._release = self._disk.lock(self._path(LOCK))
+        try:
+            self.member_id = self._open_identity(name)
+            self.saved: records.SavedState | None = self._load()
+        except OSError as exc:
+            self.close()
+            raise errors.StoreError(f"{folder} can't be opened: {exc}") from exc
+        except BaseException:
+            self.close()
+            raise
+
+    def _path(self, name: str) -> str:
+        """Return the path of a file in the folder."""
+        return os.path.join(self._folder, name)
+
+    def _names(self, prefix: str) -> list[str]:
+        """Return the names in the folder that start with a prefix, sorted."""
+        return sorted(n for n in self._disk.names(self._folder) if n.startswith(prefix))
+
+    # Opening.
+
+    def _open_identity(self, name: str) -> ids.MemberId:
+        """Return the member id of the folder, or a new one if it has none."""
+        for leftover in self._disk.names(self._folder):
+            if leftover.endswith(TEMPORARY_SUFFIX):
+                self._disk.remove(self._path(leftover))
+        stored = self._read_identity()
+        if stored and stored.name == name:
+            return ids.MemberId(stored.member_id)
+        if stored:
+            self._set_aside(stored.member_id)
+        member = pb.Member(member_id=os.urandom(MEMBER_ID_BYTES).hex(), name=name)
+        frame = (frames.Kind.IDENTITY, member.SerializeToString())
+        self._write_new(IDENTITY, frames.pack([frame]))
+        return ids.MemberId(member.member_id)
+
+    def _read_identity(self) -> pb.Member | None:
+        """Return the stored identity, or `None` in an empty folder."""
+        if IDENTITY in self._disk.names(self._folder):
+            ((_, data),) = self._frames(IDENTITY)
+            return pb.Member.FromString(data)
+        if self._names(LOG_PREFIX) or self._names(SNAPSHOT_PREFIX):
+            raise errors.DamagedStoreError(f"{self._folder} has data but no identity")
+        return None
+
+    def _set_aside(self, member_id: str) -> None:
+        """Move data of another instance away, its identity last."""
+        foreign = self._path(f"foreign-{member_id}")
+        self._disk.make_folder(foreign)
+        for name in [*self._names(LOG_PREFIX), *self._names(SNAPSHOT_PREFIX), IDENTITY]:
+            self._disk.rename(self._path(name), os.path.join(foreign, name))
+        self._disk.sync_folder(foreign)
+        self._disk.sync_folder(self._folder)
+
+    def _frames(self, name: str, may_be_torn: bool = False) -> list[tuple[int, bytes]]:
+        """Return the frames in a file; cut off a torn last record."""
+        data = self._disk.read(self._path(name))
+        try:
+            contents, size = frames.records_of(data, may_be_torn)
+        except errors.DamagedStoreError as exc:
+            raise errors.DamagedStoreError(f"{self._path(name)}: {exc}") from exc
+        if not contents:
+            raise errors.DamagedStoreError(f"{self._path(name)} holds no record")
+        if size < len(data):
+            self._disk.truncate(self._path(name), size)
+            self._sync(name)
+        return [frame for content in contents for frame in frames.frames_of(content)]
+
+    def _load(self) -> records.SavedState:
+        """Read snapshot and log."""
+        snapshot = self._load_snapshot()
+        covered = snapshot.meta.index if snapshot else 0
+        names = self._names(LOG_PREFIX)
+        self._segments = sorted(map(Segment, names), key=lambda s: s.sequence)
+        entries: list[pb.LogEntry] = []
+        for segment in self._segments:
+            is_last = segment is self._segments[-1]
+            for kind, data in self._frames(segment.name, may_be_torn=is_last):
+                if kind == frames.Kind.HARD_STATE:
+                    self._hard_state = pb.HardState.FromString(data)
+                    continue
+                if kind == frames.Kind.RESET:
+                    entries.clear()
+                    continue
+                entry = pb.LogEntry.FromString(data)
+                segment.high = max(segment.high, entry.index)
+                self._place(entries, entry)
+        entries = self._after_snapshot(entries, snapshot)
+        hard_state = pb.HardState.FromString(self._hard_state.SerializeToString())
+        if not self._segments:
+            self._roll(covered + 1, [])
+        return records.SavedState(hard_state, snapshot, entries)
+
+    def _load_snapshot(self) -> records.Snapshot | None:
+        """Read the latest snapshot and remove those before it."""
+        names = self._names(SNAPSHOT_PREFIX)
+        if not names:
+            return None
+        (_, meta), (_, data) = self._frames(names[-1])
+        self._remove(names[:-1])
+        return records.Snapshot(pb.SnapshotMeta.FromString(meta), data)
+
+    def _place(self, entries: list[pb.LogEntry], entry: pb.LogEntry) -> None:
+        """Add an entry read from the log; it replaces those from its index on."""
+        first = entries[0].index if entries else entry.index
+        if entry.index > first + len(entries):
+            raise errors.DamagedStoreError(
+                f"{self._folder}: entries before {entry.index} are missing"
+            )
+        del entries[max(entry.index - first, 0) :]
+        entries.append(entry)
+
+    def _after_snapshot(
+        self, entries: list[pb.LogEntry], snapshot: records.Snapshot | None
+    ) -> list[pb.LogEntry]:
+        """Return the entries that agree with the snapshot."""
+        if not entries:
+            return entries
+        if snapshot is None or entries[0].index > snapshot.meta.index + 1:
+            raise errors.DamagedStoreError(
+                f"{self._folder}: entries before {entries[0].index} are missing"
+            )
+        meta = snapshot.meta
+        at_end = meta.index - entries[0].index
+        if at_end < 0:
+            return entries
+        # A received snapshot replaces a log that lacks its last entry; a crash
+        # between the two writes leaves that log.
+        agrees = at_end < len(entries) and entries[at_end].term == meta.term
+        return entries if agrees else []
+
+    # Writing.
 
     def append(
         self,
@@ -43,13 +221,153 @@
         entries: collections.abc.Sequence[pb.LogEntry],
         snapshot: records.Snapshot | None = None,
     ) -> None:
-        """Store the fields of an `Actions` with one sync (more with a snapshot)."""
-        raise NotImplementedError
+        """Store the fields of an `Actions` with one sync.
+
+        A snapshot takes more syncs: it is a file of its own and starts a new log.
+
+        Parameters
+        ----------
+        hard_state
+            Term and vote, if they changed.
+        entries
+            New entries; the first may replace stored ones.
+        snapshot
+            A snapshot of the leader, which replaces the log.
+
+        Raises
+        ------
+        coltsfootchute.errors.SyncError
+            If writing or syncing failed. What is stored is then unknown: the
+            store refuses all further use, and the process must exit.
+        """
+        self._require_usable()
+        if hard_state:
+            self._hard_state.CopyFrom(hard_state)
+        if snapshot:
+            with self._fatal_errors():
+                self._write_snapshot(snapshot)
+                replaced = self._segments
+                self._segments = []
+                next_sequence = replaced[-1].sequence + 1
+                reset = [(frames.Kind.RESET, b"")]
+                first = snapshot.meta.index + 1
+                self._roll(first, entries, next_sequence, reset)
+                self._remove([s.name for s in replaced])
+            return
+        parts = [(frames.Kind.ENTRY, e.SerializeToString()) for e in entries]
+        if hard_state:
+            parts.insert(0, self._hard_state_frame())
+        segment = self._segments[-1]
+        with self._fatal_errors():
+            self._disk.append(self._path(segment.name), frames.pack(parts))
+            self._sync(segment.name)
+        if entries:
+            segment.high = max(segment.high, entries[-1].index)
 
     def save_snapshot(self, snapshot: records.Snapshot) -> None:
-        """Store a snapshot made by `Replica.compact` and trim the log."""
-        raise NotImplementedError
+        """Store a snapshot made by `Replica.compact` and trim the log.
+
+        Parameters
+        ----------
+        snapshot
+            The snapshot; the log holds the entries after it.
+
+        Raises
+        ------
+        coltsfootchute.errors.SyncError
+            As for `append`.
+        """
+        self._require_usable()
+        with self._fatal_errors():
+            self._write_snapshot(snapshot)
+            last = self._segments[-1]
+            self._roll(last.high + 1, [], last.sequence + 1)
+            self._trim(snapshot.meta.index)
+
+    def _trim(self, covered: int) -> None:
+        """Remove the oldest segments if a snapshot covers all their entries."""
+        count = 0
+        while count < len(self._segments) - 1 and self._segments[count].high <= covered:
+            count += 1
+        self._remove([s.name for s in self._segments[:count]])
+        del self._segments[:count]
+
+    def _roll(
+        self,
+        first: int,
+        entries: collections.abc.Sequence[pb.LogEntry],
+        sequence: int = 0,
+        reset: collections.abc.Sequence[tuple[int, bytes]] = (),
+    ) -> None:
+        """Start a new segment; it repeats the hard state."""
+        name = f"{LOG_PREFIX}{first:020d}-{sequence:08d}"
+        parts = [(frames.Kind.ENTRY, e.SerializeToString()) for e in entries]
+        self._write_new(name, frames.pack([self._hard_state_frame(), *reset, *parts]))
+        high = entries[-1].index if entries else first - 1
+        self._segments.append(Segment(name, high))
+
+    def _hard_state_frame(self) -> tuple[int, bytes]:
+        """Return the frame of term and vote."""
+        return frames.Kind.HARD_STATE, self._hard_state.SerializeToString()
+
+    def _write_snapshot(self, snapshot: records.Snapshot) -> None:
+        """Store a snapshot, then remove the ones before it."""
+        name = f"{SNAPSHOT_PREFIX}{snapshot.meta.index:020d}"
+        parts = [
+            (frames.Kind.SNAPSHOT_META, snapshot.meta.SerializeToString()),
+            (frames.Kind.SNAPSHOT_DATA, bytes(snapshot.data)),
+        ]
+        self._write_new(name, frames.pack(parts))
+        self._remove([n for n in self._names(SNAPSHOT_PREFIX) if n < name])
+
+    def _write_new(self, name: str, data: bytes) -> None:
+        """Write a file under a temporary name, sync it, and give it its name."""
+        temporary = name + TEMPORARY_SUFFIX
+        self._disk.append(self._path(temporary), data)
+        self._sync(temporary)
+        self._disk.rename(self._path(temporary), self._path(name))
+        self._sync_folder()
+
+    def _remove(self, names: list[str]) -> None:
+        """Remove files that are no longer needed."""
+        for name in names:
+            self._disk.remove(self._path(name))
+
+    def _sync(self, name: str) -> None:
+        """Sync a file, or raise `SyncError`."""
+        try:
+            self._disk.sync(self._path(name))
+        except OSError as exc:
+            raise errors.SyncError(f"sync of {self._path(name)} failed: {exc}") from exc
+
+    def _sync_folder(self) -> None:
+        """Sync the folder, or raise `SyncError`."""
+        try:
+            self._disk.sync_folder(self._folder)
+        except OSError as exc:
+            raise errors.SyncError(f"sync of {self._folder} failed: {exc}") from exc
+
+    @contextlib.contextmanager
+    def _fatal_errors(self) -> collections.abc.Iterator[None]:
+        """Make the store unusable if writing fails in any way."""
+        try:
+            yield
+        except OSError as exc:
+            self._is_usable = False
+            raise errors.SyncError(f"writing to {self._folder} failed: {exc}") from exc
+        except BaseException:
+            self._is_usable = False
+            raise
+
+    def _require_usable(self) -> None:
+        """Raise `SyncError` after a failure or after closing."""
+        if not self._is_usable:
+            raise errors.SyncError(f"{self._folder} is unusable after a failure")
 
     def close(self) -> None:
-        """Release the folder."""
-        raise NotImplementedError
+        """Release the folder; the store can't be used any more."""
+        self._is_usable = False
+        close = getattr(self._disk, "close", None)
+        if close:
+            close()
+        self._release()
