control: form a cluster, replicate commands and serve the feed

Cause: the control role had no daemon. Before / after: three processes on loopback form a cluster, accept a proposal and 1000 claims, and give a resend after a leader stop the first outcome (index 3).

--- /dev/null
+++ b/coltsfootchute/control/daemons.py
@@ -0,0 +1,247 @@
+"""The control role: start, running, and the graceful stop."""
+
+import asyncio
+import os
+import random
+import signal
+import socket
+
+import grpclib.server
+import uvloop
+from loguru import logger
+
+from coltsfootchute import agreement, errors, settings
+from coltsfootchute.control import (
+    cores,
+    duties,
+    feeds,
+    joins,
+    links,
+    logs,
+    services,
+)
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["Daemon", "run"]
+
+DUTY_INTERVAL_S = 1.0
+TRANSFER_TIMEOUT_S = 3.0
+POLL_S = 0.02
+FLUSH_TIMEOUT_S = 1.0
+# Watchers get this long to take the end of the feed before their streams are cut.
+FEED_END_S = 0.2
+
+
+class Daemon:
+    """A control instance in the running event loop.
+
+    Parameters
+    ----------
+    cfg
+        Settings with a `control` part.
+    sock
+        A bound socket for the peer listener; by default one is bound to the
+        address in the settings.
+    timing
+        Times of the replicated log.
+    rng
+        Source of election timeouts and jitter.
+
+    Attributes
+    ----------
+    failed
+        Future that gets the exception after which the instance can't go on.
+    """
+
+    def __init__(
+        self,
+        cfg: settings.Settings,
+        sock: socket.socket | None = None,
+        timing: agreement.Timing | None = None,
+        rng: random.Random | None = None,
+    ):
+        self.cfg = cfg
+        self._sock = sock
+        self._timing = timing or agreement.Timing()
+        self._rng = rng or random.Random()
+        self._tasks: list[asyncio.Task] = []
+        self._proposing: set[asyncio.Task] = set()
+        self._metrics = None
+        self._stopped = False
+
+    async def start(self) -> None:
+        """Open the data folder and listen.
+
+        Raises
+        ------
+        coltsfootchute.errors.StoreError
+            If the data folder is damaged or in use.
+        OSError
+            If the address can't be bound.
+        """
+        cfg = self.cfg
+        self.failed: asyncio.Future = asyncio.get_running_loop().create_future()
+        if self._sock is None:
+            self._sock = _bind(cfg.control.peer)
+        store = agreement.FileStore(cfg.control.data, cfg.instance.name)
+        identity = agreement.Identity(
+            member_id=store.member_id,
+            name=cfg.instance.name,
+            address=_address(self._sock),
+            failure_domain=cfg.instance.failure_domain,
+        )
+        self.core = cores.Core(identity, store, self._rng, self._timing, self._fail)
+        self.duties = duties.Duties(self.core, feeds.clock())
+        self.joiner = joins.Joiner(self.core, cfg.control.initial)
+        self.control = services.ControlService(self.core, self.duties)
+        handlers = [
+            services.PeerService(self.core, self.joiner),
+            self.control,
+            feeds.FeedService(self.core.feed),
+        ]
+        config = links.CHANNEL_CONFIG
+        self._server = grpclib.server.Server(handlers, config=config)
+        await self._server.start(sock=self._sock)
+        self.core.start()
+        self._tasks = [
+            asyncio.create_task(self._join()),
+            asyncio.create_task(self._run_duties()),
+        ]
+        if cfg.control.metrics is not None:
+            await self._start_metrics(cfg.control.metrics)
+        logger.info("control: listens on {}", identity.address)
+
+    async def _start_metrics(self, address: str) -> None:
+        # aiohttp and prometheus_client cost memory that control does without.
+        from coltsfootchute.control import metrics
+
+        host, port = links.split_address(address)
+        self._metrics = metrics.MetricsServer(self.control.status, self.core.feed)
+        await self._metrics.start(host, port)
+
+    @property
+    def address(self) -> str:
+        """Address of the peer listener."""
+        return self.core.identity.address
+
+    def _fail(self, exc: BaseException) -> None:
+        logger.opt(exception=exc).critical("control: can't go on: {!r}", exc)
+        if not self.failed.done():
+            self.failed.set_exception(exc)
+            self.failed.exception()  # Read also if nobody waits for it.
+
+    async def _join(self) -> None:
+        await self.joiner.run()
+        if self.joiner.formed_here:
+            # In a new cluster no instance was known before.
+            self.duties.instances_from_s = feeds.clock()
+
+    async def _run_duties(self) -> None:
+        while True:
+            await asyncio.sleep(DUTY_INTERVAL_S)
+            try:
+                for command in self.duties.run(feeds.clock()):
+                    self._propose(command)
+            except Exception as exc:
+                self._fail(exc)
+                return
+
+    def _propose(self, command: pb.Command) -> None:
+        task = asyncio.create_task(self._propose_quietly(command))
+        self._proposing.add(task)
+        task.add_done_callback(self._proposing.discard)
+
+    async def _propose_quietly(self, command: pb.Command) -> None:
+        try:
+            await self.core.propose(command)
+        except errors.AgreementError as exc:
+            # What is still due is proposed again.
+            logger.debug("control: own command not committed: {}", exc)
+
+    async def stop(self) -> None:
+        """Transfer the leadership, end the feeds, then close everything."""
+        if self._stopped:
+            return
+        self._stopped = True
+        await self._transfer()
+        self.core.feed.close()
+        await asyncio.sleep(FEED_END_S if self.core.feed.watchers else 0)
+        for task in [*self._tasks, *self._proposing]:
+            task.cancel()
+        await asyncio.gather(*self._tasks, *self._proposing, return_exceptions=True)
+        try:
+            async with asyncio.timeout(FLUSH_TIMEOUT_S):
+                await self.core.links.flush()
+        except TimeoutError:
+            logger.debug("control: messages to a peer that is down were dropped")
+        await self._close()
+
+    async def _close(self) -> None:
+        self.core.close()
+        await self.core.links.stop()
+        if self._metrics is not None:
+            await self._metrics.stop()
+        self._server.close()
+        await self._server.wait_closed()
+        self.core.store.close()
+        logger.info("control: stopped")
+
+    async def _transfer(self) -> None:
+        """Hand the leadership to another voter, if there is one."""
+        deadline_s = feeds.clock() + TRANSFER_TIMEOUT_S
+        while self.core.replica.is_leader and feeds.clock() < deadline_s:
+            try:
+                self.core.transfer()
+            except errors.AgreementError as exc:
+                logger.info("agreement: no transfer of the leadership: {}", exc)
+                return
+            await asyncio.sleep(POLL_S)
+
+
+def _bind(address: str) -> socket.socket:
+    host, port = links.split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    return socket.create_server((host, port), family=family)
+
+
+def _address(sock: socket.socket) -> str:
+    host, port = sock.getsockname()[:2]
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+async def _serve(cfg: settings.Settings) -> None:
+    daemon = Daemon(cfg)
+    await daemon.start()
+    stop = asyncio.Event()
+
+    def on_signal() -> None:
+        if stop.is_set():
+            os._exit(1)
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait([stopping, daemon.failed], return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    if daemon.failed.done():
+        raise daemon.failed.exception()
+    await daemon.stop()
+
+
+def run(cfg: settings.Settings) -> None:
+    """Run the control role until SIGTERM or SIGINT; a second signal ends at once.
+
+    Parameters
+    ----------
+    cfg
+        Settings with a `control` part.
+
+    Raises
+    ------
+    coltsfootchute.errors.ColtsfootchuteError
+        If the role can't start, or must not go on.
+    """
+    logs.configure(cfg)
+    uvloop.run(_serve(cfg))
--- /dev/null
+++ b/coltsfootchute/control/links.py
@@ -0,0 +1,135 @@
+"""Outgoing streams to the other control instances."""
+
+import asyncio
+import collections
+import random
+
+import grpclib.client
+import grpclib.config
+from loguru import logger
+
+from coltsfootchute.proto import coltsfootchute_grpc as rpc
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["CHANNEL_CONFIG", "Link", "open_channel", "split_address"]
+
+QUEUE_MESSAGES = 256
+BACKOFF_MIN_S = 0.05
+BACKOFF_MAX_S = 1.0
+# A connection cut without a reset is given up after about 4 s. Without pings the
+# kernel retransmits with growing intervals, and the link would stay down for
+# minutes after a long partition has ended.
+CHANNEL_CONFIG = grpclib.config.Configuration(
+    _keepalive_time=2.0,
+    _keepalive_timeout=2.0,
+    _keepalive_permit_without_calls=True,
+    _http2_max_pings_without_data=0,
+    _http2_min_sent_ping_interval_without_data=1.0,
+)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split an address such as ``127.0.0.1:7001`` or ``[::1]:7001``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def open_channel(address: str) -> grpclib.client.Channel:
+    """Return a channel; it connects with its first call."""
+    host, port = split_address(address)
+    return grpclib.client.Channel(host, port, config=CHANNEL_CONFIG)
+
+
+class Link:
+    """The stream of agreement messages to one member.
+
+    Parameters
+    ----------
+    address
+        Peer address of the member.
+    rng
+        Source of the jitter of reconnects.
+
+    Notes
+    -----
+    Agreement repeats what got lost, and an old message is of no use. So the queue
+    is bounded and drops its oldest messages, and a failed connection drops all.
+
+    Attributes
+    ----------
+    dropped
+        Messages that were dropped.
+    """
+
+    def __init__(self, address: str, rng: random.Random):
+        self.address = address
+        self.channel = open_channel(address)
+        self.dropped = 0
+        self._rng = rng
+        self._queue: collections.deque[pb.PeerMessage] = collections.deque()
+        self._ready = asyncio.Event()
+        self._sent = asyncio.Event()
+        self._task = asyncio.create_task(self._run())
+
+    def send(self, message: pb.PeerMessage) -> None:
+        """Queue a message; drop the oldest one if the queue is full."""
+        if len(self._queue) >= QUEUE_MESSAGES:
+            self._queue.popleft()
+            self.dropped += 1
+        self._queue.append(message)
+        self._ready.set()
+
+    async def flush(self) -> None:
+        """Wait until all queued messages were handed to the connection."""
+        self._sent.clear()
+        if self._queue:
+            await self._sent.wait()
+
+    async def stop(self) -> None:
+        """End the stream and close the channel."""
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self.channel.close()
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        backoff_s, is_logged = BACKOFF_MIN_S, False
+        while True:
+            started_s = loop.time()
+            try:
+                await self._exchange()
+                reason = "ended by the peer"
+            except Exception as exc:  # grpclib raises many kinds
+                reason = repr(exc)
+            if loop.time() - started_s > BACKOFF_MAX_S:
+                backoff_s, is_logged = BACKOFF_MIN_S, False
+            if not is_logged:
+                logger.info("control: link to {} is down: {}", self.address, reason)
+                is_logged = True
+            self.dropped += len(self._queue)
+            self._queue.clear()
+            self._sent.set()
+            await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+            backoff_s = min(backoff_s * 2, BACKOFF_MAX_S)
+
+    async def _exchange(self) -> None:
+        stub = rpc.PeerStub(self.channel)
+        async with stub.Exchange.open() as stream:
+            await stream.send_request()
+            reply = asyncio.ensure_future(stream.recv_initial_metadata())
+            try:
+                await self._send_all(stream, reply)
+            finally:
+                reply.cancel()
+                await asyncio.gather(reply, return_exceptions=True)
+                await stream.cancel()
+
+    async def _send_all(self, stream, reply: asyncio.Future) -> None:
+        """Send queued messages until the receiver ends the stream."""
+        reply.add_done_callback(lambda _: self._ready.set())
+        while not reply.done():
+            await self._ready.wait()
+            self._ready.clear()
+            while self._queue and not reply.done():
+                await stream.send_message(self._queue.popleft())
+            self._sent.set()
--- /dev/null
+++ b/coltsfootchute/control/proposals.py
@@ -0,0 +1,103 @@
+"""Commands on their way through the log, and those who wait for them."""
+
+import asyncio
+import collections
+import dataclasses
+
+from coltsfootchute import errors
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+from coltsfootchute.state import outcomes
+
+__all__ = ["ProposalQueue"]
+
+QUEUE_COMMANDS = 5000
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    term: int
+    future: asyncio.Future
+
+
+class ProposalQueue:
+    """Commands that wait for the next batch, and commands without an outcome.
+
+    Notes
+    -----
+    All commands that came in during one round of the event loop are proposed
+    together, so that they share one sync.
+    """
+
+    def __init__(self):
+        self._queued: collections.deque[tuple[pb.Command, asyncio.Future]] = (
+            collections.deque()
+        )
+        self._waiting: dict[int, _Waiting] = {}
+
+    def __len__(self) -> int:
+        return len(self._queued) + len(self._waiting)
+
+    def add(self, command: pb.Command) -> asyncio.Future:
+        """Queue a command.
+
+        Returns
+        -------
+        asyncio.Future
+            The reply of the state machine; `NotLeaderError` if the command never
+            takes effect.
+
+        Raises
+        ------
+        coltsfootchute.errors.OutcomeUnknownError
+            If too many commands wait already; this one is not proposed.
+        """
+        if len(self) >= QUEUE_COMMANDS:
+            msg = f"{len(self)} commands wait for an outcome"
+            raise errors.OutcomeUnknownError(msg)
+        future = asyncio.get_running_loop().create_future()
+        self._queued.append((command, future))
+        return future
+
+    def take(self, time_ms: int) -> tuple[list[bytes], list[asyncio.Future]]:
+        """Return the queued commands that somebody still waits for.
+
+        Parameters
+        ----------
+        time_ms
+            Wall-clock time that the commands get.
+        """
+        batch = [item for item in self._queued if not item[1].done()]
+        self._queued.clear()
+        for command, _ in batch:
+            command.time_ms = time_ms
+        payloads = [command.SerializeToString() for command, _ in batch]
+        return payloads, [future for _, future in batch]
+
+    def proposed(
+        self, term: int, indexes: range, futures: list[asyncio.Future]
+    ) -> None:
+        """Note the places of commands in the log."""
+        for index, future in zip(indexes, futures, strict=True):
+            self._waiting[index] = _Waiting(term, future)
+
+    def applied(self, index: int, term: int, reply: outcomes.Reply) -> None:
+        """Give the reply to who waits for the command at an index.
+
+        An entry of another term at the index shows that the command was replaced
+        and never takes effect.
+        """
+        waiting = self._waiting.pop(index, None)
+        if waiting is None or waiting.future.done():
+            return
+        if waiting.term == term:
+            waiting.future.set_result(reply)
+        else:
+            waiting.future.set_exception(errors.NotLeaderError())
+
+    def forget_done(self) -> None:
+        """Drop the commands that nobody waits for any more."""
+        self._waiting = {
+            index: waiting
+            for index, waiting in self._waiting.items()
+            if not waiting.future.done()
+        }
--- a/coltsfootchute/state/claims.py
+++ b/coltsfootchute/state/claims.py
@@ -76,7 +76,7 @@
             return pb.ClaimOutcome(status=pb.CLAIM_STATUS_DIGEST_MISMATCH)
         if claim.ran:
             return pb.ClaimOutcome(status=pb.CLAIM_STATUS_RAN, answer=claim.answer)
-        if claim.attempt_id == command.attempt_id:
+        if command.attempt_id and claim.attempt_id == command.attempt_id:
             return pb.ClaimOutcome(status=pb.CLAIM_STATUS_GRANTED)
         return pb.ClaimOutcome(status=pb.CLAIM_STATUS_CLAIMED)
 
