--- a/coltsfootchute/control/duties.py
+++ b/coltsfootchute/control/duties.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from coltsfootchute import agreement, errors, sections
+from coltsfootchute import errors, sections
 from coltsfootchute.control import cores, feeds, instances, leases
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
@@ -11,6 +11,7 @@
 # After a start, entries report for this long before the list of instances is
 # passed on; a list with gaps would take entries out of address responses.
 INSTANCES_COMPLETE_S = 6.0
+FREEZE_S = 5.0
 MS_PER_S = 1000
 
 
@@ -28,6 +29,7 @@
     def __init__(self, core: cores.Core, now: float):
         self._core = core
         self._leading: int | None = None
+        self._ran_s = now
         self._budgets: dict[tuple[str, int], int] = {}
         self.instances = instances.InstanceTable()
         self.instances_from_s = now + INSTANCES_COMPLETE_S
@@ -52,9 +54,9 @@
             Whether this instance is the leader and holds its lease.
         """
         core = self._core
-        if core.replica.role is not agreement.Role.LEADER:
-            self._leading = None
         if not core.is_leader:
+            # Renewals are refused meanwhile, so the leases start anew later.
+            self._leading = None
             return False
         if self._leading != core.replica.term:
             self._leading = core.replica.term
@@ -76,6 +78,10 @@
         list of coltsfootchute_pb2.Command
             Commands that the leader has to propose.
         """
+        if now - self._ran_s > FREEZE_S:
+            # Renewals that came in during a freeze may not have been read yet.
+            self._leading = None
+        self._ran_s = now
         self._core.refresh()
         self._core.forget_waiters()
         self.instances.expire(now)
--- /dev/null
+++ b/coltsfootchute/control/metrics.py
@@ -0,0 +1,96 @@
+"""Metrics and health of a control instance over HTTP.
+
+This module is imported only if the settings ask for it: aiohttp and
+prometheus_client take the control role over its memory bound.
+"""
+
+import collections.abc
+
+import prometheus_client
+import prometheus_client.core
+from aiohttp import web
+
+from coltsfootchute.control import feeds
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["MetricsServer"]
+
+PREFIX = "coltsfootchute_control"
+STALE_S = 3.0
+GAUGES = ("feed_watchers", "claims_stored")
+
+
+class _Collector:
+    """Turns `Control.Status` into metric families at each scrape."""
+
+    def __init__(self, status: collections.abc.Callable[[], pb.StatusReply]):
+        self._status = status
+
+    def collect(self) -> collections.abc.Iterator:
+        """Return the metric families."""
+        core = prometheus_client.core
+        status = self._status()
+        for name, value in sorted(status.counters.items()):
+            is_gauge = name in GAUGES
+            family = core.GaugeMetricFamily if is_gauge else core.CounterMetricFamily
+            text = f"Control.Status counter {name}"
+            yield family(f"{PREFIX}_{name}", text, value=value)
+        for name in ("term", "commit_index", "applied_index", "revision"):
+            value = getattr(status, name)
+            text = f"Control.Status {name}"
+            yield core.GaugeMetricFamily(f"{PREFIX}_{name}", text, value=value)
+        text = "Whether this instance leads"
+        leads = float(status.role == "leader")
+        yield core.GaugeMetricFamily(f"{PREFIX}_leader", text, value=leads)
+
+
+class MetricsServer:
+    """Listener for ``/metrics``, ``/healthz`` and ``/readyz``.
+
+    Parameters
+    ----------
+    status
+        Returns what `Control.Status` answers.
+    feed
+        The feed, whose proof of currency decides about ``/readyz``.
+    """
+
+    def __init__(
+        self, status: collections.abc.Callable[[], pb.StatusReply], feed: feeds.Feed
+    ):
+        self._feed = feed
+        self._registry = prometheus_client.CollectorRegistry()
+        self._registry.register(_Collector(status))
+        app = web.Application()
+        app.router.add_get("/metrics", self._metrics)
+        app.router.add_get("/healthz", self._healthz)
+        app.router.add_get("/readyz", self._readyz)
+        self._runner = web.AppRunner(app, access_log=None)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        """The bound addresses."""
+        return [address[:2] for address in self._runner.addresses]
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        await self._runner.cleanup()
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        body = prometheus_client.generate_latest(self._registry)
+        kind = prometheus_client.CONTENT_TYPE_LATEST
+        return web.Response(body=body, headers={"Content-Type": kind})
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        age_s = self._feed.proof_age_s(feeds.clock())
+        if age_s is None or age_s > STALE_S:
+            return web.Response(status=503, text="stale\n")
+        return web.Response(text="ok\n")
--- /dev/null
+++ b/coltsfootchute/control/tests/test_feeds.py
@@ -0,0 +1,119 @@
+"""What watchers learn from a feed."""
+
+import random
+
+import pytest
+
+from coltsfootchute.control import feeds
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+
+class View:
+    """A watcher that reconnects with the revision that it has."""
+
+    def __init__(self):
+        self.cluster_id = ""
+        self.revision = 0
+        self.states = {}
+        self.full_views = 0
+
+    def connect(self):
+        request = pb.WatchRequest(cluster_id=self.cluster_id, revision=self.revision)
+        self.watcher = feeds.Watcher(request)
+
+    def take(self, message):
+        self.cluster_id = message.cluster_id
+        if message.full:
+            self.states.clear()
+            self.full_views += 1
+        for change in message.changes:
+            if change.WhichOneof("body") == "target":
+                self.states[change.target.target_id] = change.target.state
+            else:
+                self.states.pop(change.removed_target_id)
+        self.revision = max(self.revision, message.revision)
+
+
+def change_randomly(truth: dict, revision: int, rng: random.Random) -> pb.FeedChange:
+    name = f"t{rng.randrange(8)}"
+    if name in truth and rng.random() < 0.4:
+        del truth[name]
+        return pb.FeedChange(revision=revision, removed_target_id=name)
+    truth[name] = rng.randrange(3)
+    target = pb.Target(target_id=name, state=truth[name])
+    return pb.FeedChange(revision=revision, target=target)
+
+
+def follow(kind: type, seed: int) -> int:
+    """Compare watchers that come and go with the truth; return their full views."""
+    rng = random.Random(seed)
+    feed, truth = kind("c"), {}
+    feed.set_proof(0.0)
+    views = [View() for _ in range(3)]
+    for view in views:
+        view.connect()
+    for revision in range(1, 200):
+        feed.publish([change_randomly(truth, revision, rng)], revision)
+        for view in views:
+            if rng.random() < 0.1:
+                view.connect()
+            if rng.random() < 0.3:
+                view.take(feed.message(view.watcher, 1.0))
+                assert view.states == truth, "the watcher missed a change"
+                assert view.revision == revision
+    return sum(view.full_views for view in views)
+
+
+class ForgetsStart(feeds.Feed):
+    def publish(self, changes, revision):
+        super().publish(changes, revision)
+        self._history_start = 0
+
+
+def test_watchers_follow_all_changes(monkeypatch):
+    # Guards against a change that is not in force at a watcher (R7).
+    monkeypatch.setattr(feeds, "HISTORY_CHANGES", 8)
+    assert sum(follow(feeds.Feed, seed) for seed in range(10)) > 30
+
+
+def test_checker_rejects_a_lost_change(monkeypatch):
+    monkeypatch.setattr(feeds, "HISTORY_CHANGES", 8)
+    with pytest.raises(AssertionError, match="missed a change"):
+        follow(ForgetsStart, 0)
+
+
+def test_unproven_view_is_not_sent():
+    # Guards against an old view from an instance that has just started.
+    feed = feeds.Feed("c")
+    watcher = feeds.Watcher(pb.WatchRequest())
+    assert feed.message(watcher, 5.0) is None
+    feed.set_proof(4.5)
+    message = feed.message(watcher, 5.0)
+    assert message.full
+    assert message.proof_age_ms >= 500
+    feed.set_proof(3.0)
+    assert feed.proof_age_s(5.0) == 0.5, "an earlier proof replaced a later one"
+
+
+def test_watcher_ahead_of_a_lagging_source_is_not_reverted():
+    # Guards against a revision that reverts when a watcher changes its source.
+    feed = feeds.Feed("c")
+    feed.set_proof(0.0)
+    feed.publish([pb.FeedChange(revision=5, removed_target_id="t")], 5)
+    watcher = feeds.Watcher(pb.WatchRequest(cluster_id="c", revision=9))
+    message = feed.message(watcher, 1.0)
+    assert not message.full
+    assert not message.changes
+    foreign = feeds.Watcher(pb.WatchRequest(cluster_id="other", revision=9))
+    assert feed.message(foreign, 1.0).full
+
+
+def test_instances_are_sent_once_they_are_known():
+    # Guards against address responses without entries after a restart of control.
+    feed = feeds.Feed("c")
+    feed.set_proof(0.0)
+    watcher = feeds.Watcher(pb.WatchRequest())
+    assert not feed.message(watcher, 1.0).has_instances
+    feed.set_instances([pb.Instance(name="e1")])
+    assert [i.name for i in feed.message(watcher, 1.0).instances] == ["e1"]
+    assert not feed.message(watcher, 1.0).has_instances
--- /dev/null
+++ b/coltsfootchute/control/tests/test_instances.py
@@ -0,0 +1,28 @@
+"""Reports of entries that arrive over several paths."""
+
+from coltsfootchute.control import instances
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+
+def test_late_report_does_not_undo_a_stop():
+    # Guards against a stopping entry in address responses (R6).
+    table = instances.InstanceTable()
+    running = pb.Instance(name="e", start_ms=1, revision=3)
+    stopping = pb.Instance(name="e", start_ms=1, revision=3)
+    stopping.state = pb.INSTANCE_STATE_STOPPING
+    assert table.report(running, 0.0)
+    assert table.report(stopping, 1.0)
+    assert not table.report(running, 2.0)
+    assert table.all() == [stopping]
+    assert table.report(pb.Instance(name="e", start_ms=2), 3.0)
+
+
+def test_equal_reports_are_relayed_rarely_and_expire():
+    # Guards against reports that go around, and against dead entries in the list.
+    table = instances.InstanceTable()
+    report = pb.Instance(name="e", start_ms=1)
+    assert [table.report(report, now) for now in (0.0, 1.0, 5.0)] == [True, False, True]
+    table.expire(5.0 + instances.REPORT_TIMEOUT_S - 0.1)
+    assert table.all()
+    table.expire(5.0 + instances.REPORT_TIMEOUT_S)
+    assert not table.all()
