--- a/coltsfootchute/agreement/stores.py
+++ b/coltsfootchute/agreement/stores.py
@@ -168,7 +168,7 @@
                     continue
                 entry = pb.LogEntry.FromString(data)
                 segment.high = max(segment.high, entry.index)
-                self._place(entries, entry)
+                self._place(entries, entry, covered)
         entries = self._after_snapshot(entries, snapshot)
         hard_state = pb.HardState.FromString(self._hard_state.SerializeToString())
         if not self._segments:
@@ -184,14 +184,19 @@
         self._remove(names[:-1])
         return records.Snapshot(pb.SnapshotMeta.FromString(meta), data)
 
-    def _place(self, entries: list[pb.LogEntry], entry: pb.LogEntry) -> None:
+    def _place(
+        self, entries: list[pb.LogEntry], entry: pb.LogEntry, covered: int
+    ) -> None:
         """Add an entry read from the log; it replaces those from its index on."""
         first = entries[0].index if entries else entry.index
-        if entry.index > first + len(entries):
+        is_gap = entry.index > first + len(entries)
+        if is_gap and entry.index > covered + 1:
             raise errors.DamagedStoreError(
                 f"{self._folder}: entries before {entry.index} are missing"
             )
-        del entries[max(entry.index - first, 0) :]
+        # After a crash an old segment may reappear while one after it does not;
+        # the snapshot covers what is missing.
+        del entries[0 if is_gap else max(entry.index - first, 0) :]
         entries.append(entry)
 
     def _after_snapshot(
--- a/coltsfootchute/agreement/tests/fakes.py
+++ b/coltsfootchute/agreement/tests/fakes.py
@@ -1,5 +1,6 @@
 """A network and disks in memory, with seeded time, loss and faults."""
 
+import contextlib
 import heapq
 import itertools
 import math
@@ -7,7 +8,13 @@
 import random
 
 from coltsfootchute import errors
-from coltsfootchute.agreement import formations, records, replicas, stores
+from coltsfootchute.agreement import (
+    formations,
+    memberships,
+    records,
+    replicas,
+    stores,
+)
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
 
@@ -72,15 +79,25 @@
         self._count()
         del self.files[path]
 
+    def has_unsynced(self):
+        sizes = ((len(f), self.synced.get(id(f), 0)) for f in self.files.values())
+        return any(size > synced for size, synced in sizes)
+
     def crash(self):
         """Keep synced data, and any part of what was written after it."""
         self.crash_at = math.inf
-        for file in self.durable.values():
+        changed = self.files.keys() ^ self.durable.keys()
+        everything = self.durable | self.files
+        names = self.durable.keys() - changed
+        names |= {p for p in sorted(changed) if self.rng.random() < 0.5}
+        self.files = {p: everything[p] for p in sorted(names)}
+        for file in self.files.values():
             start = min(self.synced.get(id(file), 0), len(file))
             del file[self.rng.randint(start, len(file)) :]
             if len(file) > start and self.rng.random() < 0.3:
                 file[self.rng.randrange(start, len(file))] ^= 0xFF
-        self.files = dict(self.durable)
+        self.durable = dict(self.files)
+        self.synced = {id(f): len(f) for f in self.files.values()}
 
 
 class Instance:
@@ -117,6 +134,7 @@
 
     def run(self, actions):
         """Carry out actions as a daemon does."""
+        self.network.check_leader(self)
         if actions.must_sync:
             self.store.append(actions.hard_state, actions.entries, actions.snapshot)
         for message in actions.messages:
@@ -136,9 +154,8 @@
         """Give an event to the replica; a killed process is down afterwards."""
         try:
             result = event(*args, self.network.now)
-            actions = getattr(result, "actions", result)
-            if actions:
-                self.run(actions)
+            if result:
+                self.run(getattr(result, "actions", result))
             return result
         except (KeyboardInterrupt, errors.SyncError):
             self.network.kill(self.name)
@@ -169,7 +186,11 @@
         self.keep_sent = False
         self.leaders: dict[int, str] = {}  # By term.
         self.leader_changes = 0
+        self.votes: dict[tuple[str, int], str] = {}  # By voter and term.
+        self.lost_ids: set[str] = set()  # Members whose disks are lost.
         self.committed: dict[int, pb.LogEntry] = {}
+        self.repairs = True  # The leader brings in instances without a vote.
+        self._repaired_at = 0.0
         self._queue: list = []
         self._order = itertools.count()
         self._ids: dict[str, Instance] = {}
@@ -200,10 +221,22 @@
         )
 
     def send(self, sender, message):
+        """Check a message against the invariants, then queue it."""
+        assert not sender.disk.has_unsynced(), f"{sender.name} sends before a sync"
+        request, reply = message.vote_request, message.vote_reply
+        if message.HasField("vote_request") and not request.pre_vote:
+            self._check_vote(message.sender, message.term, message.sender)
+        if reply.granted and not reply.pre_vote:
+            self._check_vote(message.sender, message.term, message.receiver)
         if self.keep_sent:
-            self.sent.append(pb.PeerMessage.FromString(message.SerializeToString()))
+            self.sent.append(message)
         self.post(sender.name, message)
 
+    def _check_vote(self, voter, term, candidate):
+        assert voter not in self.lost_ids, "vote of a member whose disk is lost"
+        known = self.votes.setdefault((voter, term), candidate)
+        assert known == candidate, f"two votes in term {term}"
+
     def post(self, sender_name, message):
         """Queue a message, or lose it, or queue it twice."""
         receiver = self._ids.get(message.receiver)
@@ -219,23 +252,25 @@
         known = self.committed.setdefault(entry.index, entry)
         assert known == entry, f"entry {entry.index} changed at {instance.name}"
 
-    def note_leaders(self):
-        """Check that a term has at most one leader; count changes."""
-        for instance in self.running():
-            replica = instance.replica
-            if not replica.is_leader:
-                continue
-            member_id = instance.identity.member_id
-            known = self.leaders.get(replica.term)
-            if known is None:
-                self.leaders[replica.term] = member_id
-                self.leader_changes += 1
-            assert known in (None, member_id), f"two leaders in term {replica.term}"
+    def check_leader(self, instance):
+        """Check that a term has one leader, which has all that is committed."""
+        replica, member_id = instance.replica, instance.identity.member_id
+        if not replica.is_leader or self.leaders.get(replica.term) == member_id:
+            return
+        assert replica.term not in self.leaders, f"two leaders in term {replica.term}"
+        self.leaders[replica.term] = member_id
+        self.leader_changes += 1
+        for index, entry in self.committed.items():
+            if index > replica.log.base_index:
+                held = replica.log.term_at(index)
+                assert held == entry.term, f"committed entry {index} vanished"
 
     def readers(self):
-        """Return the instances that may answer reads, and check there is one."""
+        """Return who may answer reads; check that it is one, and is current."""
         found = [i for i in self.running() if i.replica.can_read(self.now)]
         assert len(found) <= 1, "two leaders answer reads"
+        last = max(self.committed, default=0)
+        assert all(i.replica.applied_index >= last for i in found), "stale read"
         return found
 
     def running(self):
@@ -250,8 +285,10 @@
             if until and until():
                 return True
             self._advance(end)
-            self.note_leaders()
             self.readers()
+            if self.repairs and self.now >= self._repaired_at + 0.1:
+                self._repaired_at = self.now
+                self.repair_step()
         return bool(until and until())
 
     def _advance(self, end):
@@ -263,6 +300,7 @@
         )
         at = min([end, *ticks, *(item[0] for item in self._queue[:1])])
         self.now = max(self.now, at)
+        self.readers()  # Who was frozen may respond before it handles any event.
         while self._queue and self._queue[0][0] <= self.now:
             _, _, sender, name, message = heapq.heappop(self._queue)
             receiver = self.instances[name]
@@ -282,10 +320,13 @@
     def restart(self, name):
         instance = self.instances[name]
         instance.disk.crash()
-        instance.restart()
+        with contextlib.suppress(errors.SyncError):  # The process exits again.
+            instance.restart()
 
     def lose_disk(self, name):
         """Start an instance with an empty disk: it gets a new member id."""
+        self.lost_ids.add(self.instances[name].identity.member_id)
+        self.instances[name].up = False
         return self.add(name)
 
     def isolate(self, name):
@@ -317,17 +358,37 @@
         assert self.run(seconds, lambda: last in self.committed), "not committed"
         return proposed
 
-    def repair(self, name, seconds=30.0):
-        """Add an instance as a learner; run the daemon's steps to its promotion."""
-        instance = self.instances[name]
-        member = instance.identity.member()
-        leader = self.wait_for_leader()
-        leader.handle(leader.replica.add_learner, member)
-
-        def step():
-            if self.leader:
-                self.leader.handle(self.leader.replica.advance_membership)
-            return instance.replica.role is records.Role.FOLLOWER
-
-        assert self.run(seconds, step), f"{name} was not promoted"
-        return instance
+    def repair_step(self):
+        """Do what the daemon of a leader does about once a second."""
+        leader = self.leader
+        if leader is None:
+            return
+        known = {m.member_id for m in leader.replica.membership.members}
+        for instance in self.running():
+            if instance.identity.member_id not in known:
+                with contextlib.suppress(errors.AgreementError):
+                    leader.handle(
+                        leader.replica.add_learner, instance.identity.member()
+                    )
+        if leader.up and leader.replica.can_read(self.now):
+            leader.handle(leader.replica.advance_membership)
+
+    def is_voter(self, name):
+        """Whether the leader has committed that an instance votes."""
+        if self.leader is None:
+            return False
+        member_id = self.instances[name].identity.member_id
+        return memberships.is_voter(self.leader.replica.committed_membership, member_id)
+
+    def wait_for_repair(self, name, seconds=30.0):
+        assert self.run(seconds, lambda: self.is_voter(name)), f"{name} has no vote"
+
+    def settle(self, seconds=10.0):
+        """Wait until all running instances have applied the same entries."""
+
+        def is_settled():
+            applied = {i.replica.applied_index for i in self.running()}
+            return self.leader and applied == {self.leader.replica.log.last_index}
+
+        assert self.run(seconds, is_settled), "instances differ"
+        assert len({tuple(i.applied) for i in self.running()}) == 1
--- /dev/null
+++ b/coltsfootchute/agreement/tests/test_memberships.py
@@ -0,0 +1,163 @@
+"""Guards against the loss of entries or of the quorum while members change."""
+
+import pytest
+
+from coltsfootchute import errors
+from coltsfootchute.agreement import memberships, records
+from coltsfootchute.agreement.tests import fakes
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+
+def voters(network):
+    members = network.leader.replica.committed_membership.members
+    return {m.member_id: m.name for m in members if m.voter}
+
+
+@pytest.mark.parametrize("names", ["abc", "abcde"])
+@pytest.mark.parametrize("seed", range(3))
+def test_instances_are_lost_one_after_the_other_right_after_each_repair(names, seed):
+    network = fakes.Network(names, seed)
+    payloads = []
+    for name in names * 2:
+        payloads.append(b"%d" % len(payloads))
+        network.propose(payloads[-1])
+        network.lose_disk(name)
+        network.wait_for_repair(name)
+    assert len(network.lost_ids) == 2 * len(names)
+    network.settle()
+    assert not network.lost_ids & set(voters(network))
+    assert sorted(voters(network).values()) == sorted(names)
+    assert all(i.applied == payloads for i in network.running())
+
+
+@pytest.mark.parametrize(("names", "second"), [("abc", "b"), ("abcde", "bc")])
+def test_a_quorum_survives_losses_just_after_the_promotion(names, second):
+    network = fakes.Network(names, seed=4)
+    network.propose(b"x")
+    network.lose_disk("a")
+    network.wait_for_repair("a")
+    network.repairs = False
+    for name in second:
+        network.lose_disk(name)
+    network.propose(b"y")
+    network.repairs = True
+    for name in second:
+        network.wait_for_repair(name)
+    network.settle()
+    assert all(i.applied == [b"x", b"y"] for i in network.running())
+
+
+def test_a_learner_does_not_stand_in_for_a_voter_just_before_the_promotion():
+    network = fakes.Network("abc", seed=5)
+    network.propose(b"x")
+    network.repairs = False
+    learner = network.lose_disk("a")
+    leader = network.wait_for_leader()
+    leader.handle(leader.replica.add_learner, learner.identity.member())
+    network.settle()
+    assert learner.applied == [b"x"] and not network.is_voter("a")
+    lost = next(i for i in network.running() if i not in (leader, learner))
+    network.kill(lost.name)
+    network.run(10)
+    assert network.leader is None
+    assert learner.replica.role is records.Role.LEARNER
+    network.restart(lost.name)
+    network.repairs = True
+    network.wait_for_repair("a")
+    network.settle()
+    assert all(i.applied == [b"x"] for i in network.running())
+
+
+def test_four_voters_go_on_when_one_is_lost_just_before_the_promotion():
+    network = fakes.Network("abcde", seed=6)
+    network.propose(b"x")
+    learner = network.lose_disk("a")
+    old_id = next(iter(network.lost_ids))
+    assert network.run(10, lambda: network.leader and old_id not in voters(network))
+    assert not network.is_voter("a")
+    other = next(i for i in network.running() if i not in (network.leader, learner))
+    network.lose_disk(other.name)
+    network.propose(b"y")
+    network.wait_for_repair("a")
+    network.wait_for_repair(other.name)
+
+
+def test_a_promoted_member_votes_before_it_hears_of_its_promotion():
+    network = fakes.Network("abc", seed=7)
+    network.propose(b"x")
+    promoted = network.lose_disk("a")
+    network.repairs = False
+    leader = network.wait_for_leader()
+    other = next(i for i in network.running() if i not in (leader, promoted))
+    leader.handle(leader.replica.add_learner, promoted.identity.member())
+    network.settle()
+    leader.handle(leader.replica.remove_member, next(iter(network.lost_ids)))
+    network.settle()
+    network.isolate("a")
+    proposed = leader.handle(leader.replica.promote, promoted.identity.member_id)
+    assert network.run(1, lambda: proposed.indexes[0] in network.committed)
+    network.kill(leader.name)
+    network.heal()
+    assert promoted.replica.role is records.Role.LEARNER
+    assert network.wait_for_leader() is other
+
+
+def test_a_learner_never_campaigns():
+    network = fakes.Network("abc", seed=8)
+    network.repairs = False
+    learner = network.add("d")
+    leader = network.wait_for_leader()
+    leader.handle(leader.replica.add_learner, learner.identity.member())
+    network.settle()
+    term = learner.replica.term
+    network.isolate("d")
+    network.run(60)
+    assert learner.replica.role is records.Role.LEARNER
+    assert learner.replica.term == term
+    assert network.leader is leader
+
+
+def test_changes_wait_for_an_own_entry_and_for_each_other():
+    network = fakes.Network("abc", seed=9)
+    network.repairs = False
+    for name in "abc":
+        network.instances[name].handle(network.instances[name].replica.tick)
+    assert network.run(9, lambda: any(i.replica.is_leader for i in network.running()))
+    leader = next(i for i in network.running() if i.replica.is_leader)
+    with pytest.raises(errors.AgreementError):
+        leader.replica.add_learner(pb.Member(member_id="x", name="x"), network.now)
+    network.wait_for_leader()
+    leader.handle(leader.replica.add_learner, pb.Member(member_id="x", name="x"))
+    with pytest.raises(errors.AgreementError, match="pending"):
+        leader.replica.add_learner(pb.Member(member_id="y", name="y"), network.now)
+    network.settle()
+    with pytest.raises(errors.AgreementError, match="caught up"):
+        leader.replica.promote("x", network.now)
+    with pytest.raises(errors.AgreementError, match="itself"):
+        leader.replica.remove_member(leader.identity.member_id, network.now)
+
+
+def test_a_voter_that_is_up_is_not_replaced_by_an_instance_with_its_name():
+    network = fakes.Network("abc", seed=10)
+    leader = network.wait_for_leader()
+    old = next(i for i in network.running() if i is not leader)
+    twin = network.add(old.name)
+    network.instances[old.name], network.instances["twin"] = old, twin
+    twin.name = "twin"
+    network.run(10)
+    assert twin.replica.membership is not None
+    assert not network.is_voter("twin") and network.is_voter(old.name)
+
+
+def test_the_rules_of_one_change():
+    membership = pb.Membership(cluster_id="x")
+    for n in range(memberships.MEMBERS_MAX):
+        member = pb.Member(member_id=f"m{n}", name=f"i{n // 2}", voter=True)
+        membership = memberships.with_learner(membership, member)
+    with pytest.raises(errors.AgreementError, match="8 members"):
+        memberships.with_learner(membership, pb.Member(member_id="more"))
+    membership = memberships.with_voter(membership, "m0")
+    assert memberships.voter_ids(membership) == {"m0"}
+    with pytest.raises(errors.AgreementError, match="remove it first"):
+        memberships.with_voter(membership, "m1")
+    assert not memberships.find(memberships.without(membership, "m0"), "m0")
--- /dev/null
+++ b/coltsfootchute/agreement/tests/test_snapshots.py
@@ -0,0 +1,57 @@
+"""Guards against a state that differs after a snapshot."""
+
+from coltsfootchute.agreement import records, snapshots
+from coltsfootchute.agreement.tests import fakes
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+SMALL = records.Timing(snapshot_entries=20, kept_entries=5, chunk_bytes=64)
+
+
+def test_a_follower_that_lags_gets_a_snapshot_in_chunks_over_a_bad_link():
+    network = fakes.Network(seed=1, timing=SMALL)
+    leader = network.wait_for_leader()
+    lagging = next(i for i in network.running() if i is not leader)
+    network.kill(lagging.name)
+    payloads = [b"%d" % n for n in range(200)]
+    for payload in payloads:
+        network.propose(payload)
+    network.loss, network.duplication, network.delay_max = 0.05, 0.2, 0.05
+    network.keep_sent = True
+    network.restart(lagging.name)
+    network.settle(60)
+    chunks = {
+        m.snapshot_chunk.offset for m in network.sent if m.HasField("snapshot_chunk")
+    }
+    assert len(chunks) > 5
+    assert lagging.replica.log.snapshot_index > 100
+    assert lagging.applied == payloads
+
+
+def test_a_restart_reads_a_bounded_number_of_entries():
+    network = fakes.Network(seed=2, timing=SMALL)
+    for n in range(300):
+        network.propose(b"%d" % n)
+    network.settle()
+    for name in "abc":
+        network.kill(name)
+        network.restart(name)
+        saved = network.instances[name].store.saved
+        assert len(saved.entries) <= 2 * SMALL.snapshot_entries
+        assert saved.snapshot.meta.index > 260
+        assert len(network.instances[name].disk.files) <= 5
+    network.wait_for_leader()
+    network.settle()
+
+
+def test_chunks_out_of_order_or_of_another_snapshot_are_not_mixed():
+    old = records.Snapshot(pb.SnapshotMeta(index=5, term=1), b"old old")
+    new = records.Snapshot(pb.SnapshotMeta(index=9, term=1), b"new state")
+    incoming = snapshots.Incoming()
+    first, second = (snapshots.chunk_of(new, n, 5, 0) for n in (0, 5))
+    assert incoming.take(second) is None and incoming.next_offset == 0
+    assert incoming.take(first) is None
+    assert incoming.take(first) is None and incoming.next_offset == 5
+    assert incoming.take(snapshots.chunk_of(old, 0, 5, 0)) is None
+    assert incoming.take(second) is None
+    assert incoming.take(first) is None
+    assert incoming.take(second) == new
