agreement: let a removed instance find out and ask to join again

Cause: a leader sends nothing to a member that it removed, so that the instance would wait for ever. Change: formations.was_removed compares its membership with that of a member's Hello.

--- a/coltsfootchute/agreement/formations.py
+++ b/coltsfootchute/agreement/formations.py
@@ -8,7 +8,7 @@
 from coltsfootchute.agreement import memberships, records
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
-__all__ = ["Decision", "Step", "accepts", "decide", "first_state"]
+__all__ = ["Decision", "Step", "accepts", "decide", "first_state", "was_removed"]
 
 FIRST_INDEX = 1
 FIRST_TERM = 1
@@ -165,3 +165,27 @@
     if hard_state.term >= FIRST_TERM:
         kept.CopyFrom(hard_state)
     return records.SavedState(kept, records.Snapshot(meta), [])
+
+
+def was_removed(
+    identity: records.Identity, present: pb.Membership, reply: pb.HelloReply
+) -> bool:
+    """Return whether a formed instance must ask to join again.
+
+    Parameters
+    ----------
+    identity
+        Who the instance is.
+    present
+        Its own membership.
+    reply
+        What a member answers. If that member lags, the request to join is
+        refused, which does no harm.
+
+    Notes
+    -----
+    The instance keeps its member id and its data: its votes are not lost.
+    """
+    if not reply.formed or reply.membership.cluster_id != present.cluster_id:
+        return False
+    return memberships.find(reply.membership, identity.member_id) is None
--- a/coltsfootchute/agreement/members.py
+++ b/coltsfootchute/agreement/members.py
@@ -306,6 +306,8 @@
         request = message.vote_request
         if self._hears_leader(now) and not request.transfer:
             return
+        # A learner answers, because it may have been promoted without knowing
+        # it; the candidate counts only the voters of its own membership.
         if memberships.find(self.membership, self.identity.member_id) is None:
             return
         if message.term > self.term and not request.pre_vote:
