control: ask to join again after a removal

Cause: a leader sends nothing to a member that it removed, so a removed instance waited for ever. Change: an instance that hears no leader asks the others every 3 s and joins again if their membership lacks it. Conclusion: covered by a test with three instances.

--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -135,6 +135,7 @@
         if self.joiner.formed_here:
             # In a new cluster no instance was known before.
             self.duties.instances_from_s = feeds.clock()
+        await self.joiner.keep_membership()
 
     async def _run_duties(self) -> None:
         while True:
--- a/coltsfootchute/control/joins.py
+++ b/coltsfootchute/control/joins.py
@@ -18,6 +18,7 @@
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.2
 RETRY_MAX_S = 2.0
+CHECK_INTERVAL_S = 3.0
 # A first start waits for the slowest member; the log repeats why only this often.
 LOG_INTERVAL_TRIES = 30
 
@@ -111,6 +112,27 @@
         cluster_id = self._core.replica.membership.cluster_id
         logger.info("agreement: member of cluster {}", cluster_id)
 
+    async def keep_membership(self) -> None:
+        """Ask to join again whenever the others have removed this instance.
+
+        A leader sends nothing to a member that it removed, and the log of such a
+        member never tells it.
+        """
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            if self._core.replica.leader_id:
+                continue
+            for reply in (await self._ask_all()).values():
+                if self._was_removed(reply):
+                    address = reply.leader_address or reply.member.address
+                    detail = await self._ask_to_join(address)
+                    logger.info("agreement: removed by the others: {}", detail)
+                    break
+
+    def _was_removed(self, reply: pb.HelloReply) -> bool:
+        present = self._core.replica.membership
+        return formations.was_removed(self._core.identity, present, reply)
+
     async def _step(self) -> str:
         replies = await self._ask_all()
         if self._core.replica.membership is not None:
--- a/coltsfootchute/control/tests/test_daemons.py
+++ b/coltsfootchute/control/tests/test_daemons.py
@@ -244,6 +244,23 @@
     asyncio.run(main())
 
 
+def test_removed_instance_joins_again_with_its_data(tmp_path):
+    # Guards against an instance that waits for a leader that sends it nothing.
+    async def main():
+        async with running(tmp_path) as cluster:
+            leader = await cluster.leader()
+            removed = next(name for name in cluster.daemons if name != leader)
+            before = cluster.voters(leader)
+            await cluster.kill(removed)
+            core = cluster.daemons[leader].core
+            core.change(lambda now: core.replica.remove_member(before[removed], now))
+            await wait_for(lambda: removed not in cluster.voters(leader))
+            await cluster.start(removed)
+            await wait_for(lambda: cluster.voters(leader) == before)
+
+    asyncio.run(main())
+
+
 def test_target_and_report_are_known_everywhere(tmp_path):
     # Guards against targets and entries that only some instances know.
     async def main():
