balancing: add the interface that the entry calls

Ruled out: one function per decision without a pool object; the entry would then hold views, budget and queue itself. Conclusion: constants are first guesses that benchmarks/selection.py has to decide.

--- a/coltsfootchute/balancing/__init__.py
+++ b/coltsfootchute/balancing/__init__.py
@@ -1,1 +1,33 @@
 """Target selection, limits, retries and hedges; no I/O."""
+
+from coltsfootchute.balancing.admissions import Admission, Ticket
+from coltsfootchute.balancing.loads import LoadReport
+from coltsfootchute.balancing.pools import AttemptKind, Grant, Pool, PoolSettings
+from coltsfootchute.balancing.probes import ProbePermit, ProbeShares
+from coltsfootchute.balancing.quarantines import CrashGuard, CrashReport
+from coltsfootchute.balancing.views import (
+    Outcome,
+    Target,
+    TargetState,
+    TargetView,
+    Token,
+)
+
+__all__ = [
+    "Admission",
+    "AttemptKind",
+    "CrashGuard",
+    "CrashReport",
+    "Grant",
+    "LoadReport",
+    "Outcome",
+    "Pool",
+    "PoolSettings",
+    "ProbePermit",
+    "ProbeShares",
+    "Target",
+    "TargetState",
+    "TargetView",
+    "Ticket",
+    "Token",
+]
--- /dev/null
+++ b/coltsfootchute/balancing/budgets.py
@@ -0,0 +1,55 @@
+"""Token budget that bounds retries and hedges."""
+
+__all__ = ["TokenBudget"]
+
+MAX_TOKENS = 10.0
+# Tokens are sums of hundredths; without the tolerance ten additions of 0.1
+# would stay just below one token.
+ROUNDING = 1e-9
+
+
+class TokenBudget:
+    """Tokens earned by requests and taken by retries and hedges.
+
+    Parameters
+    ----------
+    percent
+        Retries and hedges over requests, 0 to 100.
+
+    Notes
+    -----
+    After n requests at most ``MAX_TOKENS + n * percent / 100`` tokens were
+    taken. A budget of 0 percent never holds a token.
+    """
+
+    __slots__ = ("_earned", "_tokens")
+
+    def __init__(self, percent: float):
+        self._earned = percent / 100
+        self._tokens = MAX_TOKENS if percent > 0 else 0.0
+
+    @property
+    def tokens(self) -> float:
+        """Tokens held."""
+        return self._tokens
+
+    def change(self, percent: float) -> None:
+        """Apply a new percentage; tokens are kept unless it is 0."""
+        self._earned = percent / 100
+        if percent <= 0:
+            self._tokens = 0.0
+
+    def deposit(self) -> None:
+        """Count a request."""
+        self._tokens = min(MAX_TOKENS, self._tokens + self._earned)
+
+    def available(self) -> bool:
+        """Tell whether a retry or hedge may be sent."""
+        return self._tokens >= 1 - ROUNDING
+
+    def take(self) -> bool:
+        """Take a token for a retry or hedge; False if there is none."""
+        if not self.available():
+            return False
+        self._tokens = max(0.0, self._tokens - 1)
+        return True
--- /dev/null
+++ b/coltsfootchute/balancing/hedges.py
@@ -0,0 +1,62 @@
+"""Delay of hedges from the measured response times of a service."""
+
+import itertools
+import math
+
+__all__ = ["HedgeDelay"]
+
+QUANTILE = 0.95
+MIN_SAMPLES = 50
+# Counts are halved at this total, so that the quantile follows a change of
+# the service within a few thousand responses.
+MAX_SAMPLES = 2000
+REFRESH_SAMPLES = 32
+LOWEST_S = 1e-4
+BUCKETS_PER_DOUBLING = 8
+# 160 buckets reach from 0.1 ms to about 100 s with an error below 9 percent.
+BUCKETS = 160
+
+
+class HedgeDelay:
+    """Quantile of recent response times in logarithmic buckets.
+
+    Notes
+    -----
+    `record` is O(1) amortized over the buckets; memory is constant.
+    """
+
+    __slots__ = ("_counts", "_delay_s", "_pending", "_total")
+
+    def __init__(self):
+        self._counts = [0.0] * BUCKETS
+        self._total = 0.0
+        self._pending = 0
+        self._delay_s: float | None = None
+
+    def record(self, response_s: float) -> None:
+        """Count the response time of a request."""
+        position = math.log2(max(response_s, LOWEST_S) / LOWEST_S)
+        bucket = min(BUCKETS - 1, int(position * BUCKETS_PER_DOUBLING))
+        self._counts[bucket] += 1
+        self._total += 1
+        self._pending += 1
+        if self._pending >= REFRESH_SAMPLES:
+            self._refresh()
+
+    def delay_s(self) -> float | None:
+        """Return the delay; None until enough responses were measured."""
+        return self._delay_s
+
+    def _refresh(self) -> None:
+        self._pending = 0
+        if self._total >= MIN_SAMPLES:
+            self._delay_s = self._upper_bound()
+        if self._total >= MAX_SAMPLES:
+            self._counts = [count / 2 for count in self._counts]
+            self._total = sum(self._counts)
+
+    def _upper_bound(self) -> float:
+        wanted = QUANTILE * self._total
+        sums = itertools.accumulate(self._counts)
+        bucket = next(i for i, seen in enumerate(sums) if seen >= wanted)
+        return LOWEST_S * 2 ** ((bucket + 1) / BUCKETS_PER_DOUBLING)
--- /dev/null
+++ b/coltsfootchute/balancing/policies.py
@@ -0,0 +1,129 @@
+"""Policies that select one of the eligible targets."""
+
+import collections.abc
+import operator
+import random
+import typing
+
+from coltsfootchute import ids, registries
+from coltsfootchute.balancing import views as views_
+
+__all__ = ["POLICIES", "Policy"]
+
+# Distance between two failure domains; a target nearby is preferred until its
+# expected wait is longer by more than this.
+DISTANCE_S = 0.0005
+
+
+class Policy(typing.Protocol):
+    """Selection among eligible views; one object per pool."""
+
+    def __init__(self, failure_domain: ids.FailureDomain): ...
+
+    def select(
+        self,
+        views: collections.abc.Sequence[views_.TargetView],
+        now: float,
+        rng: random.Random,
+    ) -> views_.TargetView | None:
+        """Return one of the views; None if there are none."""
+
+
+POLICIES: registries.Registry[type[Policy]] = registries.Registry("policy")
+
+
+@POLICIES.register("random")
+class RandomChoice:
+    """Any target. O(1)."""
+
+    def __init__(self, failure_domain: ids.FailureDomain):
+        pass
+
+    def select(self, views, now, rng):
+        """Return a random view."""
+        return views[int(rng.random() * len(views))] if views else None
+
+
+@POLICIES.register("round_robin")
+class RoundRobin:
+    """Each target in turn. O(1)."""
+
+    def __init__(self, failure_domain: ids.FailureDomain):
+        self._turn: int | None = None
+
+    def select(self, views, now, rng):
+        """Return the next view, from a random start."""
+        if not views:
+            return None
+        if self._turn is None:
+            self._turn = rng.randrange(len(views))
+        self._turn += 1
+        return views[self._turn % len(views)]
+
+
+@POLICIES.register("least_in_flight")
+class LeastInFlight:
+    """The target with the fewest requests of this entry. O(n)."""
+
+    def __init__(self, failure_domain: ids.FailureDomain):
+        pass
+
+    def select(self, views, now, rng):
+        """Return the view with the fewest requests, ties at random."""
+        in_flight = operator.attrgetter("in_flight")
+        return min(_rotated(views, rng), key=in_flight, default=None)
+
+
+@POLICIES.register("two_choices")
+class TwoChoices:
+    """The less loaded of two random targets. O(1).
+
+    References
+    ----------
+    Mitzenmacher, "The power of two choices in randomized load balancing",
+    IEEE Transactions on Parallel and Distributed Systems, 2001.
+    """
+
+    def __init__(self, failure_domain: ids.FailureDomain):
+        pass
+
+    def select(self, views, now, rng):
+        """Return the view with fewer requests of a random pair."""
+        if len(views) < 2:
+            return views[0] if views else None
+        first = int(rng.random() * len(views))
+        second = int(rng.random() * (len(views) - 1))
+        one, other = views[first], views[second + (second >= first)]
+        return one if one.in_flight <= other.in_flight else other
+
+
+@POLICIES.register("expected_wait")
+class ExpectedWait:
+    """The target with the least expected time to respond. O(n).
+
+    Notes
+    -----
+    The expected time is the latency estimate times the service rounds ahead:
+    one, plus the requests in progress over the slots.
+    """
+
+    def __init__(self, failure_domain: ids.FailureDomain):
+        self._failure_domain = failure_domain
+
+    def select(self, views, now, rng):
+        """Return the view with the least expected wait."""
+        best, best_s = None, 0.0
+        for view in _rotated(views, rng):
+            load = view.in_flight + view.others_load(now)
+            wait_s = view.latency_s(now) * (1 + load / view.slots)
+            if view.target.failure_domain != self._failure_domain:
+                wait_s += DISTANCE_S
+            if best is None or wait_s < best_s:
+                best, best_s = view, wait_s
+        return best
+
+
+def _rotated(views, rng):
+    """Start a scan anywhere, so that entries don't agree on ties."""
+    start = int(rng.random() * len(views))
+    return views[start:] + views[:start]
--- /dev/null
+++ b/coltsfootchute/balancing/pools.py
@@ -0,0 +1,382 @@
+"""The targets of one service, as one entry selects among them."""
+
+import collections.abc
+import dataclasses
+import enum
+import random
+
+from coltsfootchute import ids, verdicts
+from coltsfootchute.balancing import (
+    admissions,
+    budgets,
+    hedges,
+    limits,
+    loads,
+    policies,
+    probes,
+    quarantines,
+    views,
+)
+
+__all__ = ["AttemptKind", "Grant", "Pool", "PoolSettings"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolSettings:
+    """The part of a section that selection needs.
+
+    Parameters
+    ----------
+    policy
+        Name in `policies.POLICIES`.
+    retry_budget_percent
+        Retries and hedges over requests, 0 to 100.
+    queue_length, queue_wait_s
+        Bounds of the admission queue.
+    """
+
+    policy: str = "expected_wait"
+    retry_budget_percent: float = 10.0
+    queue_length: int = 64
+    queue_wait_s: float = 0.2
+
+
+class AttemptKind(enum.Enum):
+    """Why an attempt is made."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """A queued request that may be sent now.
+
+    Parameters
+    ----------
+    ticket
+        Its place in the queue.
+    token
+        Its attempt, already counted as started.
+    """
+
+    ticket: admissions.Ticket
+    token: views.Token
+
+
+class Pool:
+    """Selection, limits, budgets and queue of one service in one entry.
+
+    Parameters
+    ----------
+    service
+        The service.
+    settings
+        From its section.
+    failure_domain
+        Of the entry.
+    slots_share
+        The entry's share of each target's slots, above 0 and at most 1;
+        usually one over the number of serving entries.
+    rng
+        Source of randomness.
+
+    Attributes
+    ----------
+    admission : admissions.Admission
+        The queue. The daemon calls `admission.withdraw` when a caller leaves.
+    probes : probes.ProbeShares
+        Leased probe time.
+    crashes : quarantines.CrashGuard
+        Crash digests of the service.
+
+    Raises
+    ------
+    coltsfootchute.errors.RegistryError
+        If the policy is unknown.
+
+    Notes
+    -----
+    A daemon drives a pool as follows. All calls are synchronous, so no other
+    call comes between `admit` and `started`.
+
+    1. On each feed message: `update_targets`, `update_settings`,
+       `update_share`. On a response with the draining header: `draining`.
+    2. On a request: ``admitted = pool.admit(priority, deadline_s, now)``. A
+       view: ``token = pool.started(view, now)`` and send. A ticket: wait for
+       its grant or refusal. A refusal: answer with it.
+    3. When the request is written later than it was started, for example after
+       a claim: `sent`. On the response head: `responded`. At the end of each
+       attempt, on every path and exactly once: `finished`.
+    4. After each `finished`, and at `admission.next_expiry()`: `grants`, which
+       wakes tickets, and then `admission.expired`, which refuses them.
+    5. A repeatable request without a response head after `hedge_delay` may be
+       hedged: ``view = pool.select(now, exclude=tried, kind=HEDGE)``. If there
+       is a view and `may_hedge()` is true: `started`. A retry likewise with
+       `may_retry()`. Both take a token, so they are called last, immediately
+       before `started`.
+    """
+
+    def __init__(
+        self,
+        service: ids.ServiceName,
+        settings: PoolSettings,
+        failure_domain: ids.FailureDomain,
+        slots_share: float,
+        rng: random.Random,
+    ):
+        self.service = service
+        self.admission = admissions.Admission(
+            settings.queue_length, settings.queue_wait_s
+        )
+        self.probes = probes.ProbeShares()
+        self.crashes = quarantines.CrashGuard()
+        self._settings = settings
+        self._failure_domain = failure_domain
+        self._slots_share = slots_share
+        self._rng = rng
+        self._policy = policies.POLICIES[settings.policy](failure_domain)
+        self._budget = budgets.TokenBudget(settings.retry_budget_percent)
+        self._hedge_delay = hedges.HedgeDelay()
+        self._views: dict[ids.TargetId, views.TargetView] = {}
+
+    @property
+    def all_views(self) -> list[views.TargetView]:
+        """Views of all targets, for status and metrics."""
+        return list(self._views.values())
+
+    def update_settings(self, settings: PoolSettings) -> None:
+        """Apply a new revision of the section; measurements are kept."""
+        if settings.policy != self._settings.policy:
+            policy = policies.POLICIES[settings.policy]
+            self._policy = policy(self._failure_domain)
+        self._budget.change(settings.retry_budget_percent)
+        self.admission.change(settings.queue_length, settings.queue_wait_s)
+        self._settings = settings
+
+    def update_share(self, slots_share: float) -> None:
+        """Apply a new share, when entries come or go."""
+        self._slots_share = slots_share
+        for view in self._views.values():
+            view.limit.rebound(limits.share_of(view.slots, slots_share))
+
+    def update_targets(
+        self, targets: collections.abc.Iterable[views.Target], now: float
+    ) -> None:
+        """Apply the register's targets of this service.
+
+        A target with a new incarnation starts without history. Attempts on
+        targets that left are still finished normally.
+        """
+        kept = {target.target_id: target for target in targets}
+        for gone in self._views.keys() - kept.keys():
+            del self._views[gone]
+            self.probes.forget(gone)
+        typical_s = self._typical_latency_s(now)
+        for target_id, target in kept.items():
+            view = self._views.get(target_id)
+            if view is None or view.target.incarnation != target.incarnation:
+                share = limits.share_of(target.slots, self._slots_share)
+                self._views[target_id] = views.TargetView(target, share, typical_s)
+            else:
+                self._update_view(view, target)
+
+    def draining(self, target_id: ids.TargetId) -> None:
+        """Send no new work to a target until its next incarnation."""
+        if target_id in self._views:
+            self._views[target_id].is_draining = True
+
+    def admit(
+        self, priority: int, deadline_s: float, now: float
+    ) -> views.TargetView | admissions.Ticket | verdicts.Refusal:
+        """Decide on a new request: a target, a place in the queue, or neither.
+
+        Parameters
+        ----------
+        priority
+            From the rule; larger is more important.
+        deadline_s
+            Time by which the request must be answered.
+        now
+            Time.
+
+        Returns
+        -------
+        views.TargetView, admissions.Ticket or verdicts.Refusal
+            A refusal has the verdict `NOT_RUN`.
+        """
+        self._budget.deposit()
+        if now >= deadline_s:
+            return _refusal(verdicts.Reason.DEADLINE, "the deadline has passed")
+        if not len(self.admission):
+            view = self.select(now)
+            if view is not None:
+                return view
+        if not any(v.is_serving() or v.is_suspect() for v in self._views.values()):
+            return _refusal(verdicts.Reason.NO_TARGET, "no target is serving")
+        service_s = self._typical_latency_s(now)
+        interval_s = service_s / self._capacity(now)
+        return self.admission.offer(priority, deadline_s, now, service_s, interval_s)
+
+    def select(
+        self,
+        now: float,
+        exclude: collections.abc.Collection[ids.TargetId] = (),
+        kind: AttemptKind = AttemptKind.FIRST,
+    ) -> views.TargetView | None:
+        """Select a target.
+
+        Parameters
+        ----------
+        now
+            Time.
+        exclude
+            Targets that this request has tried.
+        kind
+            A hedge prefers a failure domain that was not tried.
+
+        Returns
+        -------
+        views.TargetView or None
+            None if no target is eligible.
+        """
+        found = self._eligible(now, exclude)
+        if kind is AttemptKind.HEDGE and exclude:
+            tried = [self._views[i] for i in exclude if i in self._views]
+            domains = {view.target.failure_domain for view in tried}
+            found = [
+                v for v in found if v.target.failure_domain not in domains
+            ] or found
+        return self._policy.select(found, now, self._rng)
+
+    def started(self, view: views.TargetView, now: float) -> views.Token:
+        """Count an attempt; each token must reach `finished`."""
+        return view.started(now)
+
+    def sent(self, token: views.Token, now: float) -> None:
+        """Measure the attempt from now on, when it is written with a delay."""
+        token.view.resent(token, now)
+
+    def responded(
+        self, token: views.Token, now: float, load: loads.LoadReport | None = None
+    ) -> None:
+        """Measure the response time at the response head.
+
+        Only for responses that are neither errors nor refusals; otherwise
+        `finished` alone is called.
+        """
+        if token.is_measured or not token.is_open:
+            return
+        token.is_measured = True
+        response_s = now - token.started_s
+        token.view.measured(response_s, now)
+        self._hedge_delay.record(response_s)
+        if load is not None:
+            token.view.reported(load, now)
+
+    def finished(
+        self,
+        token: views.Token,
+        outcome: views.Outcome,
+        now: float,
+        load: loads.LoadReport | None = None,
+    ) -> None:
+        """Count the end of an attempt; a second call has no effect."""
+        if not token.is_open:
+            return
+        view = token.view
+        if outcome is views.Outcome.OK:
+            self.responded(token, now, load)
+        token.is_open = False
+        if outcome not in (views.Outcome.OK, views.Outcome.CANCELLED):
+            self._failed(token, outcome, now)
+        view.released(token)
+        if outcome is views.Outcome.OK:
+            view.limit.completed(view.in_flight)
+            view.succeeded()
+        elif load is not None:
+            view.reported(load, now)
+
+    def grants(self, now: float) -> list[Grant]:
+        """Start queued requests for which a target has room."""
+        granted = []
+        while len(self.admission):
+            view = self.select(now)
+            ticket = self.admission.pop(now) if view is not None else None
+            if ticket is None:
+                break
+            granted.append(Grant(ticket, view.started(now)))
+        return granted
+
+    def hedge_delay(self, now: float) -> float | None:
+        """Return after how many seconds to hedge; None for not at all."""
+        return self._hedge_delay.delay_s()
+
+    def may_retry(self) -> bool:
+        """Take a token for a retry; False forbids the retry."""
+        return self._budget.take()
+
+    def may_hedge(self) -> bool:
+        """Take a token for a hedge; False forbids the hedge.
+
+        Requests that wait for a target come before hedges.
+        """
+        return not len(self.admission) and self._budget.take()
+
+    def probe(self, target_id: ids.TargetId, now: float) -> probes.ProbePermit | None:
+        """Return a permit to probe a quiet target, None if not needed or paid."""
+        view = self._views.get(target_id)
+        if view is None:
+            return None
+        return self.probes.begin(target_id, view.last_response_s, now)
+
+    def probed(
+        self, permit: probes.ProbePermit, spent_s: float, is_ok: bool, now: float
+    ) -> None:
+        """Apply the end of a probe, aborted ones included."""
+        self.probes.end(permit, spent_s)
+        view = self._views.get(permit.target_id)
+        if view is not None and is_ok:
+            view.last_response_s = now
+
+    def _eligible(self, now, exclude) -> list[views.TargetView]:
+        open_views = [
+            view
+            for target_id, view in self._views.items()
+            if view.has_room(now)
+            and not view.is_ejected(now)
+            and target_id not in exclude
+        ]
+        serving = [view for view in open_views if view.is_serving()]
+        return serving or [view for view in open_views if view.is_suspect()]
+
+    def _failed(self, token, outcome, now) -> None:
+        view = token.view
+        if outcome is views.Outcome.SHED:
+            view.limit.shed(now)
+            return
+        took_s = now - token.started_s
+        if not view.failed(outcome, took_s, now) or view.is_ejected(now):
+            return
+        ejected = sum(other.is_ejected(now) for other in self._views.values())
+        if 2 * (ejected + 1) <= len(self._views):
+            view.eject(now)
+
+    def _update_view(self, view: views.TargetView, target: views.Target) -> None:
+        view.target = target
+        if max(1, target.slots) != view.slots:
+            view.slots = max(1, target.slots)
+            view.limit.rebound(limits.share_of(view.slots, self._slots_share))
+
+    def _typical_latency_s(self, now: float) -> float:
+        known = sorted(view.latency_s(now) for view in self._views.values())
+        return known[len(known) // 2] if known else 0.0
+
+    def _capacity(self, now: float) -> int:
+        usable = (v for v in self._views.values() if not v.is_ejected(now))
+        return max(1, sum(view.limit.current() for view in usable))
+
+
+def _refusal(reason: verdicts.Reason, detail: str) -> verdicts.Refusal:
+    return verdicts.Refusal(verdicts.Verdict.NOT_RUN, reason, detail)
--- /dev/null
+++ b/coltsfootchute/balancing/views.py
@@ -0,0 +1,258 @@
+"""What an entry knows of one target."""
+
+import dataclasses
+import enum
+import math
+
+from coltsfootchute import ids
+from coltsfootchute.balancing import limits, loads
+
+__all__ = ["Outcome", "Target", "TargetState", "TargetView", "Token"]
+
+# Share of the difference by which a slower or a faster response moves the
+# latency estimate. A straggler has to show at once; a single fast response
+# of a straggler proves little.
+RISE = 0.5
+FALL = 0.1
+# An estimate that no response confirms is halved in this time, so that a
+# target that was slow once is tried again.
+IDLE_HALF_LIFE_S = 1.0
+# Load reports are stale when they arrive; the load of other entries changes
+# within milliseconds.
+REPORT_HALF_LIFE_S = 0.05
+FAST_ERRORS = 3
+EJECTION_S = 1.0
+MAX_EJECTION_S = 30.0
+
+
+class TargetState(enum.Enum):
+    """State of a target in the register."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    SUSPECT = "suspect"
+
+
+class Outcome(enum.Enum):
+    """How an attempt ended, as far as selection is concerned."""
+
+    OK = "ok"
+    ERROR = "error"
+    SHED = "shed"
+    CONNECTION_FAILED = "connection_failed"
+    CONNECTION_LOST = "connection_lost"
+    TIMEOUT = "timeout"
+    CANCELLED = "cancelled"
+
+
+FAST_ERROR_OUTCOMES = frozenset(
+    {Outcome.ERROR, Outcome.CONNECTION_FAILED, Outcome.CONNECTION_LOST}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A target as the feed describes it.
+
+    Parameters
+    ----------
+    target_id, address, failure_domain
+        As announced.
+    slots
+        Requests that the target runs at the same time.
+    state
+        State in the register.
+    incarnation
+        Increases at each start of the target.
+    up_since_s
+        Time of the announcement on the entry's monotonic clock.
+    """
+
+    target_id: ids.TargetId
+    address: str
+    failure_domain: ids.FailureDomain
+    slots: int
+    state: TargetState = TargetState.SERVING
+    incarnation: int = 0
+    up_since_s: float = -math.inf
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Token:
+    """An attempt in flight.
+
+    Parameters
+    ----------
+    view
+        View of the target that runs it.
+    started_s
+        Time at which it was sent.
+    is_measured
+        Whether its response time was counted already.
+    is_open
+        False after `Pool.finished`.
+    """
+
+    view: "TargetView"
+    started_s: float
+    is_measured: bool = False
+    is_open: bool = True
+
+
+class TargetView:
+    """State of a target in the memory of one entry.
+
+    Parameters
+    ----------
+    target
+        The target.
+    share
+        Largest number of requests in flight from this entry.
+    latency_s
+        First latency estimate.
+
+    Notes
+    -----
+    All operations are O(1). Attempts are kept in the order of their start, so
+    that the oldest one is the first.
+    """
+
+    __slots__ = (
+        "_ejected_until_s",
+        "_errors",
+        "_estimated_s",
+        "_latency_s",
+        "_reported",
+        "_reported_s",
+        "_running",
+        "_strikes",
+        "in_flight",
+        "is_draining",
+        "last_response_s",
+        "limit",
+        "slots",
+        "target",
+    )
+
+    def __init__(self, target: Target, share: int, latency_s: float = 0.0):
+        self.target = target
+        self.slots = max(1, target.slots)
+        self.limit = limits.Limit(share)
+        self.in_flight = 0
+        self.is_draining = False
+        self.last_response_s = -math.inf
+        self._running: dict[int, Token] = {}
+        self._latency_s = latency_s
+        self._estimated_s = -math.inf
+        self._reported = 0.0
+        self._reported_s = -math.inf
+        self._errors = 0
+        self._strikes = 0
+        self._ejected_until_s = -math.inf
+
+    def started(self, now: float) -> Token:
+        """Count an attempt."""
+        token = Token(self, now)
+        self._running[id(token)] = token
+        self.in_flight += 1
+        return token
+
+    def resent(self, token: Token, now: float) -> None:
+        """Measure an attempt from now on."""
+        if self._running.pop(id(token), None) is None:
+            return
+        token.started_s = now
+        self._running[id(token)] = token
+
+    def released(self, token: Token) -> None:
+        """Stop counting an attempt."""
+        if self._running.pop(id(token), None) is not None:
+            self.in_flight -= 1
+
+    def oldest_age_s(self, now: float) -> float:
+        """Return the age of the oldest attempt in flight, 0 without any."""
+        for token in self._running.values():
+            return now - token.started_s
+        return 0.0
+
+    def latency_s(self, now: float) -> float:
+        """Return the expected response time without waiting.
+
+        The age of the oldest attempt is a lower bound of its response time,
+        so a straggler shows before it responds.
+        """
+        idle_s = now - self._estimated_s
+        latency_s = self._latency_s
+        if idle_s > IDLE_HALF_LIFE_S:
+            latency_s *= 2.0 ** (1 - idle_s / IDLE_HALF_LIFE_S)
+        return max(latency_s, self.oldest_age_s(now))
+
+    def measured(self, response_s: float, now: float) -> None:
+        """Apply a response time to the latency estimate."""
+        self.last_response_s = now
+        if self._estimated_s == -math.inf:
+            self._latency_s = response_s
+        else:
+            gap = response_s - self._latency_s
+            self._latency_s += gap * (RISE if gap > 0 else FALL)
+        self._estimated_s = now
+
+    def reported(self, report: loads.LoadReport, now: float) -> None:
+        """Apply a load report; the entry's own requests are taken out."""
+        self._reported = max(0.0, report.requests(self.slots) - self.in_flight)
+        self._reported_s = now
+
+    def others_load(self, now: float) -> float:
+        """Return the requests of other entries, as far as still believed."""
+        if self._reported <= 0:
+            return 0.0
+        age_s = now - self._reported_s
+        return self._reported * 2.0 ** (-age_s / REPORT_HALF_LIFE_S)
+
+    def has_room(self, now: float) -> bool:
+        """Tell whether the in-flight limit allows another attempt."""
+        age_s = now - self.target.up_since_s
+        return self.in_flight < self.limit.current(age_s)
+
+    def is_serving(self) -> bool:
+        """Tell whether the target takes new work and is not suspect."""
+        return self.target.state is TargetState.SERVING and not self.is_draining
+
+    def is_suspect(self) -> bool:
+        """Tell whether the target is used only as a last resort."""
+        return self.target.state is TargetState.SUSPECT and not self.is_draining
+
+    def is_ejected(self, now: float) -> bool:
+        """Tell whether the target is ejected."""
+        return now < self._ejected_until_s
+
+    def succeeded(self) -> None:
+        """Count a response that is no error; ends the streak of errors."""
+        self._errors = 0
+        self._strikes = max(0, self._strikes - 1)
+
+    def failed(self, outcome: Outcome, took_s: float, now: float) -> bool:
+        """Count an error.
+
+        Returns
+        -------
+        bool
+            True if the target deserves ejection: it failed `FAST_ERRORS`
+            times in a row faster than it usually responds. A refused
+            connection counts at any speed.
+        """
+        if outcome not in FAST_ERROR_OUTCOMES:
+            return False
+        is_fast = took_s <= self.latency_s(now) or self._latency_s <= 0
+        if is_fast or outcome is Outcome.CONNECTION_FAILED:
+            self._errors += 1
+        return self._errors >= FAST_ERRORS
+
+    def eject(self, now: float) -> float:
+        """Eject for a time that doubles with each ejection; return its end."""
+        length_s = min(MAX_EJECTION_S, EJECTION_S * 2.0**self._strikes)
+        self._strikes = min(self._strikes + 1, 10)
+        # One error after the return is enough for the next ejection.
+        self._errors = FAST_ERRORS - 1
+        self._ejected_until_s = now + length_s
+        return self._ejected_until_s
