--- /dev/null
+++ b/coltsfootchute/entry/__main__.py
@@ -0,0 +1,87 @@
+"""Run the entry role: ``python -m coltsfootchute.entry SETTINGS``."""
+
+import asyncio
+import os
+import signal
+import sys
+
+import aiomisc
+import loguru
+import uvloop
+
+from coltsfootchute import errors, settings
+from coltsfootchute.entry import daemons
+
+__all__ = ["main"]
+
+SECOND_SIGNAL_STATUS = 1
+
+
+class EntryService(aiomisc.Service):
+    """Runs a daemon for as long as the entrypoint does."""
+
+    daemon: daemons.Daemon
+
+    async def start(self) -> None:
+        """Start the daemon."""
+        await self.daemon.start()
+
+    async def stop(self, exception: Exception | None = None) -> None:
+        """Stop the daemon gracefully."""
+        await self.daemon.stop()
+
+
+async def _until_signalled() -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+
+    def signalled() -> None:
+        if stopping.is_set():
+            # The operator asks again: end at once, requests in progress included.
+            os._exit(SECOND_SIGNAL_STATUS)
+        stopping.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signalled)
+    await stopping.wait()
+
+
+def main(path: str) -> int:
+    """Run until SIGTERM.
+
+    Parameters
+    ----------
+    path
+        The settings file.
+
+    Returns
+    -------
+    int
+        Exit status.
+    """
+    try:
+        cfg = settings.load(path)
+    except errors.SettingsError as exc:
+        sys.stderr.write(f"{exc}\n")
+        return 2
+    if cfg.entry is None:
+        sys.stderr.write("the settings have no entry role\n")
+        return 2
+    loguru.logger.remove()
+    loguru.logger.add(
+        sys.stderr, level=cfg.log.level, serialize=cfg.log.format == "json"
+    )
+    asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
+    service = EntryService(daemon=daemons.Daemon(cfg))
+    with aiomisc.entrypoint(
+        service,
+        catch_signals=(),
+        log_config=False,
+        shutdown_timeout=daemons.STOP_LIMIT_S,
+    ) as loop:
+        loop.run_until_complete(_until_signalled())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1]))
--- /dev/null
+++ b/coltsfootchute/entry/answers.py
@@ -0,0 +1,212 @@
+"""Answers that the entry writes itself: refusals and replayed answers."""
+
+import socket
+import struct
+import typing
+
+import aiohttp.abc
+import aiohttp.web
+import msgspec
+import multidict
+
+from coltsfootchute import verdicts
+from coltsfootchute.proto import coltsfootchute_pb2
+
+__all__ = [
+    "STATUSES",
+    "Written",
+    "abort",
+    "refuse",
+    "replay",
+    "start_answer",
+    "write_whole",
+]
+
+_R = verdicts.Reason
+
+STATUSES: dict[verdicts.Reason, int] = {
+    _R.BAD_REQUEST: 400,
+    _R.KEY_REQUIRED: 400,
+    _R.KEY_MALFORMED: 400,
+    _R.TOO_DEEP: 400,
+    _R.NO_SERVICE: 404,
+    _R.NO_RULE: 404,
+    _R.KEY_REUSED: 409,
+    _R.KEY_EXPIRED: 409,
+    _R.CLAIMED_ELSEWHERE: 409,
+    _R.ANSWER_NOT_KEPT: 409,
+    _R.BODY_TOO_LARGE: 413,
+    _R.QUARANTINED: 422,
+    _R.CONNECTION_FAILED: 502,
+    _R.CONNECTION_LOST: 502,
+    _R.NO_TARGET: 503,
+    _R.QUEUE_FULL: 503,
+    _R.STALE: 503,
+    _R.CLAIM_UNAVAILABLE: 503,
+    _R.TARGET_SHED: 503,
+    _R.STOPPING: 503,
+    _R.DEADLINE: 504,
+    _R.TARGET_TIMEOUT: 504,
+}
+RETRY_AFTER_S = 1
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+_PHRASES = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class Written:
+    """The result of a handler that wrote its answer itself.
+
+    Parameters
+    ----------
+    keep_alive
+        Whether the caller's connection may carry another request.
+    """
+
+    __slots__ = ("keep_alive",)
+
+    def __init__(self, keep_alive: bool):
+        self.keep_alive = keep_alive
+
+    async def prepare(self, request: aiohttp.web.BaseRequest) -> None:
+        """Do nothing: the head is written."""
+
+    async def write_eof(self) -> None:
+        """Do nothing: the body is written."""
+
+
+KEPT = Written(keep_alive=True)
+CLOSED = Written(keep_alive=False)
+
+
+async def start_answer(
+    request: aiohttp.web.BaseRequest,
+    status: int,
+    phrase: str,
+    headers: multidict.CIMultiDict[str],
+    *,
+    keep_alive: bool,
+    ends_by_close: bool = False,
+) -> aiohttp.abc.AbstractStreamWriter:
+    """Write the head of an answer; it leaves with the first bytes of the body.
+
+    Parameters
+    ----------
+    request
+        The caller's request.
+    status, phrase, headers
+        The head, with `Content-Length` if the length is known.
+    keep_alive
+        Whether the connection stays open.
+    ends_by_close
+        Whether the end of the connection ends the body.
+    """
+    writer = request._payload_writer
+    empty = request.method == "HEAD" or status in {204, 304}
+    if not (empty or ends_by_close or "Content-Length" in headers):
+        writer.enable_chunking()
+        headers["Transfer-Encoding"] = "chunked"
+    if not keep_alive:
+        headers["Connection"] = "close"
+    elif request.version == (1, 0):
+        headers["Connection"] = "keep-alive"
+    await writer.write_headers(f"HTTP/1.1 {status} {phrase}", headers)
+    return writer
+
+
+async def write_whole(
+    request: aiohttp.web.BaseRequest,
+    status: int,
+    headers: multidict.CIMultiDict[str],
+    body: bytes,
+    keep_alive: bool,
+) -> Written:
+    """Write an answer whose body is in memory.
+
+    Raises
+    ------
+    ConnectionError
+        If the caller is gone.
+    """
+    if status not in {204, 304}:
+        headers["Content-Length"] = str(len(body))
+    phrase = _PHRASES.get(status, "")
+    writer = await start_answer(request, status, phrase, headers, keep_alive=keep_alive)
+    await writer.write_eof(b"" if request.method == "HEAD" else body)
+    return KEPT if keep_alive else CLOSED
+
+
+def abort(request: aiohttp.web.BaseRequest) -> Written:
+    """Reset the caller's connection, so that its end can't pass for an answer's end.
+
+    Notes
+    -----
+    Closing a transport, even by `abort`, ends the connection like a complete
+    answer of unknown length. With a linger time of 0 the kernel sends a reset.
+    """
+    transport = request.transport
+    if transport is not None:
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        transport.abort()
+    return CLOSED
+
+
+class _RefusalBody(msgspec.Struct):
+    verdict: str
+    reason: str
+    detail: str
+
+
+async def refuse(
+    request: aiohttp.web.BaseRequest,
+    refusal: verdicts.Refusal,
+    keep_alive: bool,
+    extra: typing.Mapping[str, str] | None = None,
+) -> Written:
+    """Write a refusal as JSON with its verdict and reason.
+
+    Parameters
+    ----------
+    request
+        The caller's request.
+    refusal
+        Verdict, reason and detail.
+    keep_alive
+        Whether the connection stays open.
+    extra
+        More headers.
+    """
+    status = STATUSES[refusal.reason]
+    headers = multidict.CIMultiDict(extra or {})
+    headers["Content-Type"] = "application/json"
+    headers[verdicts.VERDICT_HEADER] = refusal.verdict.value
+    headers[verdicts.REASON_HEADER] = refusal.reason.value
+    if status == 503:
+        headers["Retry-After"] = str(RETRY_AFTER_S)
+    body = _RefusalBody(refusal.verdict.value, refusal.reason.value, refusal.detail)
+    encoded = msgspec.json.encode(body)
+    return await write_whole(request, status, headers, encoded, keep_alive)
+
+
+async def replay(
+    request: aiohttp.web.BaseRequest,
+    stored: coltsfootchute_pb2.StoredAnswer,
+    keep_alive: bool,
+) -> Written:
+    """Write the stored answer of the first request with the same key."""
+    pairs = zip(stored.header_names, stored.header_values, strict=True)
+    headers = multidict.CIMultiDict(pairs)
+    headers[verdicts.REPLAYED_HEADER] = "1"
+    headers[verdicts.VERDICT_HEADER] = verdicts.Verdict.RAN.value
+    return await write_whole(request, stored.status, headers, stored.body, keep_alive)
--- /dev/null
+++ b/coltsfootchute/entry/apis.py
@@ -0,0 +1,417 @@
+"""The `api` listener: addresses, announcements, sections, status, monitoring."""
+
+import typing
+
+import aiohttp.web
+import msgspec
+
+from coltsfootchute import errors
+from coltsfootchute.entry import addresses, clients, metrics, operators, watches
+from coltsfootchute.proto import coltsfootchute_pb2
+
+__all__ = ["Api", "TargetLeaseTimes"]
+
+# A document has at most a few hundred short rules.
+MAX_BODY_BYTES = 1 << 20
+READ_LIMIT_S = 3.0
+CHANGE_LIMIT_S = 5.0
+
+_Handler = typing.Callable[
+    [aiohttp.web.Request], typing.Awaitable[aiohttp.web.Response]
+]
+_Name = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:-]*$", max_length=128)
+]
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, lt=1 << 63)]
+
+
+class TargetLeaseTimes(msgspec.Struct, frozen=True):
+    """What a target is told about its lease, in seconds."""
+
+    lease_s: float = 30
+    renew_s: float = 10
+
+
+class _ProposalBody(msgspec.Struct, forbid_unknown_fields=True):
+    expected_revision: _Number
+    document: str | dict[str, typing.Any]
+    author: typing.Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+    request_id: typing.Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+
+
+class _TargetBody(msgspec.Struct, forbid_unknown_fields=True):
+    id: _Name
+    incarnation: _Number
+    address: typing.Annotated[
+        str, msgspec.Meta(pattern=r"^(\d+\.\d+\.\d+\.\d+|\[[0-9a-fA-F:]+\]):\d+$")
+    ]
+    failure_domain: _Name
+    services: typing.Annotated[list[_Name], msgspec.Meta(min_length=1, max_length=64)]
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+
+
+class _IncarnationBody(msgspec.Struct, forbid_unknown_fields=True):
+    incarnation: _Number
+
+
+_PROPOSAL_ANSWERS = {
+    coltsfootchute_pb2.PROPOSAL_STATUS_CONFLICT: (409, "conflict"),
+    coltsfootchute_pb2.PROPOSAL_STATUS_NOT_OWNER: (403, "not_owner"),
+    coltsfootchute_pb2.PROPOSAL_STATUS_INVALID: (400, "invalid"),
+    coltsfootchute_pb2.PROPOSAL_STATUS_REQUEST_ID_REUSED: (409, "request_id_reused"),
+}
+_ANNOUNCEMENT_ERRORS = {
+    coltsfootchute_pb2.ANNOUNCEMENT_STATUS_OLD_INCARNATION: (409, "old_incarnation"),
+    coltsfootchute_pb2.ANNOUNCEMENT_STATUS_UNKNOWN_TARGET: (404, "unknown_target"),
+}
+_KINDS = {
+    "drain": coltsfootchute_pb2.TargetCommand.KIND_DRAIN,
+    "withdraw": coltsfootchute_pb2.TargetCommand.KIND_WITHDRAW,
+}
+
+
+class Api:
+    """Handlers of the `api` listener.
+
+    Parameters
+    ----------
+    view
+        The replicated state.
+    client
+        The Control client.
+    teams
+        Finds the team of a request.
+    meters
+        Metrics.
+    own
+        Returns this entry as an instance.
+    keep_s
+        Seconds for which callers may keep an address response.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: watches.View,
+        client: clients.ControlClient,
+        teams: operators.Operators,
+        meters: metrics.Metrics,
+        own: typing.Callable[[], coltsfootchute_pb2.Instance],
+        keep_s: float,
+    ):
+        self._view = view
+        self._client = client
+        self._teams = teams
+        self._meters = meters
+        self._own = own
+        self._keep_s = keep_s
+        self._turn = 0
+
+    def application(self) -> aiohttp.web.Application:
+        """Return the routes with their handlers."""
+        app = aiohttp.web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[_explain]
+        )
+        app.router.add_get("/v1/services/{service}/addresses", self.addresses)
+        app.router.add_get("/v1/sections", self.sections)
+        app.router.add_get("/v1/sections/{name}", self.section)
+        app.router.add_get("/v1/sections/{name}/history", self.history)
+        app.router.add_put("/v1/sections/{name}", self.propose)
+        app.router.add_get("/v1/targets", self.targets)
+        app.router.add_post("/v1/targets", self.announce)
+        app.router.add_post("/v1/targets/{id}/renew", self.renew)
+        app.router.add_post("/v1/targets/{id}/{kind:drain|withdraw}", self.retire)
+        app.router.add_get("/v1/status", self.status)
+        app.router.add_get("/metrics", self.metrics)
+        app.router.add_get("/healthz", self.healthz)
+        app.router.add_get("/readyz", self.readyz)
+        return app
+
+    async def addresses(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Tell a caller which entries to use."""
+        service = request.match_info["service"]
+        table = self._view.tables.get(service)
+        if table is None:
+            return _error(404, "no_service", f"no service {service!r}")
+        own = self._own()
+        others = [i for i in self._view.instances.values() if i.name != own.name]
+        self._turn += 1
+        chosen = addresses.choose_addresses(
+            [own, *others], table.section.entries_per_caller, self._turn
+        )
+        body = {
+            "service": service,
+            "keep_s": self._keep_s,
+            "addresses": [
+                {"address": i.calls_address, "failure_domain": i.failure_domain}
+                for i in chosen
+            ],
+        }
+        return _json(body)
+
+    async def sections(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Return all sections in force."""
+        reply = await self._read("")
+        return _json({"sections": [_section(s) for s in reply.sections]})
+
+    async def section(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Return one section in force."""
+        name = request.match_info["name"]
+        reply = await self._read(name)
+        found = next((s for s in reply.sections if s.name == name), None)
+        if found is None:
+            return _error(404, "no_section", f"no section {name!r}")
+        return _json(_section(found))
+
+    async def history(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Return the kept revisions of a section, oldest first."""
+        name = request.match_info["name"]
+        reply = await self._read(name)
+        found = next((s for s in reply.sections if s.name == name), None)
+        if found is None:
+            return _error(404, "no_section", f"no section {name!r}")
+        history = [_revision(r) for r in found.history]
+        return _json({"name": name, "owner": found.owner, "history": history})
+
+    async def _read(self, name: str) -> coltsfootchute_pb2.ReadSectionsReply:
+        request = coltsfootchute_pb2.ReadSectionsRequest(name=name)
+        return await self._client.call(
+            "ReadSections", request, READ_LIMIT_S, repeatable=True
+        )
+
+    async def propose(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Propose a new revision of a section."""
+        team = self._teams.team_of(request)
+        body = msgspec.json.decode(await request.read(), type=_ProposalBody)
+        document = body.document
+        if not isinstance(document, str):
+            document = msgspec.json.encode(document).decode()
+        proposal = coltsfootchute_pb2.Proposal(
+            section=request.match_info["name"],
+            expected_revision=body.expected_revision,
+            document=document,
+            team=team,
+            author=body.author,
+            request_id=body.request_id,
+        )
+        # The request id makes a resend return the first outcome.
+        reply = await self._client.call(
+            "Propose", proposal, CHANGE_LIMIT_S, repeatable=True
+        )
+        return _proposal_answer(reply.outcome)
+
+    async def announce(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Take the announcement of a target."""
+        body = msgspec.json.decode(await request.read(), type=_TargetBody)
+        target = coltsfootchute_pb2.Target(
+            target_id=body.id,
+            incarnation=body.incarnation,
+            address=body.address,
+            failure_domain=body.failure_domain,
+            services=body.services,
+            slots=body.slots,
+        )
+        kind = coltsfootchute_pb2.TargetCommand.KIND_ANNOUNCE
+        return await self._command(kind, target)
+
+    async def retire(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Drain or withdraw a target."""
+        body = msgspec.json.decode(await request.read(), type=_IncarnationBody)
+        target = coltsfootchute_pb2.Target(
+            target_id=request.match_info["id"], incarnation=body.incarnation
+        )
+        return await self._command(_KINDS[request.match_info["kind"]], target)
+
+    async def _command(
+        self, kind: int, target: coltsfootchute_pb2.Target
+    ) -> aiohttp.web.Response:
+        command = coltsfootchute_pb2.TargetCommand(kind=kind, target=target)
+        message = coltsfootchute_pb2.AnnounceRequest(command=command)
+        # Register commands are idempotent for the same incarnation.
+        reply = await self._client.call(
+            "Announce", message, CHANGE_LIMIT_S, repeatable=True
+        )
+        outcome = reply.outcome
+        if outcome.status in _ANNOUNCEMENT_ERRORS:
+            status, name = _ANNOUNCEMENT_ERRORS[outcome.status]
+            return _error(status, name, f"incarnation {outcome.incarnation} is known")
+        if outcome.status != coltsfootchute_pb2.ANNOUNCEMENT_STATUS_ACCEPTED:
+            return _error(504, "unknown", "the outcome is not known; send it again")
+        times = msgspec.to_builtins(TargetLeaseTimes())
+        return _json({"incarnation": outcome.incarnation, **times})
+
+    async def renew(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Renew the lease of a target with the next batch."""
+        body = msgspec.json.decode(await request.read(), type=_IncarnationBody)
+        target_id = request.match_info["id"]
+        refused = await self._client.renew(target_id, body.incarnation)
+        if refused is None:
+            return _json(msgspec.to_builtins(TargetLeaseTimes()))
+        if refused > body.incarnation:
+            return _error(409, "old_incarnation", f"incarnation {refused} is known")
+        return _error(404, "unknown_target", "the target must announce itself")
+
+    async def targets(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Return the register with the leases, as the leader knows them."""
+        reply = await self._status()
+        targets = [
+            {**_target(t.target), "remaining_ms": t.remaining_ms} for t in reply.targets
+        ]
+        return _json({"targets": targets})
+
+    async def status(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Return leader, term, members and the revision at each instance."""
+        reply = await self._status()
+        return _json(_status(reply, self._own()))
+
+    async def _status(self) -> coltsfootchute_pb2.StatusReply:
+        request = coltsfootchute_pb2.StatusRequest()
+        return await self._client.call("Status", request, READ_LIMIT_S, repeatable=True)
+
+    async def metrics(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Return the metrics in the text format."""
+        own = self._own()
+        self._meters.stale.set(own.stale)
+        self._meters.revision.set(own.revision)
+        return aiohttp.web.Response(
+            body=self._meters.exposition(),
+            headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"},
+        )
+
+    async def healthz(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Tell that the process responds."""
+        return _json({"healthy": True})
+
+    async def readyz(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Tell whether the entry is current and not stopping."""
+        own = self._own()
+        is_stopping = own.state == coltsfootchute_pb2.INSTANCE_STATE_STOPPING
+        ready = not own.stale and not is_stopping
+        body = {"ready": ready, "stale": own.stale, "stopping": is_stopping}
+        return _json({**body, "revision": own.revision}, 200 if ready else 503)
+
+
+@aiohttp.web.middleware
+async def _explain(
+    request: aiohttp.web.Request, handler: _Handler
+) -> aiohttp.web.StreamResponse:
+    try:
+        return await handler(request)
+    except msgspec.ValidationError as exc:
+        reason, _, path = str(exc).partition(" - at `")
+        problems = [{"path": path.rstrip("`") or "$", "reason": reason}]
+        return _json({"error": "invalid", "errors": problems}, 400)
+    except msgspec.DecodeError as exc:
+        problems = [{"path": "$", "reason": str(exc)}]
+        return _json({"error": "invalid", "errors": problems}, 400)
+    except operators.UnauthorizedError as exc:
+        return _error(401, "unauthorized", str(exc))
+    except errors.UnavailableError as exc:
+        return _error(503, "unavailable", str(exc))
+    except errors.OutcomeUnknownError as exc:
+        return _error(504, "unknown", str(exc))
+    except aiohttp.web.HTTPRequestEntityTooLarge:
+        detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
+        return _error(413, "body_too_large", detail)
+    except aiohttp.web.HTTPException as exc:
+        name = "not_found" if exc.status == 404 else "bad_request"
+        return _error(exc.status, name, exc.reason)
+
+
+def _json(body: typing.Any, status: int = 200) -> aiohttp.web.Response:
+    return aiohttp.web.Response(
+        body=msgspec.json.encode(body), status=status, content_type="application/json"
+    )
+
+
+def _error(status: int, name: str, detail: str) -> aiohttp.web.Response:
+    response = _json({"error": name, "detail": detail}, status)
+    if status == 503:
+        response.headers["Retry-After"] = "1"
+    return response
+
+
+def _proposal_answer(
+    outcome: coltsfootchute_pb2.ProposalOutcome,
+) -> aiohttp.web.Response:
+    if outcome.status == coltsfootchute_pb2.PROPOSAL_STATUS_ACCEPTED:
+        return _json({"revision": outcome.revision, "index": outcome.index})
+    if outcome.status not in _PROPOSAL_ANSWERS:
+        return _error(504, "unknown", "send it again with the same request id")
+    status, name = _PROPOSAL_ANSWERS[outcome.status]
+    problems = [{"path": e.path, "reason": e.reason} for e in outcome.errors]
+    body = {"error": name, "revision": outcome.revision, "author": outcome.author}
+    return _json({**body, "errors": problems}, status)
+
+
+def _section(section: coltsfootchute_pb2.Section) -> dict[str, typing.Any]:
+    return {
+        "name": section.name,
+        "owner": section.owner,
+        **_revision(section.history[-1]),
+    }
+
+
+def _revision(revision: coltsfootchute_pb2.SectionRevision) -> dict[str, typing.Any]:
+    return {
+        "revision": revision.revision,
+        "document": revision.document,
+        "author": revision.author,
+        "request_id": revision.request_id,
+        "time_ms": revision.time_ms,
+    }
+
+
+def _target(target: coltsfootchute_pb2.Target) -> dict[str, typing.Any]:
+    state = coltsfootchute_pb2.TargetState.Name(target.state)
+    return {
+        "id": target.target_id,
+        "incarnation": target.incarnation,
+        "address": target.address,
+        "failure_domain": target.failure_domain,
+        "services": list(target.services),
+        "slots": target.slots,
+        "state": state.removeprefix("TARGET_STATE_").lower(),
+    }
+
+
+def _status(
+    reply: coltsfootchute_pb2.StatusReply, own: coltsfootchute_pb2.Instance
+) -> dict[str, typing.Any]:
+    return {
+        "leader_id": reply.leader_id,
+        "term": reply.term,
+        "commit_index": reply.commit_index,
+        "applied_index": reply.applied_index,
+        "revision": reply.revision,
+        "cluster_id": reply.membership.cluster_id,
+        "members": [_member(m) for m in reply.membership.members],
+        "instances": [_instance(i) for i in reply.instances],
+        "answered_by": _instance(own),
+        "counters": dict(reply.counters),
+    }
+
+
+def _member(member: coltsfootchute_pb2.Member) -> dict[str, typing.Any]:
+    return {
+        "member_id": member.member_id,
+        "name": member.name,
+        "address": member.address,
+        "failure_domain": member.failure_domain,
+        "voter": member.voter,
+    }
+
+
+def _instance(instance: coltsfootchute_pb2.Instance) -> dict[str, typing.Any]:
+    stopping = instance.state == coltsfootchute_pb2.INSTANCE_STATE_STOPPING
+    return {
+        "name": instance.name,
+        "calls": instance.calls_address,
+        "api": instance.api_address,
+        "peer": instance.peer_address,
+        "failure_domain": instance.failure_domain,
+        "stopping": stopping,
+        "stale": instance.stale,
+        "revision": instance.revision,
+        "start_ms": instance.start_ms,
+    }
--- /dev/null
+++ b/coltsfootchute/entry/calls.py
@@ -0,0 +1,352 @@
+"""The life of a call: match, admit, claim, send, and answer by the verdict."""
+
+import asyncio
+import contextlib
+import time
+import typing
+
+import aiohttp.web
+import loguru
+
+from coltsfootchute import balancing, verdicts
+from coltsfootchute.entry import (
+    answers,
+    crashes,
+    forwards,
+    keys,
+    metrics,
+    pools,
+    races,
+    relays,
+    requests,
+    watches,
+)
+
+__all__ = ["Calls"]
+
+_OUTCOMES = {
+    verdicts.Reason.CONNECTION_FAILED: balancing.Outcome.CONNECTION_FAILED,
+    verdicts.Reason.CONNECTION_LOST: balancing.Outcome.CONNECTION_LOST,
+    verdicts.Reason.TARGET_SHED: balancing.Outcome.SHED,
+}
+
+
+class Calls:
+    """Handler of the `calls` listener.
+
+    Parameters
+    ----------
+    view
+        The replicated state, for currency and revision.
+    services
+        Prepared services by name.
+    forwarder
+        Connections to targets.
+    claims
+        Claims and settlements.
+    reporter
+        Takes crash reports.
+    meters
+        Metrics.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: watches.View,
+        services: pools.Services,
+        forwarder: forwards.Forwarder,
+        claims: keys.Claims,
+        reporter: crashes.CrashReporter,
+        meters: metrics.Metrics,
+    ):
+        self._view = view
+        self._services = services.by_name
+        self._forwarder = forwarder
+        self._claims = claims
+        self._crashes = reporter
+        self._meters = meters
+        self.is_closing = False
+        self.in_progress = 0
+        self.idle = asyncio.Event()
+
+    async def handle(self, request: aiohttp.web.BaseRequest) -> answers.Written:
+        """Answer one request of a caller."""
+        self.in_progress += 1
+        try:
+            return await self._handle(request)
+        except ConnectionError:
+            # The caller is gone; an answer can't be written.
+            return answers.CLOSED
+        finally:
+            self.in_progress -= 1
+            if self.is_closing and not self.in_progress:
+                self.idle.set()
+
+    async def close(self, limit_s: float) -> None:
+        """Wait until no call is in progress; answers close their connections."""
+        self.is_closing = True
+        if self.in_progress:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.idle.wait(), limit_s)
+
+    async def _handle(self, request: aiohttp.web.BaseRequest) -> answers.Written:
+        started = time.monotonic()
+        try:
+            call = self._match(request, started)
+        except pools.RefusedError as exc:
+            return await self._refuse(request, exc.refusal)
+        meter = self._meters.meter(call.service.name)
+        meter.in_flight.inc()
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                return await self._serve(call)
+        except pools.RefusedError as exc:
+            return await self._end(call, exc.refusal)
+        except TimeoutError:
+            return await self._end(call, _late(call))
+        finally:
+            self._claims.release_unless_run(call)
+            meter.in_flight.dec()
+            meter.latency.observe(time.monotonic() - started)
+
+    def _match(self, request: aiohttp.web.BaseRequest, now: float) -> requests.Call:
+        name, path, query = requests.split_target(request.raw_path)
+        service = self._services.get(name)
+        if service is None:
+            raise requests.refused(verdicts.Reason.NO_SERVICE, f"no service {name!r}")
+        rule = service.table.match(request.method, path)
+        if rule is None:
+            detail = f"no rule of {name!r} matches {request.method} {path}"
+            raise requests.refused(verdicts.Reason.NO_RULE, detail)
+        return requests.Call(request, service, rule, (path, query), now)
+
+    async def _serve(self, call: requests.Call) -> answers.Written:
+        self._check_currency(call)
+        key = None if call.rule.repeatable else requests.parse_key(call.request.headers)
+        call.body = await requests.read_body(call)
+        self._check_quarantine(call)
+        service = call.service
+        now = time.monotonic()
+        token = await service.admit(call.rule.priority, call.deadline, now)
+        if key is not None:
+            try:
+                stored = await self._claims.claim(call, key)
+            except BaseException:
+                service.finish(token, balancing.Outcome.CANCELLED)
+                raise
+            if stored is not None:
+                service.finish(token, balancing.Outcome.CANCELLED)
+                return await answers.replay(call.request, stored, self._keeps(call))
+            service.pool.sent(token, time.monotonic())
+        attempt, token = await self._attempts(call, token)
+        return await self._answer(call, attempt, token)
+
+    def _check_currency(self, call: requests.Call) -> None:
+        if not self._view.is_stale(watches.clock()):
+            return
+        if call.rule.repeatable and call.service.section.when_stale == "serve":
+            return
+        raise requests.refused(
+            verdicts.Reason.STALE, "the entry has had no contact with control for 3 s"
+        )
+
+    def _check_quarantine(self, call: requests.Call) -> None:
+        # For a request that is not repeatable the check is part of the claim, so
+        # that a key that has run gets its answer.
+        if not call.rule.repeatable or not call.service.has_crashes:
+            return
+        crashes = call.service.pool.crashes
+        if crashes.is_quarantined(call.crash_digest(), time.monotonic()):
+            raise requests.refused(verdicts.Reason.QUARANTINED, keys.QUARANTINE_DETAIL)
+
+    async def _attempts(self, call: requests.Call, token: balancing.Token):
+        while True:
+            try:
+                return await self._race(call, token)
+            except forwards.AttemptError as exc:
+                token = self._retry(call, exc)
+
+    async def _race(self, call: requests.Call, token: balancing.Token) -> races.Won:
+        delay_s = None
+        if call.can_hedge:
+            delay_s = call.service.pool.hedge_delay(time.monotonic())
+        if delay_s is None:
+            return await self._attempt(call, token)
+
+        def hedge() -> typing.Coroutine[typing.Any, typing.Any, races.Won] | None:
+            second = self._hedge(call)
+            return None if second is None else self._attempt(call, second)
+
+        return await races.run(
+            self._attempt(call, token), delay_s, hedge, self._drop_loser(call)
+        )
+
+    def _drop_loser(self, call: requests.Call) -> typing.Callable[[races.Won], None]:
+        def drop(won: races.Won) -> None:
+            attempt, token = won
+            attempt.abort()
+            call.service.finish(token, balancing.Outcome.CANCELLED)
+
+        return drop
+
+    def _hedge(self, call: requests.Call) -> balancing.Token | None:
+        pool = call.service.pool
+        now = time.monotonic()
+        view = pool.select(now, call.tried, balancing.AttemptKind.HEDGE)
+        if view is None or not pool.may_hedge():
+            return None
+        self._meters.meter(call.service.name).hedges.inc()
+        return pool.started(view, now)
+
+    def _retry(
+        self, call: requests.Call, error: forwards.AttemptError
+    ) -> balancing.Token:
+        pool = call.service.pool
+        now = time.monotonic()
+        refusal = verdicts.Refusal(error.verdict, error.reason, error.detail)
+        allowed = (
+            error.verdict.allows_retry(repeatable=call.rule.repeatable)
+            and call.can_repeat
+            and call.may_retry
+            and now < call.deadline
+        )
+        if not allowed:
+            raise pools.RefusedError(refusal)
+        self._check_quarantine(call)
+        view = pool.select(now, call.tried, balancing.AttemptKind.RETRY)
+        if view is None or not pool.may_retry():
+            raise pools.RefusedError(refusal)
+        self._meters.retries.labels(error.reason.value).inc()
+        return pool.started(view, now)
+
+    async def _attempt(self, call: requests.Call, token: balancing.Token) -> races.Won:
+        target = token.view.target
+        call.tried.append(target.target_id)
+        attempt = forwards.Attempt()
+        call.attempts.append(attempt)
+        attempt.revision = self._view.revision
+        attempt.started_s = time.monotonic()
+        try:
+            await self._forwarder.send(
+                attempt,
+                call.service.endpoint(target.address),
+                call.target_line,
+                call.attempt_headers(attempt.started_s),
+                call.body,
+                fresh=not call.rule.repeatable,
+                head_only=call.request.method == "HEAD",
+            )
+            self._check_shed(attempt)
+        except forwards.AttemptError as exc:
+            self._fail(call, token, exc)
+            if exc.broke:
+                self._crashes.crashed(call, target.target_id, attempt)
+            raise
+        except BaseException:
+            call.service.finish(token, self._interruption(call))
+            raise
+        self._note_head(call, attempt, token)
+        return attempt, token
+
+    def _interruption(self, call: requests.Call) -> balancing.Outcome:
+        if time.monotonic() >= call.deadline:
+            return balancing.Outcome.TIMEOUT
+        return balancing.Outcome.CANCELLED
+
+    def _fail(
+        self, call: requests.Call, token: balancing.Token, exc: forwards.AttemptError
+    ) -> None:
+        self._meters.meter(call.service.name).attempts[exc.verdict].inc()
+        outcome = _OUTCOMES.get(exc.reason, balancing.Outcome.CANCELLED)
+        call.service.finish(token, outcome)
+
+    def _check_shed(self, attempt: forwards.Attempt) -> None:
+        if attempt.message.code != 503:
+            return
+        not_run = verdicts.Verdict.NOT_RUN
+        if attempt.headers.get(verdicts.VERDICT_HEADER) != not_run.value:
+            return
+        attempt.was_shed = True
+        attempt.abort()
+        detail = "the target refused the request before it ran"
+        raise forwards.AttemptError(not_run, verdicts.Reason.TARGET_SHED, detail)
+
+    def _note_head(
+        self, call: requests.Call, attempt: forwards.Attempt, token: balancing.Token
+    ) -> None:
+        pool = call.service.pool
+        if verdicts.DRAINING_HEADER in attempt.headers:
+            pool.draining(token.view.target.target_id)
+        if attempt.message.code < 500:
+            pool.responded(token, time.monotonic(), requests.load_of(attempt))
+
+    async def _answer(
+        self, call: requests.Call, attempt: forwards.Attempt, token: balancing.Token
+    ) -> answers.Written:
+        code = attempt.message.code
+        outcome = balancing.Outcome.OK if code < 500 else balancing.Outcome.ERROR
+        relay = relays.Relay(call, attempt, self._keeps(call), self._is_stale())
+        try:
+            written = await relay.run()
+        except forwards.TruncatedError as exc:
+            outcome = balancing.Outcome.CONNECTION_LOST
+            self._crashes.crashed(call, token.view.target.target_id, attempt)
+            return self._truncate(call, exc)
+        except BaseException:
+            outcome = self._interruption(call)
+            raise
+        finally:
+            attempt.finish()
+            call.service.finish(token, outcome)
+        self._meters.meter(call.service.name).attempts[verdicts.Verdict.RAN].inc()
+        self._complete(call, relay)
+        return written
+
+    def _complete(self, call: requests.Call, relay: relays.Relay) -> None:
+        if call.claim is not None and relay.is_provably_complete:
+            self._claims.settle(call, relay.stored_answer())
+        if call.service.has_crashes:
+            self._crashes.answered(call)
+
+    def _truncate(self, call: requests.Call, exc: Exception) -> answers.Written:
+        self._meters.truncated.inc()
+        meter = self._meters.meter(call.service.name)
+        meter.attempts[verdicts.Verdict.MAY_HAVE_RUN].inc()
+        loguru.logger.warning(
+            "entry: an answer of {} was truncated: {}", call.service.name, exc
+        )
+        return answers.abort(call.request)
+
+    def _keeps(self, call: requests.Call) -> bool:
+        call.keep_alive = call.request.keep_alive and not self.is_closing
+        return call.keep_alive
+
+    def _is_stale(self) -> bool:
+        return self._view.is_stale(watches.clock())
+
+    async def _end(
+        self, call: requests.Call, refusal: verdicts.Refusal
+    ) -> answers.Written:
+        if call.is_answering:
+            return answers.abort(call.request)
+        if call.may_have_run and refusal.verdict is verdicts.Verdict.NOT_RUN:
+            # An earlier attempt of this call may have run.
+            refusal = verdicts.Refusal(call.verdict, refusal.reason, refusal.detail)
+        return await self._refuse(call.request, refusal)
+
+    async def _refuse(
+        self, request: aiohttp.web.BaseRequest, refusal: verdicts.Refusal
+    ) -> answers.Written:
+        self._meters.refusals.labels(refusal.reason.value).inc()
+        keeps = request.keep_alive and not self.is_closing
+        extra = {verdicts.STALE_HEADER: "1"} if self._is_stale() else None
+        return await answers.refuse(request, refusal, keeps, extra)
+
+
+def _late(call: requests.Call) -> verdicts.Refusal:
+    if call.may_have_run:
+        reason, detail = verdicts.Reason.TARGET_TIMEOUT, "no response in time"
+    else:
+        reason, detail = verdicts.Reason.DEADLINE, "the deadline passed before sending"
+    return verdicts.Refusal(call.verdict, reason, detail)
--- /dev/null
+++ b/coltsfootchute/entry/clients.py
@@ -0,0 +1,274 @@
+"""The client of the Control service: finds the leader and resends safely."""
+
+import asyncio
+import typing
+
+import grpclib.client
+import grpclib.exceptions
+import loguru
+
+from coltsfootchute import errors
+from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
+
+__all__ = ["ControlClient"]
+
+CONNECT_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 1.0
+# Covers an election (1.2 to 2.4 s) for callers that can wait.
+FIND_LEADER_S = 3.0
+RETRY_PAUSE_S = 0.1
+RESEND_PAUSE_S = 0.5
+# Settlements are kept in memory until they are acknowledged; without control
+# there are no claims, so only those in progress at its loss pile up.
+MAX_RESENDS = 10_000
+RENEW_PERIOD_S = 1.0
+
+_RenewalFuture = asyncio.Future[int | None]
+_FAILURES = (
+    OSError,
+    TimeoutError,
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.ProtocolError,
+    grpclib.exceptions.StreamTerminatedError,
+)
+
+
+class ControlClient:
+    """Calls the leader among the control instances.
+
+    Parameters
+    ----------
+    addresses
+        Addresses of control instances.
+
+    Notes
+    -----
+    A call that could not be written, or that an instance answered with
+    `NOT_LEADER`, did not take effect and goes to the next instance. Once a
+    request was written and its reply is missing, the outcome is unknown, and
+    only a call that is marked as safe to repeat is sent again.
+    """
+
+    def __init__(self, addresses: list[str]):
+        self._addresses = list(addresses)
+        self._channels: dict[str, grpclib.client.Channel] = {}
+        self._leader = self._addresses[0]
+        self._turn = 0
+        self._renewals: dict[str, tuple[int, list[_RenewalFuture]]] = {}
+        self._renewing: asyncio.Task[None] | None = None
+        self._resends: set[asyncio.Task[None]] = set()
+
+    async def close(self) -> None:
+        """Close all channels; unacknowledged settlements are dropped."""
+        tasks = [*self._resends, *([self._renewing] if self._renewing else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for channel in self._channels.values():
+            channel.close()
+
+    async def drain(self, limit_s: float) -> None:
+        """Wait until settlements and releases are acknowledged, within a bound."""
+        if self._resends:
+            await asyncio.wait(self._resends, timeout=limit_s)
+
+    async def call(
+        self,
+        method: str,
+        request: typing.Any,
+        limit_s: float = FIND_LEADER_S,
+        repeatable: bool = False,
+    ) -> typing.Any:
+        """Call a method of the leader.
+
+        Parameters
+        ----------
+        method
+            Name of the method.
+        request
+            Its message.
+        limit_s
+            Bound of the whole call in seconds.
+        repeatable
+            Whether the call may be sent again after an unknown outcome.
+
+        Returns
+        -------
+        message
+            The reply, with header status OK.
+
+        Raises
+        ------
+        coltsfootchute.errors.UnavailableError
+            The call did not take effect.
+        coltsfootchute.errors.OutcomeUnknownError
+            The call may have taken effect.
+        """
+        unknown = False
+        deadline = asyncio.get_running_loop().time() + limit_s
+        while True:
+            try:
+                reply = await self._try_leader(method, request, deadline)
+            except errors.OutcomeUnknownError:
+                if not repeatable:
+                    raise
+                unknown = True
+                reply = None
+            if reply is not None:
+                return reply
+            if asyncio.get_running_loop().time() + RETRY_PAUSE_S >= deadline:
+                break
+            if self._turn % len(self._addresses) == 0:
+                await asyncio.sleep(RETRY_PAUSE_S)
+        if unknown:
+            raise errors.OutcomeUnknownError(f"no reply to {method}")
+        raise errors.UnavailableError(f"no leader took {method}")
+
+    async def _try_leader(
+        self, method: str, request: typing.Any, deadline: float
+    ) -> typing.Any | None:
+        address = self._leader
+        try:
+            async with asyncio.timeout_at(deadline):
+                stub = await self._connect(address)
+        except (OSError, TimeoutError):
+            self._pass_over()
+            return None
+        reply = await self._send(getattr(stub, method), request, deadline)
+        return self._judge(reply, method)
+
+    async def _send(
+        self, method: typing.Any, request: typing.Any, deadline: float
+    ) -> typing.Any:
+        now = asyncio.get_running_loop().time()
+        timeout_s = min(CALL_TIMEOUT_S, max(deadline - now, 0.001))
+        try:
+            return await method(request, timeout=timeout_s)
+        except _FAILURES as exc:
+            self._pass_over()
+            raise errors.OutcomeUnknownError(repr(exc)) from exc
+
+    def _judge(self, reply: typing.Any, method: str) -> typing.Any | None:
+        status = reply.header.status
+        if status == coltsfootchute_pb2.REPLY_STATUS_OK:
+            return reply
+        if status == coltsfootchute_pb2.REPLY_STATUS_NOT_LEADER:
+            self._follow(reply.header.leader_address)
+            return None
+        raise errors.OutcomeUnknownError(f"{method}: the outcome is not known")
+
+    def _follow(self, hint: str) -> None:
+        if hint and hint != self._leader:
+            self._turn += 1
+            self._leader = hint
+        else:
+            self._pass_over()
+
+    def _pass_over(self) -> None:
+        self._turn += 1
+        self._leader = self._addresses[self._turn % len(self._addresses)]
+
+    async def _connect(self, address: str) -> coltsfootchute_grpc.ControlStub:
+        channel = self._channels.get(address)
+        if channel is None:
+            host, _, port = address.rpartition(":")
+            channel = grpclib.client.Channel(host, int(port))
+            self._channels[address] = channel
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            await channel.__connect__()
+        return coltsfootchute_grpc.ControlStub(channel)
+
+    async def claim(
+        self, command: coltsfootchute_pb2.ClaimCommand, limit_s: float
+    ) -> coltsfootchute_pb2.ClaimOutcome:
+        """Commit a claim.
+
+        Raises
+        ------
+        coltsfootchute.errors.UnavailableError
+            The claim was not committed.
+        coltsfootchute.errors.OutcomeUnknownError
+            It may have been committed; the caller releases it.
+        """
+        reply = await self.call("Claim", command, limit_s)
+        return reply.outcome
+
+    def settle(self, command: coltsfootchute_pb2.SettleCommand) -> None:
+        """Send a settlement or a release until it is acknowledged."""
+        self.resend("Settle", command)
+
+    def report_crash(self, command: coltsfootchute_pb2.CrashCommand) -> None:
+        """Send a crash report until it is acknowledged."""
+        self.resend("ReportCrash", command)
+
+    def resend(self, method: str, command: typing.Any) -> None:
+        """Send an idempotent command in the background until it is acknowledged."""
+        if len(self._resends) >= MAX_RESENDS:
+            loguru.logger.error("entry: dropped a {}: too many wait", method)
+            return
+        task = asyncio.ensure_future(self._resend(method, command))
+        self._resends.add(task)
+        task.add_done_callback(self._resends.discard)
+
+    async def _resend(self, method: str, command: typing.Any) -> None:
+        while True:
+            try:
+                await self.call(method, command, repeatable=True)
+            except (errors.UnavailableError, errors.OutcomeUnknownError):
+                await asyncio.sleep(RESEND_PAUSE_S)
+            else:
+                return
+
+    async def renew(self, target_id: str, incarnation: int) -> int | None:
+        """Renew a target's lease with the next batch.
+
+        Returns
+        -------
+        int or None
+            None if the lease was renewed; else the incarnation in the register,
+            not above the target's own one if the target is unknown.
+
+        Raises
+        ------
+        coltsfootchute.errors.ColtsfootchuteError
+            If control did not reply.
+        """
+        fut = asyncio.get_running_loop().create_future()
+        known, waiting = self._renewals.get(target_id, (incarnation, []))
+        if incarnation < known:
+            return known
+        if incarnation > known:
+            for older in waiting:
+                older.set_result(incarnation)
+            waiting = []
+        self._renewals[target_id] = (incarnation, [*waiting, fut])
+        if self._renewing is None:
+            self._renewing = asyncio.ensure_future(self._renew_batch())
+        return await fut
+
+    async def _renew_batch(self) -> None:
+        await asyncio.sleep(RENEW_PERIOD_S)
+        self._renewing = None
+        batch, self._renewals = self._renewals, {}
+        request = coltsfootchute_pb2.RenewRequest(
+            renewals=[
+                coltsfootchute_pb2.Renewal(target_id=target_id, incarnation=number)
+                for target_id, (number, _) in batch.items()
+            ]
+        )
+        waiting = [(t, fut) for t, (_, futs) in batch.items() for fut in futs]
+        try:
+            reply = await self.call("Renew", request, repeatable=True)
+        except errors.ColtsfootchuteError as exc:
+            for _, fut in waiting:
+                _settle_future(fut, exc)
+            return
+        refused = {r.target_id: r.incarnation for r in reply.refused}
+        for target_id, fut in waiting:
+            if not fut.done():
+                fut.set_result(refused.get(target_id))
+
+
+def _settle_future(fut: _RenewalFuture, exc: Exception) -> None:
+    if not fut.done():
+        fut.set_exception(exc)
--- /dev/null
+++ b/coltsfootchute/entry/daemons.py
@@ -0,0 +1,256 @@
+"""The entry role as a daemon."""
+
+import asyncio
+import contextlib
+import time
+import typing
+
+import aiohttp.web
+import grpclib.server
+import loguru
+
+from coltsfootchute import errors, settings
+from coltsfootchute.entry import (
+    apis,
+    calls,
+    clients,
+    crashes,
+    feeds,
+    forwards,
+    keys,
+    metrics,
+    operators,
+    pools,
+    watches,
+)
+from coltsfootchute.proto import coltsfootchute_pb2
+
+__all__ = ["NEWS_S", "STOP_LIMIT_S", "Daemon"]
+
+# Within this time every other entry knows that this one is stopping (R7).
+NEWS_S = 3.0
+# Requests in progress end by their deadlines, which are at most 600 s.
+FINISH_LIMIT_S = 610.0
+# Time for a request that was already on its way on an idle connection.
+IDLE_GRACE_S = 0.2
+SETTLE_LIMIT_S = 5.0
+MAX_KEEP_S = 300.0
+STOP_LIMIT_S = NEWS_S + MAX_KEEP_S + FINISH_LIMIT_S + SETTLE_LIMIT_S
+REPORT_CHANGED_S = 1.0
+REPORT_UNCHANGED_S = 5.0
+BACKLOG = 1024
+
+
+class Daemon:
+    """The entry role of one instance.
+
+    Parameters
+    ----------
+    cfg
+        Settings of the instance, with the entry role.
+
+    Notes
+    -----
+    `start` and `stop` run on the caller's loop, so that the control role can
+    share the process.
+    """
+
+    def __init__(self, cfg: settings.Settings):
+        self._cfg = cfg
+        entry = cfg.entry
+        name = cfg.instance.name
+        self.metrics = metrics.Metrics()
+        self.view = watches.View(self._learn)
+        self.client = clients.ControlClient(entry.control)
+        self.services = pools.Services(self.view, cfg.instance.failure_domain)
+        self.feed = feeds.Feed()
+        self._watcher = watches.Watcher(self.view, name, entry.control)
+        self._api = apis.Api(
+            view=self.view,
+            client=self.client,
+            teams=operators.Operators(entry.operators),
+            meters=self.metrics,
+            own=self.own_instance,
+            keep_s=entry.keep_s,
+        )
+        self._own = coltsfootchute_pb2.Instance(
+            name=name,
+            failure_domain=cfg.instance.failure_domain,
+            start_ms=int(time.time() * 1000),
+        )
+        self._calls: calls.Calls | None = None
+        self._forwarder: forwards.Forwarder | None = None
+        self._calls_server: aiohttp.web.Server | None = None
+        self._listener: asyncio.Server | None = None
+        self._api_runner: aiohttp.web.AppRunner | None = None
+        self._peer_server: grpclib.server.Server | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def calls_address(self) -> str:
+        """Address of the `calls` listener, once started."""
+        return self._own.calls_address
+
+    @property
+    def api_address(self) -> str:
+        """Address of the `api` listener, once started."""
+        return self._own.api_address
+
+    @property
+    def peer_address(self) -> str:
+        """Address of the `peer` listener, once started."""
+        return self._own.peer_address
+
+    def own_instance(self) -> coltsfootchute_pb2.Instance:
+        """Return this entry with its present state."""
+        self._own.stale = self.view.is_stale(watches.clock())
+        self._own.revision = self.view.revision
+        return self._own
+
+    async def start(self) -> None:
+        """Open the listeners and start to watch.
+
+        Raises
+        ------
+        OSError
+            If an address is in use.
+        """
+        entry = self._cfg.entry
+        self._forwarder = forwards.Forwarder()
+        self._calls = calls.Calls(
+            view=self.view,
+            services=self.services,
+            forwarder=self._forwarder,
+            claims=keys.Claims(self.client, self._cfg.instance.name),
+            reporter=crashes.CrashReporter(self.client),
+            meters=self.metrics,
+        )
+        self._own.peer_address = await self._start_peer(entry.peer)
+        self._own.api_address = await self._start_api(entry.api)
+        self._own.calls_address = await self._start_calls(entry.calls)
+        self._tasks = [
+            asyncio.ensure_future(self._watcher.run()),
+            asyncio.ensure_future(self._report()),
+        ]
+        loguru.logger.info("entry: calls at {}", self.calls_address)
+
+    async def _start_peer(self, address: str) -> str:
+        host, port = _split(address)
+        self._peer_server = grpclib.server.Server([feeds.FeedService(self.feed)])
+        await self._peer_server.start(host, port)
+        return _bound(self._peer_server._server, address)
+
+    async def _start_api(self, address: str) -> str:
+        host, port = _split(address)
+        runner = aiohttp.web.AppRunner(self._api.application(), access_log=None)
+        self._api_runner = runner
+        await runner.setup()
+        site = aiohttp.web.TCPSite(runner, host, port, backlog=BACKLOG)
+        await site.start()
+        return _bound(site._server, address)
+
+    async def _start_calls(self, address: str) -> str:
+        host, port = _split(address)
+        self._calls_server = aiohttp.web.Server(
+            self._calls.handle,
+            handler_cancellation=True,
+            auto_decompress=False,
+            access_log=None,
+        )
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._calls_server, host, port, backlog=BACKLOG
+        )
+        return _bound(self._listener, address)
+
+    async def stop(self) -> None:
+        """Stop gracefully: leave the address answers, serve on, finish, close."""
+        loguru.logger.info("entry: stopping")
+        self._own.state = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
+        with contextlib.suppress(errors.ColtsfootchuteError):
+            await self._send_report()
+        await asyncio.sleep(NEWS_S + self._cfg.entry.keep_s)
+        await self._finish_calls()
+        await self.client.drain(SETTLE_LIMIT_S)
+        await self.abort()
+        loguru.logger.info("entry: stopped")
+
+    async def _finish_calls(self) -> None:
+        self._calls.is_closing = True
+        self._listener.close()
+        await asyncio.sleep(IDLE_GRACE_S)
+        self._calls_server.pre_shutdown()
+        await self._calls.close(FINISH_LIMIT_S)
+
+    async def abort(self) -> None:
+        """Close everything at once; requests in progress are cut off."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._tasks = []
+        if self._listener is not None:
+            self._listener.close()
+        if self._calls_server is not None:
+            await self._calls_server.shutdown(0.1)
+        if self._api_runner is not None:
+            await self._api_runner.cleanup()
+        self.feed.close()
+        if self._peer_server is not None:
+            self._peer_server.close()
+            await self._peer_server.wait_closed()
+        if self._forwarder is not None:
+            await self._forwarder.close()
+        await self.client.close()
+
+    def _learn(
+        self, message: coltsfootchute_pb2.FeedMessage, touched: set[str]
+    ) -> None:
+        self.services.refresh(touched)
+        if message.has_instances:
+            self.services.refresh_share()
+            self.feed.set_instances(list(message.instances))
+        for change in message.changes:
+            if change.WhichOneof("body") == "quarantine":
+                self.services.learn_quarantine(change.quarantine)
+        self._pass_on(message)
+
+    def _pass_on(self, message: coltsfootchute_pb2.FeedMessage) -> None:
+        self.feed.cluster_id = self.view.cluster_id
+        if message.full:
+            self.feed.replace(list(message.changes), message.revision)
+        else:
+            known = self.feed.revision
+            newer = [c for c in message.changes if c.revision > known]
+            self.feed.publish(newer, message.revision)
+        if self.view.proof_at > 0:
+            self.feed.set_proof(self.view.proof_at)
+
+    async def _report(self) -> None:
+        reported: tuple[typing.Any, ...] | None = None
+        reported_at = 0.0
+        while True:
+            own = self.own_instance()
+            content = (own.revision, own.stale, own.state)
+            due = time.monotonic() - reported_at >= REPORT_UNCHANGED_S
+            if content != reported or due:
+                try:
+                    await self._send_report()
+                except errors.ColtsfootchuteError as exc:
+                    loguru.logger.debug("entry: report not sent: {}", exc)
+                else:
+                    reported, reported_at = content, time.monotonic()
+            await asyncio.sleep(REPORT_CHANGED_S)
+
+    async def _send_report(self) -> None:
+        request = coltsfootchute_pb2.ReportRequest(instance=self.own_instance())
+        await self.client.call("Report", request, REPORT_CHANGED_S, repeatable=True)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _bound(server: typing.Any, address: str) -> str:
+    host = address.rpartition(":")[0]
+    return f"{host}:{server.sockets[0].getsockname()[1]}"
--- /dev/null
+++ b/coltsfootchute/entry/feeds.py
@@ -0,0 +1,259 @@
+"""The feed: what watchers are told about changes, currency and instances.
+
+Control instances and entries serve the same feed, each from its own applied
+state.
+"""
+
+import asyncio
+import collections
+import time
+
+from coltsfootchute.proto import coltsfootchute_grpc as rpc
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["Feed", "FeedService", "Watcher", "clock"]
+
+HISTORY_CHANGES = 2000
+PROOF_INTERVAL_S = 1.0
+PROOF_AGE_LIMIT_MS = (1 << 32) - 1
+
+
+def clock() -> float:
+    """Return seconds of a clock that also runs while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def _name(change: pb.FeedChange) -> tuple[str, ...] | tuple[str, str, bytes]:
+    kind = change.WhichOneof("body")
+    if kind == "section":
+        return "section", change.section.name
+    if kind == "quarantine":
+        return "quarantine", change.quarantine.service, change.quarantine.digest
+    if kind == "target":
+        return "target", change.target.target_id
+    return "target", change.removed_target_id
+
+
+def _is_removal(change: pb.FeedChange) -> bool:
+    kind = change.WhichOneof("body")
+    if kind == "quarantine":
+        return change.quarantine.removed
+    return kind == "removed_target_id"
+
+
+class Watcher:
+    """How much one watcher was sent.
+
+    Parameters
+    ----------
+    request
+        The watcher's first message.
+    """
+
+    def __init__(self, request: pb.WatchRequest):
+        self.name = request.watcher
+        self.cluster_id = request.cluster_id
+        self.revision = request.revision
+        self.instances_version = -1
+        self.changed = asyncio.Event()
+
+
+class Feed:
+    """A view with its latest changes, from which watchers are served.
+
+    Attributes
+    ----------
+    cluster_id
+        The cluster of the view; nothing is sent while it is empty.
+    revision
+        Log index of the last change of the view.
+
+    Notes
+    -----
+    A message costs O(changes since the watcher's revision), a full view O(view).
+    Nothing is sent before the source had its first proof of currency: the view
+    of an instance that has just started may be older than what watchers know.
+    """
+
+    def __init__(self, cluster_id: str = ""):
+        self.cluster_id = cluster_id
+        self.revision = 0
+        self._view: dict[tuple, pb.FeedChange] = {}
+        self._history: collections.deque[pb.FeedChange] = collections.deque()
+        self._history_start = 0
+        self._proven_s: float | None = None
+        self._instances: list[pb.Instance] | None = None
+        self._instances_version = 0
+        self._watchers: set[Watcher] = set()
+        self._closed = False
+
+    @property
+    def watchers(self) -> int:
+        """Number of watchers at present."""
+        return len(self._watchers)
+
+    @property
+    def instances(self) -> list[pb.Instance]:
+        """The instances that watchers were told last."""
+        return self._instances or []
+
+    def publish(self, changes: list[pb.FeedChange], revision: int) -> None:
+        """Add the changes of one revision.
+
+        Parameters
+        ----------
+        changes
+            What changed; the feed keeps the messages, which must not be altered.
+        revision
+            The new revision. One that is not newer is ignored.
+        """
+        if revision <= self.revision:
+            return
+        for change in changes:
+            self._enter(change)
+            self._history.append(change)
+        while len(self._history) > HISTORY_CHANGES:
+            self._history_start = self._history.popleft().revision
+        self.revision = revision
+        self._wake()
+
+    def replace(self, view: list[pb.FeedChange], revision: int) -> None:
+        """Replace the view, after a snapshot or a full view of another source."""
+        self._view.clear()
+        for change in view:
+            self._enter(change)
+        self._history.clear()
+        self._history_start = revision
+        self.revision = revision
+        self._wake()
+
+    def _enter(self, change: pb.FeedChange) -> None:
+        if _is_removal(change):
+            self._view.pop(_name(change), None)
+        else:
+            self._view[_name(change)] = change
+
+    def set_proof(self, proven_s: float | None) -> None:
+        """Tell when the view was last known to be current.
+
+        Parameters
+        ----------
+        proven_s
+            Time of `clock`; None if the view never was known to be current. An
+            earlier time than the last one is ignored.
+        """
+        if proven_s is None:
+            return
+        first = self._proven_s is None
+        self._proven_s = proven_s if first else max(self._proven_s, proven_s)
+        if first:
+            self._wake()
+
+    def proof_age_s(self, now: float) -> float | None:
+        """Return the age of the last proof in seconds, or None without one."""
+        return None if self._proven_s is None else max(0.0, now - self._proven_s)
+
+    def set_instances(self, instances: list[pb.Instance]) -> None:
+        """Replace the list of instances; watchers get it if it changed."""
+        if instances == self._instances:
+            return
+        self._instances = instances
+        self._instances_version += 1
+        self._wake()
+
+    def message(self, watcher: Watcher, now: float) -> pb.FeedMessage | None:
+        """Return what a watcher has to be told, and count it as told.
+
+        Parameters
+        ----------
+        watcher
+            The watcher.
+        now
+            Time of `clock`.
+
+        Returns
+        -------
+        coltsfootchute_pb2.FeedMessage or None
+            None while the view was never known to be current.
+        """
+        age_s = self.proof_age_s(now)
+        if age_s is None or not self.cluster_id:
+            return None
+        message = pb.FeedMessage(
+            cluster_id=self.cluster_id,
+            revision=self.revision,
+            has_proof=True,
+            proof_age_ms=min(int(age_s * 1000) + 1, PROOF_AGE_LIMIT_MS),
+        )
+        self._add_changes(message, watcher)
+        known = self._instances is not None
+        if known and watcher.instances_version != self._instances_version:
+            watcher.instances_version = self._instances_version
+            message.has_instances = True
+            message.instances.extend(self._instances)
+        return message
+
+    def _add_changes(self, message: pb.FeedMessage, watcher: Watcher) -> None:
+        foreign = watcher.cluster_id != self.cluster_id
+        if foreign or watcher.revision == 0 or watcher.revision < self._history_start:
+            message.full = True
+            message.changes.extend(self._view.values())
+        elif watcher.revision < self.revision:
+            known = watcher.revision
+            message.changes.extend(c for c in self._history if c.revision > known)
+        # A watcher may know more than a follower that lags behind.
+        watcher.revision = max(0 if foreign else watcher.revision, self.revision)
+        watcher.cluster_id = self.cluster_id
+
+    async def watch(self, request: pb.WatchRequest, send) -> None:
+        """Serve one watcher until the feed is closed.
+
+        Parameters
+        ----------
+        request
+            The watcher's request.
+        send
+            Coroutine function that sends one message.
+        """
+        watcher = Watcher(request)
+        self._watchers.add(watcher)
+        try:
+            while not self._closed:
+                watcher.changed.clear()
+                message = self.message(watcher, clock())
+                if message is not None:
+                    await send(message)
+                await _wait(watcher.changed, PROOF_INTERVAL_S)
+        finally:
+            self._watchers.discard(watcher)
+
+    def close(self) -> None:
+        """End all streams; the watchers move to another source."""
+        self._closed = True
+        self._wake()
+
+    def _wake(self) -> None:
+        for watcher in self._watchers:
+            watcher.changed.set()
+
+
+async def _wait(event: asyncio.Event, timeout_s: float) -> None:
+    """Wait for an event, but no longer than a time."""
+    timer = asyncio.get_running_loop().call_later(timeout_s, event.set)
+    try:
+        await event.wait()
+    finally:
+        timer.cancel()
+
+
+class FeedService(rpc.FeedBase):
+    """The gRPC service of a feed."""
+
+    def __init__(self, feed: Feed):
+        self._feed = feed
+
+    async def Watch(self, stream) -> None:  # noqa: N802
+        """Serve a watcher."""
+        request = await stream.recv_message()
+        if request is not None:
+            await self._feed.watch(request, stream.send_message)
--- /dev/null
+++ b/coltsfootchute/entry/pools.py
@@ -0,0 +1,244 @@
+"""What the entry has prepared per service: rules, targets, the queue."""
+
+import asyncio
+import random
+import time
+
+from coltsfootchute import balancing, ids, sections, verdicts
+from coltsfootchute.entry import forwards, watches
+from coltsfootchute.proto import coltsfootchute_pb2
+
+__all__ = ["Service", "Services"]
+
+_STATES = {
+    coltsfootchute_pb2.TARGET_STATE_SERVING: balancing.TargetState.SERVING,
+    coltsfootchute_pb2.TARGET_STATE_DRAINING: balancing.TargetState.DRAINING,
+    coltsfootchute_pb2.TARGET_STATE_SUSPECT: balancing.TargetState.SUSPECT,
+}
+Admitted = balancing.Token | verdicts.Refusal
+
+
+class Service:
+    """One service as the call path needs it; rebuilt only on changes.
+
+    Parameters
+    ----------
+    name
+        The service.
+    table
+        Compiled rules of the section in force.
+    pool
+        Selection among its targets.
+    """
+
+    def __init__(self, name: str, table: sections.RuleTable, pool: balancing.Pool):
+        self.name = name
+        self.table = table
+        self.pool = pool
+        self.endpoints: dict[str, forwards.Endpoint] = {}
+        # True once a crash was seen or learned: only then are digests computed.
+        self.has_crashes = False
+        self._waiting: dict[balancing.Ticket, asyncio.Future[Admitted]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def section(self) -> sections.Section:
+        """The section in force."""
+        return self.table.section
+
+    def endpoint(self, address: str) -> forwards.Endpoint:
+        """Return the prepared address of a target."""
+        found = self.endpoints.get(address)
+        if found is None:
+            found = self.endpoints[address] = forwards.Endpoint(address)
+        return found
+
+    async def admit(
+        self, priority: int, deadline_s: float, now: float
+    ) -> balancing.Token:
+        """Wait for a target.
+
+        Returns
+        -------
+        balancing.Token
+            An attempt that counts as started.
+
+        Raises
+        ------
+        RefusedError
+            If the queue refuses the request.
+        """
+        admitted = self.pool.admit(priority, deadline_s, now)
+        if isinstance(admitted, balancing.TargetView):
+            return self.pool.started(admitted, now)
+        if isinstance(admitted, balancing.Ticket):
+            return await self._wait(admitted)
+        raise RefusedError(admitted)
+
+    async def _wait(self, ticket: balancing.Ticket) -> balancing.Token:
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting[ticket] = fut
+        self._refuse_expired()
+        try:
+            admitted = await fut
+        except asyncio.CancelledError:
+            self._leave(ticket, fut)
+            raise
+        if isinstance(admitted, verdicts.Refusal):
+            raise RefusedError(admitted)
+        return admitted
+
+    def _leave(self, ticket: balancing.Ticket, fut: asyncio.Future[Admitted]) -> None:
+        self._waiting.pop(ticket, None)
+        self.pool.admission.withdraw(ticket)
+        granted = fut.done() and not fut.cancelled()
+        if granted and isinstance(fut.result(), balancing.Token):
+            self.finish(fut.result(), balancing.Outcome.CANCELLED)
+
+    def finish(
+        self,
+        token: balancing.Token,
+        outcome: balancing.Outcome,
+        load: balancing.LoadReport | None = None,
+    ) -> None:
+        """Count the end of an attempt and release queued requests."""
+        now = time.monotonic()
+        self.pool.finished(token, outcome, now, load)
+        if self._waiting:
+            self.wake()
+
+    def wake(self) -> None:
+        """Start queued requests for which a target has room."""
+        now = time.monotonic()
+        for grant in self.pool.grants(now):
+            fut = self._waiting.pop(grant.ticket, None)
+            if fut is None or fut.done():
+                self.pool.finished(grant.token, balancing.Outcome.CANCELLED, now)
+            else:
+                fut.set_result(grant.token)
+        self._refuse_expired()
+
+    def _refuse_expired(self) -> None:
+        loop = asyncio.get_running_loop()
+        for ticket, refusal in self.pool.admission.expired(time.monotonic()):
+            fut = self._waiting.pop(ticket, None)
+            if fut is not None and not fut.done():
+                fut.set_result(refusal)
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        expiry = self.pool.admission.next_expiry()
+        if expiry is not None:
+            self._timer = loop.call_at(expiry, self.wake)
+
+
+class RefusedError(Exception):
+    """The entry refuses a request.
+
+    Parameters
+    ----------
+    refusal
+        Verdict, reason and detail.
+    """
+
+    def __init__(self, refusal: verdicts.Refusal):
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+class Services:
+    """All services, kept in step with the view of the replicated state.
+
+    Parameters
+    ----------
+    view
+        The view; its changes rebuild the services concerned.
+    failure_domain
+        Of this entry.
+    """
+
+    def __init__(self, view: watches.View, failure_domain: str):
+        self._view = view
+        self._failure_domain = ids.FailureDomain(failure_domain)
+        self._rng = random.Random()
+        self._entries = 1
+        self.by_name: dict[str, Service] = {}
+
+    def refresh(self, names: set[str]) -> None:
+        """Rebuild the named services after a feed message."""
+        for name in names:
+            table = self._view.tables.get(name)
+            if table is None:
+                self.by_name.pop(name, None)
+            else:
+                self._refresh(name, table)
+
+    def refresh_share(self) -> None:
+        """Divide the targets' slots among the entries that are serving."""
+        stopping = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
+        known = self._view.instances.values()
+        entries = max(1, sum(i.state != stopping for i in known))
+        if entries == self._entries:
+            return
+        self._entries = entries
+        for service in self.by_name.values():
+            service.pool.update_share(1 / entries)
+
+    def learn_quarantine(self, quarantine: coltsfootchute_pb2.Quarantine) -> None:
+        """Apply a quarantine record of the log."""
+        service = self.by_name.get(quarantine.service)
+        if service is None:
+            return
+        service.has_crashes = True
+        if quarantine.removed:
+            service.pool.crashes.cleared(quarantine.digest)
+            return
+        now = time.monotonic()
+        known = {ids.TargetId(t) for t in quarantine.target_ids}
+        service.pool.crashes.learned(quarantine.digest, known, quarantine.active, now)
+
+    def _refresh(self, name: str, table: sections.RuleTable) -> None:
+        service = self.by_name.get(name)
+        if service is None:
+            service = self.by_name[name] = Service(name, table, self._pool(name, table))
+        elif service.table is not table:
+            service.table = table
+            service.pool.update_settings(_pool_settings(table.section))
+        now = time.monotonic()
+        targets = [_target(t, now) for t in self._view.targets_of(name)]
+        service.pool.update_targets(targets, now)
+        used = {t.address for t in targets}
+        for address in service.endpoints.keys() - used:
+            del service.endpoints[address]
+        service.wake()
+
+    def _pool(self, name: str, table: sections.RuleTable) -> balancing.Pool:
+        return balancing.Pool(
+            ids.ServiceName(name),
+            _pool_settings(table.section),
+            self._failure_domain,
+            1 / self._entries,
+            self._rng,
+        )
+
+
+def _pool_settings(section: sections.Section) -> balancing.PoolSettings:
+    return balancing.PoolSettings(
+        policy=section.policy,
+        retry_budget_percent=section.retry_budget_percent,
+        queue_length=section.queue.length,
+        queue_wait_s=section.queue.wait_ms / 1000,
+    )
+
+
+def _target(target: coltsfootchute_pb2.Target, now: float) -> balancing.Target:
+    age_s = max(0.0, time.time() - target.announced_ms / 1000)
+    return balancing.Target(
+        target_id=ids.TargetId(target.target_id),
+        address=target.address,
+        failure_domain=ids.FailureDomain(target.failure_domain),
+        slots=target.slots,
+        state=_STATES[target.state],
+        incarnation=target.incarnation,
+        up_since_s=now - age_s,
+    )
--- /dev/null
+++ b/coltsfootchute/entry/relays.py
@@ -0,0 +1,117 @@
+"""Streaming of a target's response to the caller."""
+
+from coltsfootchute import verdicts
+from coltsfootchute.entry import answers, forwards, requests
+from coltsfootchute.proto import coltsfootchute_pb2
+
+__all__ = ["ANSWER_KEPT_BYTES", "Relay"]
+
+ANSWER_KEPT_BYTES = 16 * 1024
+
+
+class Relay:
+    """Passes one response on, part by part.
+
+    Parameters
+    ----------
+    call
+        The call.
+    attempt
+        Its attempt, with a response head.
+    keep_alive
+        Whether the caller's connection stays open afterwards.
+    is_stale
+        Whether to tell the caller that the entry is stale.
+
+    Notes
+    -----
+    At most one part is held in memory besides the buffers of the connections.
+    The answer for the claim is kept up to its bound.
+    """
+
+    def __init__(
+        self,
+        call: requests.Call,
+        attempt: forwards.Attempt,
+        keep_alive: bool,
+        is_stale: bool,
+    ):
+        self._call = call
+        self._attempt = attempt
+        self._close_delimited = attempt.close_delimited
+        # HTTP/1.0 has no other way to end a body of unknown length.
+        self._ends_by_close = self._close_delimited or (
+            attempt.message.chunked and call.request.version < (1, 1)
+        )
+        self._keep_alive = keep_alive and not self._ends_by_close
+        self._is_stale = is_stale
+        self._kept: list[bytes] | None = [] if call.claim is not None else None
+        self._kept_bytes = 0
+
+    @property
+    def is_provably_complete(self) -> bool:
+        """Whether the framing of the response proves its end.
+
+        A response that only the end of its connection ends looks the same if the
+        target crashed, so its claim is not settled.
+        """
+        return not self._close_delimited
+
+    async def run(self) -> answers.Written:
+        """Stream the response.
+
+        Raises
+        ------
+        TruncatedError
+            If the target's response is incomplete.
+        ConnectionError
+            If the caller is gone.
+        """
+        attempt, call = self._attempt, self._call
+        headers = attempt.headers.copy() if call.claim is not None else attempt.headers
+        if self._is_stale:
+            headers[verdicts.STALE_HEADER] = "1"
+        message, payload = attempt.message, attempt.payload
+        call.is_answering = True
+        writer = await answers.start_answer(
+            call.request,
+            message.code,
+            message.reason,
+            headers,
+            keep_alive=self._keep_alive,
+            ends_by_close=self._ends_by_close,
+        )
+        if not payload.total_bytes and not payload.is_eof():
+            writer.send_headers()
+        part = await attempt.read()
+        while part and not payload.at_eof():
+            self._keep(part)
+            await writer.write(part)
+            part = await attempt.read()
+        if part:
+            self._keep(part)
+        if self._close_delimited:
+            attempt.check_end()
+        await writer.write_eof(part)
+        return answers.KEPT if self._keep_alive else answers.CLOSED
+
+    def _keep(self, part: bytes) -> None:
+        if self._kept is None:
+            return
+        self._kept_bytes += len(part)
+        if self._kept_bytes <= ANSWER_KEPT_BYTES:
+            self._kept.append(part)
+        else:
+            self._kept.clear()
+
+    def stored_answer(self) -> coltsfootchute_pb2.StoredAnswer:
+        """Return the answer for the settlement of the claim."""
+        kept = self._kept_bytes <= ANSWER_KEPT_BYTES
+        headers = self._attempt.headers
+        return coltsfootchute_pb2.StoredAnswer(
+            status=self._attempt.message.code,
+            header_names=list(headers.keys()),
+            header_values=list(headers.values()),
+            body=b"".join(self._kept) if kept else b"",
+            body_kept=kept,
+        )
--- /dev/null
+++ b/coltsfootchute/entry/tests/test_calls.py
@@ -0,0 +1,325 @@
+"""Guards against wrong verdicts, second writes and mixed or incomplete answers."""
+
+import asyncio
+
+import pytest
+
+from coltsfootchute import verdicts
+from coltsfootchute.entry.tests import stands
+
+HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"
+SHED = "Coltsfootchute-Verdict: not_run\r\n"
+
+
+def test_repeatable_requests_are_forwarded_on_a_kept_connection():
+    async def play(stage):
+        for _ in range(3):
+            answer = await stage.send("GET", "/shop/items/1?a=b", Connection="close")
+            assert (answer.status, answer.body) == (200, b"hello")
+        assert stage.targets[0].connections == 1
+        head = stage.targets[0].heads[0]
+        assert head.startswith("GET /items/1?a=b HTTP/1.1\r\n")
+        assert "Coltsfootchute-Depth: 1\r\n" in head
+        assert "Coltsfootchute-Attempts-Left: 0\r\n" in head
+        assert "Coltsfootchute-Deadline-Ms: " in head
+        assert "connection:" not in head.lower()
+
+    stands.run(play, stands.respond())
+
+
+def test_a_claimed_request_uses_its_own_connection_and_is_settled():
+    async def play(stage):
+        for _ in range(2):
+            answer = await stage.order()
+            assert (answer.status, answer.body) == (200, b"hello")
+        await stands.until(lambda: len(stage.control.settlements) == 2)
+        assert stage.targets[0].connections == 2
+        claim, settled = stage.control.claims[0], stage.control.settlements[0]
+        assert (settled.key, settled.attempt_id) == (claim.key, claim.attempt_id)
+        assert not settled.released
+        assert settled.answer.body == b"hello"
+
+    stands.run(play, stands.respond())
+
+
+@pytest.mark.parametrize(
+    ("script", "refusal"),
+    [
+        (stands.close_after(), ("may_have_run", "connection_lost", 502)),
+        (stands.close_after(reset=True), ("may_have_run", "connection_lost", 502)),
+        (stands.close_after(b"HTTP/1.1 2"), ("may_have_run", "connection_lost", 502)),
+        (
+            stands.close_after(b"noise\r\n\r\n"),
+            ("may_have_run", "connection_lost", 502),
+        ),
+        (
+            stands.respond(status="503 Busy", headers=SHED),
+            ("not_run", "target_shed", 503),
+        ),
+    ],
+)
+def test_the_verdict_of_each_failure_of_a_lone_target(script, refusal):
+    async def play(stage):
+        answer = await stage.order()
+        assert answer.refusal == refusal
+        assert len(stage.targets[0].heads) == 1
+        released = refusal[0] == "not_run"
+        await stands.until(lambda: len(stage.control.settlements) == released)
+        assert all(s.released for s in stage.control.settlements)
+
+    stands.run(play, script)
+
+
+def test_a_refused_connection_is_not_run_and_goes_to_another_target():
+    async def play(stage):
+        dead = stands.Target("dead", None)
+        await dead.start()
+        await dead.stop()
+        stage.control.target(dead, slots=100)
+        await stands.until(lambda: "dead" in stage.entry.view.targets)
+        for _ in range(6):
+            assert (await stage.order()).status == 200
+        assert len(stage.targets[0].heads) == 6
+        await stage.targets[0].stop()
+        answer = await stage.order()
+        assert answer.refusal == ("not_run", "connection_failed", 502)
+        await stands.until(lambda: stage.control.settlements[-1].released)
+
+    stands.run(play, stands.respond())
+
+
+def _written_twice(stage):
+    return sum(len(target.heads) for target in stage.targets) > 1
+
+
+async def _order_at_two_failing_targets(stage):
+    answer = await stage.order()
+    assert answer.refusal[0] == "may_have_run"
+    return _written_twice(stage)
+
+
+def test_a_request_that_may_have_run_is_not_sent_again():
+    async def play(stage):
+        assert not await _order_at_two_failing_targets(stage)
+
+    stands.run(play, stands.close_after(), stands.close_after())
+
+
+def test_the_check_of_second_writes_catches_a_broken_rule(monkeypatch):
+    """A verdict that always allows a retry must be seen as a second write."""
+    monkeypatch.setattr(
+        verdicts.Verdict, "allows_retry", lambda self, *, repeatable: True
+    )
+
+    async def play(stage):
+        assert await _order_at_two_failing_targets(stage)
+
+    stands.run(play, stands.close_after(), stands.close_after())
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT"])
+def test_the_http_client_sends_nothing_again_by_itself(method):
+    """Aiohttp's session repeats idempotent methods on a kept connection."""
+
+    async def once_then_close(target, head, reader, writer):
+        if len(target.heads) > 1:
+            return await stands.close_after()(target, head, reader, writer)
+        return await stands.respond()(target, head, reader, writer)
+
+    async def play(stage):
+        assert (await stage.send("GET", "/shop/items/1")).status == 200
+        answer = await stage.send(method, "/shop/items/1", b"x")
+        assert answer.refusal == ("may_have_run", "connection_lost", 502)
+        assert len(stage.targets[0].heads) == 2
+        assert stage.targets[0].connections == 1
+
+    stands.run(play, once_then_close)
+
+
+def test_a_repeatable_request_is_repeated_with_its_body_within_the_budget():
+    async def play(stage):
+        answers = [await stage.send("PUT", "/shop/items/1", b"data") for _ in "abc"]
+        assert [a.status for a in answers] == [200] * 3
+        whole = next(t for t in stage.targets if t.bodies)
+        assert whole.bodies == [b"data"] * 3
+
+    stands.run(play, stands.close_after(), stands.respond())
+
+    async def without_budget(stage):
+        answers = [await stage.send("GET", "/shop/items/1") for _ in range(8)]
+        assert {a.status for a in answers} == {200, 502}
+
+    section = {"retry_budget_percent": 0}
+    scripts = stands.close_after(), stands.respond()
+    stands.run(without_budget, *scripts, section=section)
+
+
+@pytest.mark.parametrize("headers", [{}, {"Coltsfootchute_Attempts_Left": "0"}])
+def test_no_retry_without_attempts_left_or_beyond_the_replay_buffer(headers):
+    body = b"x" if headers else b"x" * 200_000
+
+    async def play(stage):
+        answer = await stage.send("PUT", "/shop/items/1", body, **headers)
+        assert answer.refusal[0] == "may_have_run"
+        assert sum(len(t.heads) for t in stage.targets) == 1
+
+    async def read_and_close(target, head, reader, writer):
+        await stands.read_body(head, reader)
+        return "close"
+
+    stands.run(play, read_and_close, read_and_close)
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("reset", [False, True])
+def test_a_truncated_answer_never_looks_complete(chunked, reset):
+    text = HALF
+    if chunked:
+        text = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+
+    async def play(stage):
+        reader, writer = await stage.connect()
+        writer.write(b"POST /shop/orders HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n")
+        writer.write(f"Idempotency-Key: {stands.uuid7()}\r\n\r\n".encode())
+        raw = b""
+        with pytest.raises(ConnectionResetError):
+            while part := await reader.read(1000):
+                raw += part
+        assert not raw.endswith(b"0\r\n\r\n")
+        assert len(stage.targets[0].heads) == 1
+        assert not stage.control.settlements
+        writer.close()
+
+    stands.run(play, stands.close_after(text, reset))
+
+
+def test_answers_of_two_requests_are_never_mixed():
+    """Bytes after a complete response belong to no request."""
+
+    async def twice(target, head, reader, writer):
+        script = stands.respond(head.split()[1].encode())
+        await script(target, head, reader, writer)
+        await script(target, head, reader, writer)
+
+    async def play(stage):
+        for number in range(5):
+            answer = await stage.send("GET", f"/shop/items/{number}")
+            assert answer.body in {f"/items/{number}".encode(), answer.body[:0]}
+            assert answer.status in {200, 502}
+
+    stands.run(play, twice)
+
+
+def test_the_late_loser_of_a_hedge_reaches_no_caller():
+    first_heads = []
+    late = asyncio.Event()
+
+    async def slow_if_first(target, head, reader, writer):
+        first_heads.append(target)
+        if len(first_heads) > 1:
+            return await stands.respond(b"fast")(target, head, reader, writer)
+        await stands.respond(b"late", before=late)(target, head, reader, writer)
+        return "close"
+
+    async def play(stage):
+        pool = stage.entry.services.by_name["shop"].pool
+        for _ in range(200):
+            pool._hedge_delay.record(0.002)
+        answer = await stage.send("GET", "/shop/hedged")
+        assert answer.body == b"fast"
+        assert len({target.name for target in first_heads}) == 2
+        await stands.until(lambda: not any(v.in_flight for v in pool.all_views))
+        late.set()
+        await stands.until(lambda: first_heads[0].lost)
+        for _ in range(20):
+            assert (await stage.send("GET", "/shop/hedged")).body == b"fast"
+
+    stands.run(play, slow_if_first, slow_if_first)
+
+
+def test_a_caller_that_leaves_cancels_the_request_at_the_target():
+    never = asyncio.Event()
+
+    async def play(stage):
+        _, writer = await stage.connect()
+        writer.write(b"GET /shop/items/1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        await stands.until(lambda: stage.targets[0].heads)
+        pool = stage.entry.services.by_name["shop"].pool
+        assert pool.all_views[0].in_flight == 1
+        writer.close()
+        await stands.until(lambda: pool.all_views[0].in_flight == 0)
+
+    stands.run(play, stands.respond(before=never))
+
+
+def test_the_deadline_bounds_the_whole_call():
+    never = asyncio.Event()
+
+    async def play(stage):
+        late = {"Coltsfootchute_Deadline_Ms": "50"}
+        answer = await stage.order(**late)
+        assert answer.refusal == ("may_have_run", "target_timeout", 504)
+        assert not stage.control.settlements
+        stage.control.hang.clear()
+        answer = await stage.order(**late)
+        assert answer.refusal == ("not_run", "deadline", 504)
+        stage.control.hang.set()
+        await stands.until(lambda: len(stage.control.settlements) == 1)
+        assert stage.control.settlements[0].released
+
+    stands.run(play, stands.respond(before=never))
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "headers", "refusal"),
+    [
+        ("GET", "/none/items/1", {}, ("not_run", "no_service", 404)),
+        ("DELETE", "/shop/items/1", {}, ("not_run", "no_rule", 404)),
+        ("GET", "/shop/items/../orders", {}, ("not_run", "bad_request", 400)),
+        ("GET", "/shop/items/%2e%2E/a", {}, ("not_run", "bad_request", 400)),
+        (
+            "GET",
+            "/shop/items/1",
+            {"Coltsfootchute_Depth": "13"},
+            ("not_run", "too_deep", 400),
+        ),
+        (
+            "GET",
+            "/shop/items/1",
+            {"Coltsfootchute_Depth": "-1"},
+            ("not_run", "bad_request", 400),
+        ),
+        ("POST", "/shop/orders", {}, ("not_run", "key_required", 400)),
+        (
+            "POST",
+            "/shop/orders",
+            {"Idempotency_Key": "a" * 36},
+            ("not_run", "key_malformed", 400),
+        ),
+        ("GET", "/shop/items/1", {}, ("not_run", "no_target", 503)),
+    ],
+)
+def test_refusals_before_anything_is_sent(method, path, headers, refusal):
+    async def play(stage):
+        answer = await stage.send(method, path, **headers)
+        assert answer.refusal == refusal
+        assert ("retry-after" in answer.headers) == (refusal[2] == 503)
+
+    stands.run(play)
+
+
+def test_large_bodies_stream_both_ways_with_bounded_memory():
+    size = 3 << 20
+
+    async def echo(target, head, reader, writer):
+        script = stands.respond(await stands.read_body(head, reader))
+        return await script(target, "", reader, writer)
+
+    async def play(stage):
+        body = bytes(range(256)) * (size // 256)
+        answer = await stage.send("PUT", "/shop/items/1", body)
+        assert answer.body == body
+        answer = await stage.send("PUT", "/shop/items/1", body + body)
+        assert answer.refusal == ("not_run", "body_too_large", 413)
+
+    stands.run(play, echo)
--- /dev/null
+++ b/coltsfootchute/entry/watches.py
@@ -0,0 +1,287 @@
+"""The entry's view of the replicated state, and the client that keeps it current."""
+
+import asyncio
+import contextlib
+import enum
+import time
+import typing
+
+import grpclib.client
+import grpclib.exceptions
+import loguru
+
+from coltsfootchute import errors, sections
+from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
+
+__all__ = ["STALE_AFTER_S", "Taken", "View", "Watcher", "clock"]
+
+STALE_AFTER_S = 3.0
+# Three times the longest interval at which a source proves that it is current.
+SILENCE_S = 1.5
+CONNECT_TIMEOUT_S = 0.5
+RETRY_PAUSE_S = 0.1
+# An entry that watches another entry returns to control after this time.
+PEER_WATCH_S = 5.0
+# A source that passes on no fresh proof for this long is left for another one.
+PROOF_PATIENCE_S = 2.0
+TICK_S = 0.25
+# A loop that did not run for this long was frozen: messages that waited in the
+# socket meanwhile state too young a proof.
+FREEZE_S = 1.0
+
+Listener = typing.Callable[[coltsfootchute_pb2.FeedMessage, set[str]], None]
+
+
+def clock() -> float:
+    """Return seconds of a clock that also runs while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Taken(enum.Enum):
+    """What became of a feed message."""
+
+    APPLIED = "applied"
+    OLD_REVISION = "old_revision"
+    FOREIGN_CLUSTER = "foreign_cluster"
+
+
+class View:
+    """The last known state: sections, targets, quarantines and instances.
+
+    Parameters
+    ----------
+    listener
+        Called after each message that was applied, with the message and the
+        names of the services that it changed.
+
+    Notes
+    -----
+    Only messages of the first cluster id seen are taken, and only changes with
+    a higher revision than the one in force. The view has no deletion: it is
+    kept as it is while no source responds.
+    """
+
+    def __init__(self, listener: Listener | None = None):
+        self.cluster_id = ""
+        self.revision = 0
+        self.sections: dict[str, coltsfootchute_pb2.SectionInForce] = {}
+        self.tables: dict[str, sections.RuleTable] = {}
+        self.targets: dict[str, coltsfootchute_pb2.Target] = {}
+        self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
+        self.instances: dict[str, coltsfootchute_pb2.Instance] = {}
+        self.proof_at = float("-inf")
+        self.listener = listener
+
+    def is_stale(self, now: float) -> bool:
+        """Tell whether the last proof of currency is older than the bound.
+
+        Parameters
+        ----------
+        now
+            Seconds of `clock`.
+        """
+        return now - self.proof_at > STALE_AFTER_S
+
+    def forget_proof(self) -> None:
+        """Become stale until a source proves again that it is current."""
+        self.proof_at = float("-inf")
+
+    def targets_of(self, service: str) -> list[coltsfootchute_pb2.Target]:
+        """Return the targets that announced a service."""
+        return [t for t in self.targets.values() if service in t.services]
+
+    def take(self, message: coltsfootchute_pb2.FeedMessage, now: float) -> Taken:
+        """Apply a feed message.
+
+        Parameters
+        ----------
+        message
+            A message of any source.
+        now
+            Seconds of `clock` at which it was received.
+
+        Returns
+        -------
+        Taken
+            `APPLIED`, or why nothing of the message was used.
+        """
+        if self.cluster_id and message.cluster_id != self.cluster_id:
+            return Taken.FOREIGN_CLUSTER
+        if not self._accepts(message):
+            return Taken.OLD_REVISION
+        self.cluster_id = message.cluster_id
+        touched = self._apply_changes(message)
+        self.revision = message.revision
+        if message.has_instances:
+            self.instances = {i.name: i for i in message.instances}
+        if message.has_proof:
+            proof_at = now - message.proof_age_ms / 1000
+            self.proof_at = max(self.proof_at, proof_at)
+        if self.listener is not None:
+            self.listener(message, touched)
+        return Taken.APPLIED
+
+    def _accepts(self, message: coltsfootchute_pb2.FeedMessage) -> bool:
+        return message.revision >= self.revision
+
+    def _apply_changes(self, message: coltsfootchute_pb2.FeedMessage) -> set[str]:
+        touched: set[str] = set()
+        if message.full:
+            touched |= self._clear()
+        for change in message.changes:
+            if message.full or change.revision > self.revision:
+                touched |= self._apply(change)
+        return touched
+
+    def _clear(self) -> set[str]:
+        touched = set(self.sections)
+        for target in self.targets.values():
+            touched.update(target.services)
+        self.sections.clear()
+        self.tables.clear()
+        self.targets.clear()
+        self.quarantines.clear()
+        return touched
+
+    def _apply(self, change: coltsfootchute_pb2.FeedChange) -> set[str]:
+        kind = change.WhichOneof("body")
+        if kind == "section":
+            return self._apply_section(change.section)
+        if kind == "target":
+            return self._apply_target(change.target)
+        if kind == "removed_target_id":
+            removed = self.targets.pop(change.removed_target_id, None)
+            return set(removed.services) if removed is not None else set()
+        if kind == "quarantine":
+            key = (change.quarantine.service, change.quarantine.digest)
+            if change.quarantine.removed:
+                self.quarantines.pop(key, None)
+            else:
+                self.quarantines[key] = change.quarantine
+        return set()
+
+    def _apply_section(self, section: coltsfootchute_pb2.SectionInForce) -> set[str]:
+        try:
+            table = sections.RuleTable(sections.parse(section.document))
+        except errors.DocumentError as exc:
+            # The leader checks documents; a newer schema is the usual cause.
+            loguru.logger.error("feed: section {} is unusable: {}", section.name, exc)
+            return set()
+        self.sections[section.name] = section
+        self.tables[section.name] = table
+        return {section.name}
+
+    def _apply_target(self, target: coltsfootchute_pb2.Target) -> set[str]:
+        before = self.targets.get(target.target_id)
+        self.targets[target.target_id] = target
+        touched = set(target.services)
+        return touched | set(before.services) if before is not None else touched
+
+
+class Watcher:
+    """The `Feed.Watch` client: control instances first, then other entries.
+
+    Parameters
+    ----------
+    view
+        The view to keep current.
+    name
+        Name of this instance.
+    control
+        Feed addresses of the control instances.
+    """
+
+    def __init__(self, view: View, name: str, control: list[str]):
+        self._view = view
+        self._name = name
+        self._control = control
+        self._next = 0
+
+    async def run(self) -> None:
+        """Watch one source after the other until cancelled."""
+        freezes = asyncio.ensure_future(self._watch_freezes())
+        try:
+            while True:
+                await self._watch_round()
+                await asyncio.sleep(RETRY_PAUSE_S)
+        finally:
+            freezes.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await freezes
+
+    async def _watch_round(self) -> None:
+        self._next += 1
+        split = self._next % max(len(self._control), 1)
+        for address in self._control[split:] + self._control[:split]:
+            await self._watch_safely(address, None)
+        for address in self._peers():
+            await self._watch_safely(address, PEER_WATCH_S)
+
+    def _peers(self) -> list[str]:
+        known = self._view.instances.values()
+        return [i.peer_address for i in known if i.name != self._name]
+
+    async def _watch_safely(self, address: str, limit_s: float | None) -> None:
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._watch(address)
+        except (OSError, TimeoutError, grpclib.exceptions.GRPCError) as exc:
+            loguru.logger.debug("feed: {} ended: {!r}", address, exc)
+        except grpclib.exceptions.StreamTerminatedError as exc:
+            loguru.logger.debug("feed: {} ended: {!r}", address, exc)
+
+    async def _watch(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        channel = grpclib.client.Channel(host, int(port))
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                await channel.__connect__()
+            stub = coltsfootchute_grpc.FeedStub(channel)
+            async with stub.Watch.open() as stream:
+                await stream.send_message(self._request(), end=True)
+                await self._receive(address, stream)
+        finally:
+            channel.close()
+
+    def _request(self) -> coltsfootchute_pb2.WatchRequest:
+        return coltsfootchute_pb2.WatchRequest(
+            watcher=self._name,
+            cluster_id=self._view.cluster_id,
+            revision=self._view.revision,
+        )
+
+    async def _receive(
+        self, address: str, stream: grpclib.client.Stream[typing.Any, typing.Any]
+    ) -> None:
+        opened_at = clock()
+        while True:
+            async with asyncio.timeout(SILENCE_S):
+                message = await stream.recv_message()
+            if message is None:
+                return
+            now = clock()
+            taken = self._view.take(message, now)
+            if taken is Taken.FOREIGN_CLUSTER:
+                loguru.logger.error(
+                    "feed: {} belongs to the foreign cluster {}",
+                    address,
+                    message.cluster_id,
+                )
+                await stream.cancel()
+                return
+            proven_at = max(self._view.proof_at, opened_at)
+            if now - proven_at > PROOF_PATIENCE_S:
+                await stream.cancel()
+                return
+
+    async def _watch_freezes(self) -> None:
+        last = clock()
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = clock()
+            if now - last > FREEZE_S:
+                loguru.logger.warning(
+                    "entry: the process stood for {:.1f} s", now - last
+                )
+                self._view.forget_proof()
+            last = now
