balancing: learn from attempts that were given up

Hedges answered in the straggler's place, the cancelled attempts were not measured, and the estimate stayed low. Hypothesis found a pool that shrinks around its ejected targets until more than half of it is ejected; a test of growing ejections found that errors no longer counted as fast once the idle estimate had decayed. Change: a cancelled or timed-out attempt raises the estimate to the time it ran; the half-life of load reports is 10 ms instead of 50 ms; expected_wait queues a request rather than use a target four times slower than the median; the share is not multiplied; ejections are bound again when a target leaves or drains; errors compare with the estimate before decay.

--- a/coltsfootchute/balancing/limits.py
+++ b/coltsfootchute/balancing/limits.py
@@ -4,9 +4,6 @@
 
 __all__ = ["Limit", "share_of"]
 
-# A lone entry's share is less than one slot in both deployments. Twice the
-# share lets an entry use slots that others leave idle.
-SHARE_OVERCOMMIT = 2.0
 # One shed response may come with several others of the same moment; they
 # count once per this time.
 DECREASE_INTERVAL_S = 0.1
@@ -29,7 +26,7 @@
     int
         At least 1, at most `slots` (or 1 for a target without slots).
     """
-    wanted = math.ceil(slots * fraction * SHARE_OVERCOMMIT)
+    wanted = math.ceil(slots * fraction)
     return max(1, min(slots, wanted))
 
 
--- a/coltsfootchute/balancing/policies.py
+++ b/coltsfootchute/balancing/policies.py
@@ -16,7 +16,15 @@
 
 
 class Policy(typing.Protocol):
-    """Selection among eligible views; one object per pool."""
+    """Selection among eligible views; one object per pool.
+
+    Attributes
+    ----------
+    waits_for_fast
+        Whether a request rather waits than goes to a much slower target.
+    """
+
+    waits_for_fast: bool
 
     def __init__(self, failure_domain: ids.FailureDomain): ...
 
@@ -36,6 +44,8 @@
 class RandomChoice:
     """Any target. O(1)."""
 
+    waits_for_fast = False
+
     def __init__(self, failure_domain: ids.FailureDomain):
         pass
 
@@ -48,6 +58,8 @@
 class RoundRobin:
     """Each target in turn. O(1)."""
 
+    waits_for_fast = False
+
     def __init__(self, failure_domain: ids.FailureDomain):
         self._turn: int | None = None
 
@@ -65,6 +77,8 @@
 class LeastInFlight:
     """The target with the fewest requests of this entry. O(n)."""
 
+    waits_for_fast = False
+
     def __init__(self, failure_domain: ids.FailureDomain):
         pass
 
@@ -84,6 +98,8 @@
     IEEE Transactions on Parallel and Distributed Systems, 2001.
     """
 
+    waits_for_fast = False
+
     def __init__(self, failure_domain: ids.FailureDomain):
         pass
 
@@ -107,6 +123,8 @@
     one, plus the requests in progress over the slots.
     """
 
+    waits_for_fast = True
+
     def __init__(self, failure_domain: ids.FailureDomain):
         self._failure_domain = failure_domain
 
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import enum
+import operator
 import random
 
 from coltsfootchute import ids, verdicts
@@ -20,6 +21,10 @@
 
 __all__ = ["AttemptKind", "Grant", "Pool", "PoolSettings"]
 
+# A target that is slower than the median by more than this factor gets
+# requests only after its estimate has decayed; they wait for another instead.
+SLOW_FACTOR = 4.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolSettings:
@@ -140,6 +145,7 @@
         self._budget = budgets.TokenBudget(settings.retry_budget_percent)
         self._hedge_delay = hedges.HedgeDelay()
         self._views: dict[ids.TargetId, views.TargetView] = {}
+        self._ejections_changed = False
 
     @property
     def all_views(self) -> list[views.TargetView]:
@@ -173,6 +179,7 @@
         for gone in self._views.keys() - kept.keys():
             del self._views[gone]
             self.probes.forget(gone)
+        self._ejections_changed = True
         typical_s = self._typical_latency_s(now)
         for target_id, target in kept.items():
             view = self._views.get(target_id)
@@ -186,6 +193,7 @@
         """Send no new work to a target until its next incarnation."""
         if target_id in self._views:
             self._views[target_id].is_draining = True
+            self._ejections_changed = True
 
     def admit(
         self, priority: int, deadline_s: float, now: float
@@ -213,7 +221,7 @@
             view = self.select(now)
             if view is not None:
                 return view
-        if not any(v.is_serving() or v.is_suspect() for v in self._views.values()):
+        if not self._in_use():
             return _refusal(verdicts.Reason.NO_TARGET, "no target is serving")
         service_s = self._typical_latency_s(now)
         interval_s = service_s / self._capacity(now)
@@ -241,6 +249,7 @@
         views.TargetView or None
             None if no target is eligible.
         """
+        self._bound_ejections(now)
         found = self._eligible(now, exclude)
         if kind is AttemptKind.HEDGE and exclude:
             tried = [self._views[i] for i in exclude if i in self._views]
@@ -248,7 +257,10 @@
             found = [
                 v for v in found if v.target.failure_domain not in domains
             ] or found
-        return self._policy.select(found, now, self._rng)
+        view = self._policy.select(found, now, self._rng)
+        if view is None or not self._policy.waits_for_fast:
+            return view
+        return None if self._is_slow(view, now) else view
 
     def started(self, view: views.TargetView, now: float) -> views.Token:
         """Count an attempt; each token must reach `finished`."""
@@ -292,6 +304,8 @@
         if outcome not in (views.Outcome.OK, views.Outcome.CANCELLED):
             self._failed(token, outcome, now)
         view.released(token)
+        if outcome in views.UNFINISHED_OUTCOMES and not token.is_measured:
+            view.unfinished(now - token.started_s, now)
         if outcome is views.Outcome.OK:
             view.limit.completed(view.in_flight)
             view.succeeded()
@@ -351,18 +365,46 @@
         serving = [view for view in open_views if view.is_serving()]
         return serving or [view for view in open_views if view.is_suspect()]
 
+    def _is_slow(self, view: views.TargetView, now: float) -> bool:
+        latency_s = view.latency_s(now)
+        usual_s = self._hedge_delay.delay_s()
+        if usual_s is None or latency_s <= usual_s:
+            return False
+        peers = (v for v in self._views.values() if v.is_serving())
+        known = sorted(v.latency_s(now) for v in peers if not v.is_ejected(now))
+        # At least half of the peers are at most as slow as the median, so one
+        # of them serves the request when its attempt in flight ends.
+        return (
+            latency_s > SLOW_FACTOR * known[(len(known) - 1) // 2] if known else False
+        )
+
     def _failed(self, token, outcome, now) -> None:
         view = token.view
         if outcome is views.Outcome.SHED:
             view.limit.shed(now)
             return
         took_s = now - token.started_s
-        if not view.failed(outcome, took_s, now) or view.is_ejected(now):
+        if not view.failed(outcome, took_s) or view.is_ejected(now):
             return
-        ejected = sum(other.is_ejected(now) for other in self._views.values())
-        if 2 * (ejected + 1) <= len(self._views):
+        in_use = self._in_use()
+        ejected = sum(other.is_ejected(now) for other in in_use)
+        if view in in_use and 2 * (ejected + 1) <= len(in_use):
             view.eject(now)
 
+    def _in_use(self) -> list[views.TargetView]:
+        return [v for v in self._views.values() if v.is_serving() or v.is_suspect()]
+
+    def _bound_ejections(self, now: float) -> None:
+        """Restore targets if those that left made the ejected ones over half."""
+        if not self._ejections_changed:
+            return
+        self._ejections_changed = False
+        in_use = self._in_use()
+        ejected = [view for view in in_use if view.is_ejected(now)]
+        ejected.sort(key=operator.attrgetter("ejected_until_s"))
+        for view in ejected[: max(0, len(ejected) - len(in_use) // 2)]:
+            view.restore()
+
     def _update_view(self, view: views.TargetView, target: views.Target) -> None:
         view.target = target
         if max(1, target.slots) != view.slots:
--- /dev/null
+++ b/coltsfootchute/balancing/tests/test_budgets.py
@@ -0,0 +1,54 @@
+"""Guards against retries and hedges that multiply an overload."""
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from coltsfootchute.balancing import budgets
+
+
+def spend(budget, percent, steps):
+    """Run a sequence and check the bound after each step."""
+    requests = taken = 0
+    for is_request in steps:
+        if is_request:
+            budget.deposit()
+            requests += 1
+        else:
+            taken += budget.take()
+        assert taken <= budgets.MAX_TOKENS + requests * percent / 100 + 1e-6
+        assert budget.tokens <= budgets.MAX_TOKENS
+    return taken
+
+
+@hypothesis.given(st.integers(0, 100), st.lists(st.booleans(), max_size=300))
+def test_taken_tokens_never_exceed_the_share_of_requests(percent, steps):
+    taken = spend(budgets.TokenBudget(percent), percent, steps)
+    assert percent or not taken
+
+
+def test_a_budget_that_forgets_to_take_is_caught():
+    class Broken(budgets.TokenBudget):
+        def take(self):
+            return self.available()
+
+    with pytest.raises(AssertionError):
+        spend(Broken(10), 10, [False] * 20)
+
+
+def test_ten_requests_at_ten_percent_earn_a_whole_token():
+    """Sums of 0.1 stay below 1 in floating point."""
+    budget = budgets.TokenBudget(10)
+    while budget.take():
+        pass
+    for _ in range(10):
+        budget.deposit()
+    assert budget.take()
+    assert not budget.take()
+
+
+def test_a_change_to_zero_percent_stops_retries_at_once():
+    budget = budgets.TokenBudget(10)
+    budget.change(0)
+    budget.deposit()
+    assert not budget.take()
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -19,7 +19,7 @@
 IDLE_HALF_LIFE_S = 1.0
 # Load reports are stale when they arrive; the load of other entries changes
 # within milliseconds.
-REPORT_HALF_LIFE_S = 0.05
+REPORT_HALF_LIFE_S = 0.01
 FAST_ERRORS = 3
 EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
@@ -48,6 +48,7 @@
 FAST_ERROR_OUTCOMES = frozenset(
     {Outcome.ERROR, Outcome.CONNECTION_FAILED, Outcome.CONNECTION_LOST}
 )
+UNFINISHED_OUTCOMES = frozenset({Outcome.CANCELLED, Outcome.TIMEOUT})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,7 +119,6 @@
     """
 
     __slots__ = (
-        "_ejected_until_s",
         "_errors",
         "_estimated_s",
         "_latency_s",
@@ -126,6 +126,7 @@
         "_reported_s",
         "_running",
         "_strikes",
+        "ejected_until_s",
         "in_flight",
         "is_draining",
         "last_response_s",
@@ -148,7 +149,7 @@
         self._reported_s = -math.inf
         self._errors = 0
         self._strikes = 0
-        self._ejected_until_s = -math.inf
+        self.ejected_until_s = -math.inf
 
     def started(self, now: float) -> Token:
         """Count an attempt."""
@@ -181,11 +182,13 @@
         The age of the oldest attempt is a lower bound of its response time,
         so a straggler shows before it responds.
         """
-        idle_s = now - self._estimated_s
         latency_s = self._latency_s
+        idle_s = now - self._estimated_s
         if idle_s > IDLE_HALF_LIFE_S:
             latency_s *= 2.0 ** (1 - idle_s / IDLE_HALF_LIFE_S)
-        return max(latency_s, self.oldest_age_s(now))
+        for token in self._running.values():
+            return max(latency_s, now - token.started_s)
+        return latency_s
 
     def measured(self, response_s: float, now: float) -> None:
         """Apply a response time to the latency estimate."""
@@ -197,6 +200,17 @@
             self._latency_s += gap * (RISE if gap > 0 else FALL)
         self._estimated_s = now
 
+    def unfinished(self, waited_s: float, now: float) -> None:
+        """Apply the time that an attempt ran before it was given up.
+
+        Its response would have taken longer. Without this, a straggler whose
+        requests are answered by hedges would keep a low estimate. Call it
+        after the attempt is released, since its age raises the estimate.
+        """
+        if waited_s > self.latency_s(now):
+            self._latency_s = waited_s
+            self._estimated_s = now
+
     def reported(self, report: loads.LoadReport, now: float) -> None:
         """Apply a load report; the entry's own requests are taken out."""
         self._reported = max(0.0, report.requests(self.slots) - self.in_flight)
@@ -224,14 +238,14 @@
 
     def is_ejected(self, now: float) -> bool:
         """Tell whether the target is ejected."""
-        return now < self._ejected_until_s
+        return now < self.ejected_until_s
 
     def succeeded(self) -> None:
         """Count a response that is no error; ends the streak of errors."""
         self._errors = 0
         self._strikes = max(0, self._strikes - 1)
 
-    def failed(self, outcome: Outcome, took_s: float, now: float) -> bool:
+    def failed(self, outcome: Outcome, took_s: float) -> bool:
         """Count an error.
 
         Returns
@@ -243,16 +257,20 @@
         """
         if outcome not in FAST_ERROR_OUTCOMES:
             return False
-        is_fast = took_s <= self.latency_s(now) or self._latency_s <= 0
+        is_fast = took_s <= self._latency_s or self._latency_s <= 0
         if is_fast or outcome is Outcome.CONNECTION_FAILED:
             self._errors += 1
         return self._errors >= FAST_ERRORS
 
+    def restore(self) -> None:
+        """End the ejection."""
+        self.ejected_until_s = -math.inf
+
     def eject(self, now: float) -> float:
         """Eject for a time that doubles with each ejection; return its end."""
         length_s = min(MAX_EJECTION_S, EJECTION_S * 2.0**self._strikes)
         self._strikes = min(self._strikes + 1, 10)
         # One error after the return is enough for the next ejection.
         self._errors = FAST_ERRORS - 1
-        self._ejected_until_s = now + length_s
-        return self._ejected_until_s
+        self.ejected_until_s = now + length_s
+        return self.ejected_until_s
