--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -3,10 +3,18 @@
 import typing
 
 import aiohttp.web
+import loguru
 import msgspec
 
 from coltsfootchute import errors
-from coltsfootchute.entry import addresses, clients, metrics, operators, watches
+from coltsfootchute.entry import (
+    addresses,
+    clients,
+    descriptions,
+    metrics,
+    operators,
+    watches,
+)
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["Api", "TargetLeaseTimes"]
@@ -22,7 +30,7 @@
 _Name = typing.Annotated[
     str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:-]*$", max_length=128)
 ]
-_Number = typing.Annotated[int, msgspec.Meta(ge=0, lt=1 << 63)]
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 
 
 class TargetLeaseTimes(msgspec.Struct, frozen=True):
@@ -54,6 +62,10 @@
     incarnation: _Number
 
 
+_PROPOSAL = msgspec.json.Decoder(_ProposalBody)
+_TARGET = msgspec.json.Decoder(_TargetBody)
+_INCARNATION = msgspec.json.Decoder(_IncarnationBody)
+
 _PROPOSAL_ANSWERS = {
     coltsfootchute_pb2.PROPOSAL_STATUS_CONFLICT: (409, "conflict"),
     coltsfootchute_pb2.PROPOSAL_STATUS_NOT_OWNER: (403, "not_owner"),
@@ -152,7 +164,9 @@
     async def sections(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return all sections in force."""
         reply = await self._read("")
-        return _json({"sections": [_section(s) for s in reply.sections]})
+        return _json(
+            {"sections": [descriptions.describe_section(s) for s in reply.sections]}
+        )
 
     async def section(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return one section in force."""
@@ -161,7 +175,7 @@
         found = next((s for s in reply.sections if s.name == name), None)
         if found is None:
             return _error(404, "no_section", f"no section {name!r}")
-        return _json(_section(found))
+        return _json(descriptions.describe_section(found))
 
     async def history(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return the kept revisions of a section, oldest first."""
@@ -170,7 +184,7 @@
         found = next((s for s in reply.sections if s.name == name), None)
         if found is None:
             return _error(404, "no_section", f"no section {name!r}")
-        history = [_revision(r) for r in found.history]
+        history = [descriptions.describe_revision(r) for r in found.history]
         return _json({"name": name, "owner": found.owner, "history": history})
 
     async def _read(self, name: str) -> coltsfootchute_pb2.ReadSectionsReply:
@@ -182,7 +196,7 @@
     async def propose(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Propose a new revision of a section."""
         team = self._teams.team_of(request)
-        body = msgspec.json.decode(await request.read(), type=_ProposalBody)
+        body = _PROPOSAL.decode(await request.read())
         document = body.document
         if not isinstance(document, str):
             document = msgspec.json.encode(document).decode()
@@ -202,7 +216,7 @@
 
     async def announce(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Take the announcement of a target."""
-        body = msgspec.json.decode(await request.read(), type=_TargetBody)
+        body = _TARGET.decode(await request.read())
         target = coltsfootchute_pb2.Target(
             target_id=body.id,
             incarnation=body.incarnation,
@@ -216,7 +230,7 @@
 
     async def retire(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Drain or withdraw a target."""
-        body = msgspec.json.decode(await request.read(), type=_IncarnationBody)
+        body = _INCARNATION.decode(await request.read())
         target = coltsfootchute_pb2.Target(
             target_id=request.match_info["id"], incarnation=body.incarnation
         )
@@ -242,31 +256,29 @@
 
     async def renew(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Renew the lease of a target with the next batch."""
-        body = msgspec.json.decode(await request.read(), type=_IncarnationBody)
+        body = _INCARNATION.decode(await request.read())
         target_id = request.match_info["id"]
-        refused = await self._client.renew(target_id, body.incarnation)
-        if refused is None:
+        if await self._client.renew(target_id, body.incarnation):
             return _json(msgspec.to_builtins(TargetLeaseTimes()))
-        if refused > body.incarnation:
-            return _error(409, "old_incarnation", f"incarnation {refused} is known")
+        known = self._view.targets.get(target_id)
+        if known is not None and known.incarnation > body.incarnation:
+            detail = f"incarnation {known.incarnation} is known"
+            return _error(409, "old_incarnation", detail)
         return _error(404, "unknown_target", "the target must announce itself")
 
     async def targets(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return the register with the leases, as the leader knows them."""
-        reply = await self._status()
+        reply = await self._client.status(READ_LIMIT_S)
         targets = [
-            {**_target(t.target), "remaining_ms": t.remaining_ms} for t in reply.targets
+            {**descriptions.describe_target(t.target), "remaining_ms": t.remaining_ms}
+            for t in reply.targets
         ]
         return _json({"targets": targets})
 
     async def status(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return leader, term, members and the revision at each instance."""
-        reply = await self._status()
-        return _json(_status(reply, self._own()))
-
-    async def _status(self) -> coltsfootchute_pb2.StatusReply:
-        request = coltsfootchute_pb2.StatusRequest()
-        return await self._client.call("Status", request, READ_LIMIT_S, repeatable=True)
+        reply = await self._client.status(READ_LIMIT_S)
+        return _json(descriptions.describe_status(reply, self._own()))
 
     async def metrics(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return the metrics in the text format."""
@@ -306,6 +318,8 @@
         return _json({"error": "invalid", "errors": problems}, 400)
     except operators.UnauthorizedError as exc:
         return _error(401, "unauthorized", str(exc))
+    except clients.RejectedError as exc:
+        return _error(400, "invalid", str(exc))
     except errors.UnavailableError as exc:
         return _error(503, "unavailable", str(exc))
     except errors.OutcomeUnknownError as exc:
@@ -316,6 +330,9 @@
     except aiohttp.web.HTTPException as exc:
         name = "not_found" if exc.status == 404 else "bad_request"
         return _error(exc.status, name, exc.reason)
+    except Exception:
+        loguru.logger.exception("entry: {} {} failed", request.method, request.path)
+        return _error(500, "internal", "see the log of the entry")
 
 
 def _json(body: typing.Any, status: int = 200) -> aiohttp.web.Response:
@@ -342,76 +359,3 @@
     problems = [{"path": e.path, "reason": e.reason} for e in outcome.errors]
     body = {"error": name, "revision": outcome.revision, "author": outcome.author}
     return _json({**body, "errors": problems}, status)
-
-
-def _section(section: coltsfootchute_pb2.Section) -> dict[str, typing.Any]:
-    return {
-        "name": section.name,
-        "owner": section.owner,
-        **_revision(section.history[-1]),
-    }
-
-
-def _revision(revision: coltsfootchute_pb2.SectionRevision) -> dict[str, typing.Any]:
-    return {
-        "revision": revision.revision,
-        "document": revision.document,
-        "author": revision.author,
-        "request_id": revision.request_id,
-        "time_ms": revision.time_ms,
-    }
-
-
-def _target(target: coltsfootchute_pb2.Target) -> dict[str, typing.Any]:
-    state = coltsfootchute_pb2.TargetState.Name(target.state)
-    return {
-        "id": target.target_id,
-        "incarnation": target.incarnation,
-        "address": target.address,
-        "failure_domain": target.failure_domain,
-        "services": list(target.services),
-        "slots": target.slots,
-        "state": state.removeprefix("TARGET_STATE_").lower(),
-    }
-
-
-def _status(
-    reply: coltsfootchute_pb2.StatusReply, own: coltsfootchute_pb2.Instance
-) -> dict[str, typing.Any]:
-    return {
-        "leader_id": reply.leader_id,
-        "term": reply.term,
-        "commit_index": reply.commit_index,
-        "applied_index": reply.applied_index,
-        "revision": reply.revision,
-        "cluster_id": reply.membership.cluster_id,
-        "members": [_member(m) for m in reply.membership.members],
-        "instances": [_instance(i) for i in reply.instances],
-        "answered_by": _instance(own),
-        "counters": dict(reply.counters),
-    }
-
-
-def _member(member: coltsfootchute_pb2.Member) -> dict[str, typing.Any]:
-    return {
-        "member_id": member.member_id,
-        "name": member.name,
-        "address": member.address,
-        "failure_domain": member.failure_domain,
-        "voter": member.voter,
-    }
-
-
-def _instance(instance: coltsfootchute_pb2.Instance) -> dict[str, typing.Any]:
-    stopping = instance.state == coltsfootchute_pb2.INSTANCE_STATE_STOPPING
-    return {
-        "name": instance.name,
-        "calls": instance.calls_address,
-        "api": instance.api_address,
-        "peer": instance.peer_address,
-        "failure_domain": instance.failure_domain,
-        "stopping": stopping,
-        "stale": instance.stale,
-        "revision": instance.revision,
-        "start_ms": instance.start_ms,
-    }
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -11,6 +11,7 @@
 from coltsfootchute import balancing, verdicts
 from coltsfootchute.entry import (
     answers,
+    attempts,
     crashes,
     forwards,
     keys,
@@ -130,15 +131,13 @@
         now = time.monotonic()
         token = await service.admit(call.rule.priority, call.deadline, now)
         if key is not None:
-            try:
-                stored = await self._claims.claim(call, key)
-            except BaseException:
-                service.finish(token, balancing.Outcome.CANCELLED)
-                raise
+            # A claim holds no place at a target: if control hangs, repeatable
+            # requests still get theirs.
+            service.finish(token, balancing.Outcome.CANCELLED)
+            stored = await self._claims.claim(call, key)
             if stored is not None:
-                service.finish(token, balancing.Outcome.CANCELLED)
                 return await answers.replay(call.request, stored, self._keeps(call))
-            service.pool.sent(token, time.monotonic())
+            token = await service.readmit(call.rule.priority, call.deadline)
         attempt, token = await self._attempts(call, token)
         return await self._answer(call, attempt, token)
 
@@ -164,7 +163,7 @@
         while True:
             try:
                 return await self._race(call, token)
-            except forwards.AttemptError as exc:
+            except attempts.AttemptError as exc:
                 token = self._retry(call, exc)
 
     async def _race(self, call: requests.Call, token: balancing.Token) -> races.Won:
@@ -200,7 +199,7 @@
         return pool.started(view, now)
 
     def _retry(
-        self, call: requests.Call, error: forwards.AttemptError
+        self, call: requests.Call, error: attempts.AttemptError
     ) -> balancing.Token:
         pool = call.service.pool
         now = time.monotonic()
@@ -223,7 +222,7 @@
     async def _attempt(self, call: requests.Call, token: balancing.Token) -> races.Won:
         target = token.view.target
         call.tried.append(target.target_id)
-        attempt = forwards.Attempt()
+        attempt = attempts.Attempt()
         call.attempts.append(attempt)
         attempt.revision = self._view.revision
         attempt.started_s = time.monotonic()
@@ -238,7 +237,7 @@
                 head_only=call.request.method == "HEAD",
             )
             self._check_shed(attempt)
-        except forwards.AttemptError as exc:
+        except attempts.AttemptError as exc:
             self._fail(call, token, exc)
             if exc.broke:
                 self._crashes.crashed(call, target.target_id, attempt)
@@ -255,13 +254,13 @@
         return balancing.Outcome.CANCELLED
 
     def _fail(
-        self, call: requests.Call, token: balancing.Token, exc: forwards.AttemptError
+        self, call: requests.Call, token: balancing.Token, exc: attempts.AttemptError
     ) -> None:
         self._meters.meter(call.service.name).attempts[exc.verdict].inc()
         outcome = _OUTCOMES.get(exc.reason, balancing.Outcome.CANCELLED)
         call.service.finish(token, outcome)
 
-    def _check_shed(self, attempt: forwards.Attempt) -> None:
+    def _check_shed(self, attempt: attempts.Attempt) -> None:
         if attempt.message.code != 503:
             return
         not_run = verdicts.Verdict.NOT_RUN
@@ -270,10 +269,10 @@
         attempt.was_shed = True
         attempt.abort()
         detail = "the target refused the request before it ran"
-        raise forwards.AttemptError(not_run, verdicts.Reason.TARGET_SHED, detail)
+        raise attempts.AttemptError(not_run, verdicts.Reason.TARGET_SHED, detail)
 
     def _note_head(
-        self, call: requests.Call, attempt: forwards.Attempt, token: balancing.Token
+        self, call: requests.Call, attempt: attempts.Attempt, token: balancing.Token
     ) -> None:
         pool = call.service.pool
         if verdicts.DRAINING_HEADER in attempt.headers:
@@ -282,14 +281,14 @@
             pool.responded(token, time.monotonic(), requests.load_of(attempt))
 
     async def _answer(
-        self, call: requests.Call, attempt: forwards.Attempt, token: balancing.Token
+        self, call: requests.Call, attempt: attempts.Attempt, token: balancing.Token
     ) -> answers.Written:
         code = attempt.message.code
         outcome = balancing.Outcome.OK if code < 500 else balancing.Outcome.ERROR
         relay = relays.Relay(call, attempt, self._keeps(call), self._is_stale())
         try:
             written = await relay.run()
-        except forwards.TruncatedError as exc:
+        except attempts.TruncatedError as exc:
             outcome = balancing.Outcome.CONNECTION_LOST
             self._crashes.crashed(call, token.view.target.target_id, attempt)
             return self._truncate(call, exc)
--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -1,16 +1,18 @@
 """The client of the Control service: finds the leader and resends safely."""
 
 import asyncio
+import itertools
 import typing
 
 import grpclib.client
+import grpclib.const
 import grpclib.exceptions
 import loguru
 
 from coltsfootchute import errors
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
-__all__ = ["ControlClient"]
+__all__ = ["ControlClient", "RejectedError"]
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
@@ -23,16 +25,19 @@
 MAX_RESENDS = 10_000
 RENEW_PERIOD_S = 1.0
 
-_RenewalFuture = asyncio.Future[int | None]
+_RenewalFuture = asyncio.Future[bool]
 _FAILURES = (
     OSError,
     TimeoutError,
-    grpclib.exceptions.GRPCError,
     grpclib.exceptions.ProtocolError,
     grpclib.exceptions.StreamTerminatedError,
 )
 
 
+class RejectedError(errors.ColtsfootchuteError):
+    """Control finds a message invalid; sending it again is of no use."""
+
+
 class ControlClient:
     """Calls the leader among the control instances.
 
@@ -103,12 +108,15 @@
             The call did not take effect.
         coltsfootchute.errors.OutcomeUnknownError
             The call may have taken effect.
+        RejectedError
+            Control finds the message invalid.
         """
         unknown = False
-        deadline = asyncio.get_running_loop().time() + limit_s
-        while True:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limit_s
+        for tries in itertools.count(1):
             try:
-                reply = await self._try_leader(method, request, deadline)
+                reply = await self._try(self._leader, method, request, deadline)
             except errors.OutcomeUnknownError:
                 if not repeatable:
                     raise
@@ -116,55 +124,62 @@
                 reply = None
             if reply is not None:
                 return reply
-            if asyncio.get_running_loop().time() + RETRY_PAUSE_S >= deadline:
+            if loop.time() + RETRY_PAUSE_S >= deadline:
                 break
-            if self._turn % len(self._addresses) == 0:
+            # A hint and every address once, then wait for an election.
+            if tries % (len(self._addresses) + 1) == 0:
                 await asyncio.sleep(RETRY_PAUSE_S)
         if unknown:
             raise errors.OutcomeUnknownError(f"no reply to {method}")
         raise errors.UnavailableError(f"no leader took {method}")
 
-    async def _try_leader(
-        self, method: str, request: typing.Any, deadline: float
+    async def _try(
+        self, address: str, method: str, request: typing.Any, deadline: float
     ) -> typing.Any | None:
-        address = self._leader
         try:
             async with asyncio.timeout_at(deadline):
                 stub = await self._connect(address)
         except (OSError, TimeoutError):
-            self._pass_over()
+            self._pass_over(address)
             return None
-        reply = await self._send(getattr(stub, method), request, deadline)
-        return self._judge(reply, method)
+        reply = await self._send(address, getattr(stub, method), request, deadline)
+        return self._judge(address, reply)
 
     async def _send(
-        self, method: typing.Any, request: typing.Any, deadline: float
+        self, address: str, method: typing.Any, request: typing.Any, deadline: float
     ) -> typing.Any:
         now = asyncio.get_running_loop().time()
         timeout_s = min(CALL_TIMEOUT_S, max(deadline - now, 0.001))
         try:
             return await method(request, timeout=timeout_s)
+        except grpclib.exceptions.GRPCError as exc:
+            if exc.status is grpclib.const.Status.INVALID_ARGUMENT:
+                raise RejectedError(exc.message or "invalid message") from exc
+            self._pass_over(address)
+            raise errors.OutcomeUnknownError(repr(exc)) from exc
         except _FAILURES as exc:
-            self._pass_over()
+            self._pass_over(address)
             raise errors.OutcomeUnknownError(repr(exc)) from exc
 
-    def _judge(self, reply: typing.Any, method: str) -> typing.Any | None:
+    def _judge(self, address: str, reply: typing.Any) -> typing.Any | None:
         status = reply.header.status
         if status == coltsfootchute_pb2.REPLY_STATUS_OK:
             return reply
         if status == coltsfootchute_pb2.REPLY_STATUS_NOT_LEADER:
-            self._follow(reply.header.leader_address)
+            self._follow(address, reply.header.leader_address)
             return None
-        raise errors.OutcomeUnknownError(f"{method}: the outcome is not known")
+        raise errors.OutcomeUnknownError("the leader does not know the outcome")
 
-    def _follow(self, hint: str) -> None:
-        if hint and hint != self._leader:
-            self._turn += 1
+    def _follow(self, address: str, hint: str) -> None:
+        if hint in {"", address}:
+            self._pass_over(address)
+        elif address == self._leader:
             self._leader = hint
-        else:
-            self._pass_over()
 
-    def _pass_over(self) -> None:
+    def _pass_over(self, address: str) -> None:
+        # Another call may have found the leader since this one chose its address.
+        if address != self._leader:
+            return
         self._turn += 1
         self._leader = self._addresses[self._turn % len(self._addresses)]
 
@@ -178,6 +193,19 @@
             await channel.__connect__()
         return coltsfootchute_grpc.ControlStub(channel)
 
+    async def status(self, limit_s: float) -> coltsfootchute_pb2.StatusReply:
+        """Return the leader's status, or another one if the leader is silent.
+
+        Every control instance answers; only the leader knows the leases.
+        """
+        request = coltsfootchute_pb2.StatusRequest()
+        reply = await self.call("Status", request, limit_s, repeatable=True)
+        hint = reply.header.leader_address
+        if reply.role == "leader" or not hint:
+            return reply
+        self._follow(self._leader, hint)
+        return await self.call("Status", request, limit_s, repeatable=True)
+
     async def claim(
         self, command: coltsfootchute_pb2.ClaimCommand, limit_s: float
     ) -> coltsfootchute_pb2.ClaimOutcome:
@@ -216,17 +244,19 @@
                 await self.call(method, command, repeatable=True)
             except (errors.UnavailableError, errors.OutcomeUnknownError):
                 await asyncio.sleep(RESEND_PAUSE_S)
+            except RejectedError as exc:
+                loguru.logger.error("entry: control rejected a {}: {}", method, exc)
+                return
             else:
                 return
 
-    async def renew(self, target_id: str, incarnation: int) -> int | None:
+    async def renew(self, target_id: str, incarnation: int) -> bool:
         """Renew a target's lease with the next batch.
 
         Returns
         -------
-        int or None
-            None if the lease was renewed; else the incarnation in the register,
-            not above the target's own one if the target is unknown.
+        bool
+            False if the target is unknown or has another incarnation.
 
         Raises
         ------
@@ -236,10 +266,10 @@
         fut = asyncio.get_running_loop().create_future()
         known, waiting = self._renewals.get(target_id, (incarnation, []))
         if incarnation < known:
-            return known
+            return False
         if incarnation > known:
             for older in waiting:
-                older.set_result(incarnation)
+                _resolve(older, False)
             waiting = []
         self._renewals[target_id] = (incarnation, [*waiting, fut])
         if self._renewing is None:
@@ -261,14 +291,17 @@
             reply = await self.call("Renew", request, repeatable=True)
         except errors.ColtsfootchuteError as exc:
             for _, fut in waiting:
-                _settle_future(fut, exc)
+                _resolve(fut, exc)
             return
-        refused = {r.target_id: r.incarnation for r in reply.refused}
+        refused = {r.target_id for r in reply.refused}
         for target_id, fut in waiting:
-            if not fut.done():
-                fut.set_result(refused.get(target_id))
+            _resolve(fut, target_id not in refused)
 
 
-def _settle_future(fut: _RenewalFuture, exc: Exception) -> None:
-    if not fut.done():
-        fut.set_exception(exc)
+def _resolve(fut: _RenewalFuture, result: bool | Exception) -> None:
+    if fut.done():
+        return
+    if isinstance(result, Exception):
+        fut.set_exception(result)
+    else:
+        fut.set_result(result)
--- a/coltsfootchute/entry/crashes.py
+++ b/coltsfootchute/entry/crashes.py
@@ -3,7 +3,7 @@
 import time
 
 from coltsfootchute import ids
-from coltsfootchute.entry import clients, forwards, requests
+from coltsfootchute.entry import attempts, clients, requests
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["CrashReporter"]
@@ -22,7 +22,7 @@
         self._client = client
 
     def crashed(
-        self, call: requests.Call, target_id: str, attempt: forwards.Attempt
+        self, call: requests.Call, target_id: str, attempt: attempts.Attempt
     ) -> None:
         """Count a connection that broke while the request ran.
 
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -10,12 +10,12 @@
 import loguru
 
 from coltsfootchute import errors, settings
+from coltsfootchute.control import feeds
 from coltsfootchute.entry import (
     apis,
     calls,
     clients,
     crashes,
-    feeds,
     forwards,
     keys,
     metrics,
--- /dev/null
+++ b/coltsfootchute/entry/descriptions.py
@@ -0,0 +1,95 @@
+"""What the `api` listener tells about sections, targets and instances."""
+
+import typing
+
+from coltsfootchute.proto import coltsfootchute_pb2
+
+__all__ = [
+    "describe_instance",
+    "describe_member",
+    "describe_revision",
+    "describe_section",
+    "describe_status",
+    "describe_target",
+]
+
+
+def describe_section(section: coltsfootchute_pb2.Section) -> dict[str, typing.Any]:
+    """Describe a section with its revision in force."""
+    return {
+        "name": section.name,
+        "owner": section.owner,
+        **describe_revision(section.history[-1]),
+    }
+
+
+def describe_revision(
+    revision: coltsfootchute_pb2.SectionRevision,
+) -> dict[str, typing.Any]:
+    """Describe one revision of a section."""
+    return {
+        "revision": revision.revision,
+        "document": revision.document,
+        "author": revision.author,
+        "request_id": revision.request_id,
+        "time_ms": revision.time_ms,
+    }
+
+
+def describe_target(target: coltsfootchute_pb2.Target) -> dict[str, typing.Any]:
+    """Describe a target of the register."""
+    state = coltsfootchute_pb2.TargetState.Name(target.state)
+    return {
+        "id": target.target_id,
+        "incarnation": target.incarnation,
+        "address": target.address,
+        "failure_domain": target.failure_domain,
+        "services": list(target.services),
+        "slots": target.slots,
+        "state": state.removeprefix("TARGET_STATE_").lower(),
+    }
+
+
+def describe_status(
+    reply: coltsfootchute_pb2.StatusReply, own: coltsfootchute_pb2.Instance
+) -> dict[str, typing.Any]:
+    """Describe the cluster as one control instance knows it."""
+    return {
+        "leader_id": reply.leader_id,
+        "term": reply.term,
+        "commit_index": reply.commit_index,
+        "applied_index": reply.applied_index,
+        "revision": reply.revision,
+        "cluster_id": reply.membership.cluster_id,
+        "members": [describe_member(m) for m in reply.membership.members],
+        "instances": [describe_instance(i) for i in reply.instances],
+        "answered_by": describe_instance(own),
+        "counters": dict(reply.counters),
+    }
+
+
+def describe_member(member: coltsfootchute_pb2.Member) -> dict[str, typing.Any]:
+    """Describe a control instance."""
+    return {
+        "member_id": member.member_id,
+        "name": member.name,
+        "address": member.address,
+        "failure_domain": member.failure_domain,
+        "voter": member.voter,
+    }
+
+
+def describe_instance(instance: coltsfootchute_pb2.Instance) -> dict[str, typing.Any]:
+    """Describe an entry."""
+    stopping = instance.state == coltsfootchute_pb2.INSTANCE_STATE_STOPPING
+    return {
+        "name": instance.name,
+        "calls": instance.calls_address,
+        "api": instance.api_address,
+        "peer": instance.peer_address,
+        "failure_domain": instance.failure_domain,
+        "stopping": stopping,
+        "stale": instance.stale,
+        "revision": instance.revision,
+        "start_ms": instance.start_ms,
+    }
--- a/coltsfootchute/entry/forwards.py
+++ b/coltsfootchute/entry/forwards.py
@@ -1,4 +1,4 @@
-"""One attempt: a request to one target over aiohttp's client connections.
+"""Connections to targets, pooled or fresh, over aiohttp's connector.
 
 `aiohttp.ClientSession` sends a request of an idempotent method again when a
 kept connection breaks (`ClientSession._request`, aiohttp 3.14). The entry needs
@@ -7,8 +7,6 @@
 """
 
 import asyncio
-import collections.abc
-import contextlib
 import typing
 
 import aiohttp
@@ -20,89 +18,20 @@
 import yarl
 
 from coltsfootchute import verdicts
+from coltsfootchute.entry import attempts
 
-__all__ = [
-    "Attempt",
-    "AttemptError",
-    "Body",
-    "Endpoint",
-    "Forwarder",
-    "TruncatedError",
-    "strip_hop_by_hop",
-]
+__all__ = ["Endpoint", "Forwarder"]
 
 # Connections take about 1 ms; a lost SYN is sent again after 1 s at the
 # earliest, so a longer wait than this is better spent on another target.
 CONNECT_TIMEOUT_S = 0.25
 # The target's keep-alive timeout is unknown; 15 s is below the usual ones.
 KEEP_ALIVE_S = 15.0
-READ_BUFFER_BYTES = 1 << 16
-MAX_HEAD_FIELD_BYTES = 1 << 15
 
-HOP_BY_HOP = (
-    "Connection",
-    "Keep-Alive",
-    "Proxy-Authenticate",
-    "Proxy-Authorization",
-    "Proxy-Connection",
-    "TE",
-    "Trailer",
-    "Transfer-Encoding",
-    "Upgrade",
-)
 _NO_TRACES: list[typing.Any] = []
 _TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
 
-class AttemptError(Exception):
-    """An attempt failed.
-
-    Parameters
-    ----------
-    verdict
-        Whether the request may have run.
-    reason
-        Why it failed.
-    detail
-        One sentence for people.
-    broke
-        Whether the connection broke while the request may have run, which
-        counts as a possible crash of the target.
-    """
-
-    def __init__(
-        self,
-        verdict: verdicts.Verdict,
-        reason: verdicts.Reason,
-        detail: str,
-        broke: bool = False,
-    ):
-        super().__init__(detail)
-        self.verdict = verdict
-        self.reason = reason
-        self.detail = detail
-        self.broke = broke
-
-
-class TruncatedError(Exception):
-    """The target's response ended before it was complete."""
-
-
-class Body(typing.NamedTuple):
-    """The body of a request.
-
-    Parameters
-    ----------
-    head
-        The bytes that are in memory; all of them if `rest` is None.
-    rest
-        The remaining parts, which can be read once.
-    """
-
-    head: bytes
-    rest: collections.abc.AsyncIterator[bytes] | None
-
-
 class Endpoint:
     """The address of a target, prepared for connections."""
 
@@ -119,188 +48,6 @@
         )
 
 
-class Attempt:
-    """One attempt and, once it has a response head, its response.
-
-    Notes
-    -----
-    `written` is set before the first byte is given to the transport, so it
-    holds also when the attempt is cancelled.
-    """
-
-    __slots__ = (
-        "_conn",
-        "_protocol",
-        "_pump",
-        "body_error",
-        "headers",
-        "message",
-        "payload",
-        "revision",
-        "started_s",
-        "was_shed",
-        "written",
-    )
-
-    def __init__(self):
-        self._conn: aiohttp.connector.Connection | None = None
-        self._protocol: aiohttp.client_proto.ResponseHandler | None = None
-        self._pump: asyncio.Task[None] | None = None
-        self.body_error: AttemptError | None = None
-        self.started_s = 0.0
-        # In force at the entry when the attempt started.
-        self.revision = 0
-        self.written = False
-        # The target answered that it did not run the request.
-        self.was_shed = False
-        self.message: typing.Any = None
-        self.payload: aiohttp.StreamReader | None = None
-        self.headers: multidict.CIMultiDict[str] | None = None
-
-    @property
-    def close_delimited(self) -> bool:
-        """Whether only the end of the connection ends the response."""
-        return not (
-            self.message.chunked
-            or "Content-Length" in self.message.headers
-            or self.payload is aiohttp.streams.EMPTY_PAYLOAD
-        )
-
-    async def read(self) -> bytes:
-        """Return the next part of the response body; empty at its end.
-
-        Raises
-        ------
-        TruncatedError
-            If the response is incomplete.
-        """
-        try:
-            return await self.payload.readany()
-        except (aiohttp.ClientError, OSError) as exc:
-            raise TruncatedError(str(exc)) from exc
-
-    def check_end(self) -> None:
-        """Check the end of a response that the connection ends.
-
-        Raises
-        ------
-        TruncatedError
-            If the connection was reset; the parser takes that for the end.
-        """
-        exc = self._protocol.exception()
-        if isinstance(exc, OSError):
-            raise TruncatedError(str(exc))
-
-    def finish(self) -> None:
-        """Return the connection to the pool if its response was read whole."""
-        pump, self._pump = self._pump, None
-        conn, self._conn = self._conn, None
-        if conn is None:
-            return
-        if pump is not None and not pump.done():
-            pump.cancel()
-            conn.close()
-        elif self.payload is None or not self.payload.is_eof():
-            conn.close()
-        else:
-            conn.release()
-
-    def abort(self) -> None:
-        """Close the connection, whatever was sent or received."""
-        pump, self._pump = self._pump, None
-        conn, self._conn = self._conn, None
-        if pump is not None:
-            pump.cancel()
-        if conn is not None:
-            conn.close()
-
-    async def send(
-        self,
-        conn: aiohttp.connector.Connection,
-        line: str,
-        headers: multidict.CIMultiDict[str],
-        body: Body,
-        head_only: bool,
-    ) -> None:
-        """Write the request and wait for the head of the response.
-
-        Raises
-        ------
-        AttemptError
-            With the verdict.
-        """
-        self._conn = conn
-        protocol = self._protocol = conn.protocol
-        protocol.set_response_params(
-            skip_payload=head_only,
-            read_until_eof=True,
-            auto_decompress=False,
-            read_bufsize=READ_BUFFER_BYTES,
-            max_line_size=MAX_HEAD_FIELD_BYTES,
-            max_field_size=MAX_HEAD_FIELD_BYTES,
-        )
-        writer = aiohttp.http.StreamWriter(protocol, protocol._loop)
-        if body.rest is not None and "Content-Length" not in headers:
-            writer.enable_chunking()
-            headers["Transfer-Encoding"] = "chunked"
-        await writer.write_headers(line, headers)
-        if not protocol.is_connected():
-            raise AttemptError(
-                verdicts.Verdict.NOT_RUN,
-                verdicts.Reason.CONNECTION_FAILED,
-                "the connection was closed before the request was written",
-            )
-        self.written = True
-        try:
-            await self._write(writer, body)
-            await self._read_head()
-        except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as exc:
-            raise self.body_error or _lost(exc) from exc
-
-    async def _write(self, writer: aiohttp.http.StreamWriter, body: Body) -> None:
-        if body.rest is None:
-            await writer.write_eof(body.head)
-            return
-        await writer.write(body.head)
-        self._pump = asyncio.ensure_future(self._send_rest(writer, body.rest))
-
-    async def _send_rest(
-        self,
-        writer: aiohttp.http.StreamWriter,
-        rest: collections.abc.AsyncIterator[bytes],
-    ) -> None:
-        try:
-            async for part in rest:
-                await writer.write(part)
-            await writer.write_eof()
-        except AttemptError as exc:
-            self._fail_body(exc)
-        except (aiohttp.ClientError, OSError):
-            # The target's response, if there is one, says more.
-            return
-        except Exception as exc:
-            error = AttemptError(
-                verdicts.Verdict.MAY_HAVE_RUN, verdicts.Reason.BAD_REQUEST, str(exc)
-            )
-            self._fail_body(error)
-
-    def _fail_body(self, error: AttemptError) -> None:
-        self.body_error = error
-        if self._protocol.transport is not None:
-            self._protocol.transport.abort()
-
-    async def _read_head(self) -> None:
-        message, payload = await self._protocol.read()
-        while 100 <= message.code < 200:
-            if message.code == 101:
-                raise aiohttp.ClientPayloadError("the target switched protocols")
-            message, payload = await self._protocol.read()
-        self.message = message
-        self.payload = payload
-        self.headers = multidict.CIMultiDict(message.headers)
-        strip_hop_by_hop(self.headers)
-
-
 class Forwarder:
     """Connections to targets.
 
@@ -326,11 +73,11 @@
 
     async def send(
         self,
-        attempt: Attempt,
+        attempt: attempts.Attempt,
         endpoint: Endpoint,
         line: str,
         headers: multidict.CIMultiDict[str],
-        body: Body,
+        body: attempts.Body,
         *,
         fresh: bool,
         head_only: bool,
@@ -378,27 +125,6 @@
                     return conn
                 conn.close()
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise AttemptError(
+            raise attempts.AttemptError(
                 verdicts.Verdict.NOT_RUN, verdicts.Reason.CONNECTION_FAILED, str(exc)
             ) from exc
-
-
-def strip_hop_by_hop(headers: multidict.CIMultiDict[str]) -> None:
-    """Remove the headers that concern one connection only (RFC 9110, 7.6.1)."""
-    if "Connection" in headers:
-        for value in headers.getall("Connection"):
-            for name in value.split(","):
-                with contextlib.suppress(KeyError):
-                    headers.popall(name.strip())
-    for name in HOP_BY_HOP:
-        if name in headers:
-            headers.popall(name, None)
-
-
-def _lost(exc: Exception) -> AttemptError:
-    return AttemptError(
-        verdicts.Verdict.MAY_HAVE_RUN,
-        verdicts.Reason.CONNECTION_LOST,
-        str(exc) or type(exc).__name__,
-        broke=True,
-    )
--- a/coltsfootchute/entry/races.py
+++ b/coltsfootchute/entry/races.py
@@ -5,11 +5,11 @@
 import typing
 
 from coltsfootchute import balancing, verdicts
-from coltsfootchute.entry import forwards
+from coltsfootchute.entry import attempts
 
 __all__ = ["Won", "run"]
 
-Won = tuple[forwards.Attempt, balancing.Token]
+Won = tuple[attempts.Attempt, balancing.Token]
 _Start = collections.abc.Coroutine[typing.Any, typing.Any, Won]
 
 
@@ -55,14 +55,14 @@
 
 async def _first_head(tasks: set[asyncio.Task[Won]]) -> asyncio.Task[Won]:
     pending = tasks
-    failed: list[forwards.AttemptError] = []
+    failed: list[attempts.AttemptError] = []
     while pending:
         done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
             exc = task.exception()
             if exc is None:
                 return task
-            if not isinstance(exc, forwards.AttemptError):
+            if not isinstance(exc, attempts.AttemptError):
                 raise exc
             failed.append(exc)
     risky = (e for e in failed if e.verdict is not verdicts.Verdict.NOT_RUN)
--- a/coltsfootchute/entry/relays.py
+++ b/coltsfootchute/entry/relays.py
@@ -1,7 +1,7 @@
 """Streaming of a target's response to the caller."""
 
 from coltsfootchute import verdicts
-from coltsfootchute.entry import answers, forwards, requests
+from coltsfootchute.entry import answers, attempts, requests
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["ANSWER_KEPT_BYTES", "Relay"]
@@ -32,7 +32,7 @@
     def __init__(
         self,
         call: requests.Call,
-        attempt: forwards.Attempt,
+        attempt: attempts.Attempt,
         keep_alive: bool,
         is_stale: bool,
     ):
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -10,7 +10,7 @@
 
 from coltsfootchute import balancing, sections, verdicts
 from coltsfootchute.balancing import quarantines
-from coltsfootchute.entry import forwards, pools
+from coltsfootchute.entry import attempts, pools
 
 __all__ = ["Call", "parse_key", "read_body", "refused", "split_target"]
 
@@ -137,10 +137,10 @@
         self.headers = _forwarded(headers, depth)
         target = "?".join(part for part in place if part)
         self.target_line = f"{request.method} {target} HTTP/1.1"
-        self.body = forwards.Body(b"", None)
+        self.body = attempts.Body(b"", None)
         self.is_body_used = False
         self.is_answering = False
-        self.attempts: list[forwards.Attempt] = []
+        self.attempts: list[attempts.Attempt] = []
         self.tried: list[str] = []
         self.claim: tuple[bytes, bytes] | None = None
         self.digest: bytes | None = None
@@ -216,7 +216,7 @@
         return self.digest
 
 
-async def read_body(call: Call) -> forwards.Body:
+async def read_body(call: Call) -> attempts.Body:
     """Read the caller's body as far as it is kept for replay.
 
     Raises
@@ -226,14 +226,14 @@
     """
     request, rule = call.request, call.rule
     if not request.body_exists:
-        return forwards.Body(b"", None)
+        return attempts.Body(b"", None)
     length = request.content_length
     if length is not None and length > rule.max_body_bytes:
         raise refused(verdicts.Reason.BODY_TOO_LARGE, _too_large(rule))
     if request.headers.get("Expect", "").lower() == "100-continue":
         request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
     if length is not None and length > rule.replay_bytes:
-        return forwards.Body(b"", _rest(call, 0))
+        return attempts.Body(b"", _rest(call, 0))
     parts: list[bytes] = []
     size = 0
     while size <= rule.replay_bytes:
@@ -244,12 +244,12 @@
         size += len(part)
         if size > rule.max_body_bytes:
             raise refused(verdicts.Reason.BODY_TOO_LARGE, _too_large(rule))
-    return forwards.Body(b"".join(parts), _rest(call, size))
+    return attempts.Body(b"".join(parts), _rest(call, size))
 
 
-def _whole(call: Call, body: bytes) -> forwards.Body:
+def _whole(call: Call, body: bytes) -> attempts.Body:
     call.headers["Content-Length"] = str(len(body))
-    return forwards.Body(body, None)
+    return attempts.Body(body, None)
 
 
 async def _rest(call: Call, size: int) -> collections.abc.AsyncIterator[bytes]:
@@ -258,7 +258,7 @@
     while part := await content.readany():
         size += len(part)
         if size > call.rule.max_body_bytes:
-            raise forwards.AttemptError(
+            raise attempts.AttemptError(
                 verdicts.Verdict.MAY_HAVE_RUN,
                 verdicts.Reason.BODY_TOO_LARGE,
                 _too_large(call.rule),
@@ -288,7 +288,7 @@
     headers: multidict.CIMultiDictProxy[str], depth: int
 ) -> multidict.CIMultiDict[str]:
     copied = multidict.CIMultiDict(headers)
-    forwards.strip_hop_by_hop(copied)
+    attempts.strip_hop_by_hop(copied)
     copied.popall("Expect", None)
     copied[verdicts.DEPTH_HEADER] = str(depth + 1)
     # This entry retries, so nested calls must not: retries happen at one level.
@@ -297,7 +297,7 @@
     return copied
 
 
-def load_of(attempt: forwards.Attempt) -> balancing.LoadReport | None:
+def load_of(attempt: attempts.Attempt) -> balancing.LoadReport | None:
     """Return the load that a response reports."""
     header = attempt.headers.get(verdicts.LOAD_HEADER)
     return None if header is None else balancing.loads.parse(header)
--- a/coltsfootchute/entry/tests/stands.py
+++ b/coltsfootchute/entry/tests/stands.py
@@ -10,7 +10,8 @@
 import grpclib.server
 
 from coltsfootchute import settings
-from coltsfootchute.entry import daemons, feeds
+from coltsfootchute.control import feeds
+from coltsfootchute.entry import daemons
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
 pb = coltsfootchute_pb2
