balancing: pause after a request that the target shed

Cause: the limit can't go below 1, so 13 entries overload a target with 4 slots and 8 queue places with one request each. Change: a shed answer closes the target for 0.5 to 1.5 response times; Pool.next_wake tells when a closed or ejected target opens for the queue. The bound of ejections moves to a module of its own.

--- a/benchmarks/worlds.py
+++ b/benchmarks/worlds.py
@@ -265,7 +265,7 @@
         self.schedule()
 
     def schedule(self):
-        due_s = self.pool.admission.next_expiry()
+        due_s = self.pool.next_wake(self.world.now)
         if due_s is None or self.world.now < self.timer_s <= due_s:
             return
         self.timer_s = max(due_s, self.world.now)
--- a/coltsfootchute/balancing/__init__.py
+++ b/coltsfootchute/balancing/__init__.py
@@ -1,11 +1,12 @@
 """Target selection, limits, retries and hedges; no I/O."""
 
-from coltsfootchute.balancing.admissions import Admission, Ticket
+from coltsfootchute.balancing.admissions import Admission, Grant, Ticket
 from coltsfootchute.balancing.loads import LoadReport
-from coltsfootchute.balancing.pools import AttemptKind, Grant, Pool, PoolSettings
+from coltsfootchute.balancing.pools import Pool, PoolSettings
 from coltsfootchute.balancing.probes import ProbePermit, ProbeShares
 from coltsfootchute.balancing.quarantines import CrashGuard, CrashReport
 from coltsfootchute.balancing.views import (
+    AttemptKind,
     Outcome,
     Target,
     TargetState,
--- a/coltsfootchute/balancing/admissions.py
+++ b/coltsfootchute/balancing/admissions.py
@@ -5,8 +5,9 @@
 import itertools
 
 from coltsfootchute import verdicts
+from coltsfootchute.balancing import views
 
-__all__ = ["Admission", "Ticket"]
+__all__ = ["Admission", "Grant", "Ticket", "refusal"]
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -35,6 +36,22 @@
         return (-self.priority, self.deadline_s, self.number)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """A queued request that may be sent now.
+
+    Parameters
+    ----------
+    ticket
+        Its place in the queue.
+    token
+        Its attempt, already counted as started.
+    """
+
+    ticket: Ticket
+    token: views.Token
+
+
 class Admission:
     """Queue in order of priority, then deadline, then arrival.
 
@@ -103,12 +120,12 @@
         )
         place = bisect.bisect_left(self._waiting, ticket.rank(), key=Ticket.rank)
         if place >= self._length:
-            return _refusal(verdicts.Reason.QUEUE_FULL, "the queue is full")
+            return refusal(verdicts.Reason.QUEUE_FULL, "the queue is full")
         wait_s = (place + 1) * interval_s
         if now + wait_s + service_s > deadline_s:
-            return _refusal(verdicts.Reason.DEADLINE, "no answer before the deadline")
+            return refusal(verdicts.Reason.DEADLINE, "no answer before the deadline")
         if wait_s > self._wait_s:
-            return _refusal(verdicts.Reason.QUEUE_FULL, "the wait is too long")
+            return refusal(verdicts.Reason.QUEUE_FULL, "the wait is too long")
         if len(self._waiting) >= self._length:
             self._displaced.append(self._waiting.pop())
         self._waiting.insert(place, ticket)
@@ -145,9 +162,10 @@
 
 def _departure(ticket: Ticket, now: float) -> verdicts.Refusal:
     if ticket.deadline_s <= now:
-        return _refusal(verdicts.Reason.DEADLINE, "the deadline passed in the queue")
-    return _refusal(verdicts.Reason.QUEUE_FULL, "no target was free in time")
+        return refusal(verdicts.Reason.DEADLINE, "the deadline passed in the queue")
+    return refusal(verdicts.Reason.QUEUE_FULL, "no target was free in time")
 
 
-def _refusal(reason: verdicts.Reason, detail: str) -> verdicts.Refusal:
+def refusal(reason: verdicts.Reason, detail: str) -> verdicts.Refusal:
+    """Return the refusal of a request that was not sent."""
     return verdicts.Refusal(verdicts.Verdict.NOT_RUN, reason, detail)
--- a/coltsfootchute/balancing/policies.py
+++ b/coltsfootchute/balancing/policies.py
@@ -8,11 +8,14 @@
 from coltsfootchute import ids, registries
 from coltsfootchute.balancing import views as views_
 
-__all__ = ["POLICIES", "Policy"]
+__all__ = ["POLICIES", "Policy", "without_slow"]
 
 # Distance between two failure domains; a target nearby is preferred until its
 # expected wait is longer by more than this.
 DISTANCE_S = 0.0005
+# A target that is slower than the median by more than this factor gets
+# requests only after its estimate has decayed; they wait for another instead.
+SLOW_FACTOR = 4.0
 
 
 class Policy(typing.Protocol):
@@ -141,6 +144,32 @@
         return best
 
 
+def without_slow(
+    views: collections.abc.Sequence[views_.TargetView],
+    peers: collections.abc.Sequence[views_.TargetView],
+    now: float,
+) -> list[views_.TargetView]:
+    """Return the views that are not far slower than the median.
+
+    Parameters
+    ----------
+    views
+        Eligible views.
+    peers
+        All views in use, at least one, those at their limit included.
+    now
+        Time.
+
+    Notes
+    -----
+    O(n log n). At least half of the peers are at most as slow as the median;
+    one of them serves the request when its attempt in flight ends.
+    """
+    known = sorted(view.latency_s(now) for view in peers)
+    limit_s = SLOW_FACTOR * known[(len(known) - 1) // 2]
+    return [view for view in views if view.latency_s(now) <= limit_s]
+
+
 def _rotated(views, rng):
     """Start a scan anywhere, so that entries don't agree on ties."""
     start = int(rng.random() * len(views))
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -2,14 +2,14 @@
 
 import collections.abc
 import dataclasses
-import enum
-import operator
+import itertools
 import random
 
 from coltsfootchute import ids, verdicts
 from coltsfootchute.balancing import (
     admissions,
     budgets,
+    ejections,
     hedges,
     limits,
     loads,
@@ -19,11 +19,7 @@
     views,
 )
 
-__all__ = ["AttemptKind", "Grant", "Pool", "PoolSettings"]
-
-# A target that is slower than the median by more than this factor gets
-# requests only after its estimate has decayed; they wait for another instead.
-SLOW_FACTOR = 4.0
+__all__ = ["Pool", "PoolSettings"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,30 +42,6 @@
     queue_wait_s: float = 0.2
 
 
-class AttemptKind(enum.Enum):
-    """Why an attempt is made."""
-
-    FIRST = "first"
-    RETRY = "retry"
-    HEDGE = "hedge"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
-    """A queued request that may be sent now.
-
-    Parameters
-    ----------
-    ticket
-        Its place in the queue.
-    token
-        Its attempt, already counted as started.
-    """
-
-    ticket: admissions.Ticket
-    token: views.Token
-
-
 class Pool:
     """Selection, limits, budgets and queue of one service in one entry.
 
@@ -114,8 +86,8 @@
     3. When the request is written later than it was started, for example after
        a claim: `sent`. On the response head: `responded`. At the end of each
        attempt, on every path and exactly once: `finished`.
-    4. After each `finished`, and at `admission.next_expiry()`: `grants`, which
-       wakes tickets, and then `admission.expired`, which refuses them.
+    4. After each `finished`, and at `next_wake(now)`: `grants`, which wakes
+       tickets, and then `admission.expired`, which refuses them.
     5. A repeatable request without a response head after `hedge_delay` may be
        hedged: ``view = pool.select(now, exclude=tried, kind=HEDGE)``. If there
        is a view and `may_hedge()` is true: `started`. A retry likewise with
@@ -145,7 +117,7 @@
         self._budget = budgets.TokenBudget(settings.retry_budget_percent)
         self._hedge_delay = hedges.HedgeDelay()
         self._views: dict[ids.TargetId, views.TargetView] = {}
-        self._ejections_changed = False
+        self._in_use_changed = False
 
     @property
     def all_views(self) -> list[views.TargetView]:
@@ -179,7 +151,7 @@
         for gone in self._views.keys() - kept.keys():
             del self._views[gone]
             self.probes.forget(gone)
-        self._ejections_changed = True
+        self._in_use_changed = True
         typical_s = self._typical_latency_s(now)
         for target_id, target in kept.items():
             view = self._views.get(target_id)
@@ -193,7 +165,7 @@
         """Send no new work to a target until its next incarnation."""
         if target_id in self._views:
             self._views[target_id].is_draining = True
-            self._ejections_changed = True
+            self._in_use_changed = True
 
     def admit(
         self, priority: int, deadline_s: float, now: float
@@ -216,13 +188,15 @@
         """
         self._budget.deposit()
         if now >= deadline_s:
-            return _refusal(verdicts.Reason.DEADLINE, "the deadline has passed")
+            return admissions.refusal(
+                verdicts.Reason.DEADLINE, "the deadline has passed"
+            )
         if not len(self.admission):
             view = self.select(now)
             if view is not None:
                 return view
         if not self._in_use():
-            return _refusal(verdicts.Reason.NO_TARGET, "no target is serving")
+            return admissions.refusal(verdicts.Reason.NO_TARGET, "no target is serving")
         service_s = self._typical_latency_s(now)
         interval_s = service_s / self._capacity(now)
         return self.admission.offer(priority, deadline_s, now, service_s, interval_s)
@@ -231,7 +205,7 @@
         self,
         now: float,
         exclude: collections.abc.Collection[ids.TargetId] = (),
-        kind: AttemptKind = AttemptKind.FIRST,
+        kind: views.AttemptKind = views.AttemptKind.FIRST,
     ) -> views.TargetView | None:
         """Select a target.
 
@@ -249,9 +223,9 @@
         views.TargetView or None
             None if no target is eligible.
         """
-        self._bound_ejections(now)
+        self._restore_excess(now)
         found = self._eligible(now, exclude)
-        if kind is AttemptKind.HEDGE and exclude:
+        if kind is views.AttemptKind.HEDGE and exclude:
             tried = [self._views[i] for i in exclude if i in self._views]
             domains = {view.target.failure_domain for view in tried}
             found = [
@@ -260,7 +234,11 @@
         chosen = self._policy.select(found, now, self._rng)
         if chosen is None or not self._policy.waits_for_fast:
             return chosen
-        fast = self._fast(found, chosen, now)
+        usual_s = self._hedge_delay.delay_s()
+        if usual_s is None or chosen.latency_s(now) <= usual_s:
+            return chosen
+        peers = [view for view in self._in_use() if not view.is_ejected(now)]
+        fast = policies.without_slow(found, peers, now)
         if len(fast) == len(found):
             return chosen
         return self._policy.select(fast, now, self._rng)
@@ -315,7 +293,7 @@
         elif load is not None:
             view.reported(load, now)
 
-    def grants(self, now: float) -> list[Grant]:
+    def grants(self, now: float) -> list[admissions.Grant]:
         """Start queued requests for which a target has room."""
         granted = []
         while len(self.admission):
@@ -323,9 +301,26 @@
             ticket = self.admission.pop(now) if view is not None else None
             if ticket is None:
                 break
-            granted.append(Grant(ticket, view.started(now)))
+            granted.append(admissions.Grant(ticket, view.started(now)))
         return granted
 
+    def next_wake(self, now: float) -> float | None:
+        """Return when `grants` and `admission.expired` are due without an event.
+
+        That is when a queued request expires, or when a target's ejection or
+        pause ends; None while nothing waits.
+        """
+        expiry_s = self.admission.next_expiry()
+        if expiry_s is None:
+            return None
+        times_s = itertools.chain.from_iterable(
+            (view.closed_until_s, view.ejected_until_s) for view in self._in_use()
+        )
+        opening_s = min(
+            (time_s for time_s in times_s if time_s > now), default=expiry_s
+        )
+        return min(expiry_s, opening_s)
+
     def hedge_delay(self, now: float) -> float | None:
         """Return after how many seconds to hedge; None for not at all."""
         return self._hedge_delay.delay_s()
@@ -368,46 +363,25 @@
         serving = [view for view in open_views if view.is_serving()]
         return serving or [view for view in open_views if view.is_suspect()]
 
-    def _fast(self, found, chosen, now) -> list[views.TargetView]:
-        """Return those that are not far slower than the median of the pool."""
-        usual_s = self._hedge_delay.delay_s()
-        if usual_s is None or chosen.latency_s(now) <= usual_s:
-            return found
-        peers = (v for v in self._views.values() if v.is_serving())
-        known = sorted(v.latency_s(now) for v in peers if not v.is_ejected(now))
-        if not known:
-            return found
-        # At least half of the peers are at most as slow as the median. One of
-        # them serves the request when its attempt in flight ends.
-        limit_s = SLOW_FACTOR * known[(len(known) - 1) // 2]
-        return [view for view in found if view.latency_s(now) <= limit_s]
-
     def _failed(self, token, outcome, now) -> None:
         view = token.view
         if outcome is views.Outcome.SHED:
-            view.limit.shed(now)
+            view.shed(now, self._rng)
             return
         took_s = now - token.started_s
         if not view.failed(outcome, took_s) or view.is_ejected(now):
             return
         in_use = self._in_use()
-        ejected = sum(other.is_ejected(now) for other in in_use)
-        if view in in_use and 2 * (ejected + 1) <= len(in_use):
+        if view in in_use and ejections.may_eject(in_use, now):
             view.eject(now)
 
     def _in_use(self) -> list[views.TargetView]:
         return [v for v in self._views.values() if v.is_serving() or v.is_suspect()]
 
-    def _bound_ejections(self, now: float) -> None:
-        """Restore targets if those that left made the ejected ones over half."""
-        if not self._ejections_changed:
-            return
-        self._ejections_changed = False
-        in_use = self._in_use()
-        ejected = [view for view in in_use if view.is_ejected(now)]
-        ejected.sort(key=operator.attrgetter("ejected_until_s"))
-        for view in ejected[: max(0, len(ejected) - len(in_use) // 2)]:
-            view.restore()
+    def _restore_excess(self, now: float) -> None:
+        if self._in_use_changed:
+            self._in_use_changed = False
+            ejections.restore_excess(self._in_use(), now)
 
     def _update_view(self, view: views.TargetView, target: views.Target) -> None:
         view.target = target
@@ -422,7 +396,3 @@
     def _capacity(self, now: float) -> int:
         usable = (v for v in self._views.values() if not v.is_ejected(now))
         return max(1, sum(view.limit.current() for view in usable))
-
-
-def _refusal(reason: verdicts.Reason, detail: str) -> verdicts.Refusal:
-    return verdicts.Refusal(verdicts.Verdict.NOT_RUN, reason, detail)
--- a/coltsfootchute/balancing/tests/test_pools.py
+++ b/coltsfootchute/balancing/tests/test_pools.py
@@ -123,7 +123,7 @@
 
 def test_a_pool_that_shrinks_around_ejected_targets_is_caught():
     class Broken(pools.Pool):
-        def _bound_ejections(self, now):
+        def _restore_excess(self, now):
             pass
 
     steps = [*FAILURES, ("targets", 4, 0.0)]
@@ -166,7 +166,7 @@
 
 def test_a_hedge_goes_to_another_failure_domain():
     """A fault of the domain would otherwise hit both attempts."""
-    pool, kind = make(7), pools.AttemptKind.HEDGE
+    pool, kind = make(7), views.AttemptKind.HEDGE
     chosen = {pool.select(0.0, {"0"}, kind).target.target_id for _ in range(50)}
     assert chosen.isdisjoint({"0", "3", "6"})
 
@@ -214,6 +214,35 @@
     assert pool.select(0.02) is fast[0]
 
 
+@pytest.mark.parametrize("outcome", [views.Outcome.SHED, views.Outcome.ERROR])
+def test_a_waiting_request_starts_when_a_closed_target_opens_again(outcome):
+    """Without a wake-up it would wait for a response that nobody expects."""
+    pool = make(2, share=0.125)
+    for view in pool.all_views:
+        view.measured(0.01, 0.0)
+    assert pool.next_wake(0.0) is None
+    for _ in range(views.FAST_ERRORS):
+        view = pool.all_views[0]
+        pool.finished(pool.started(view, 0.0), outcome, 0.001)
+    pool.started(pool.all_views[1], 0.89)
+    if outcome is views.Outcome.SHED:
+        view.closed_until_s = 1.001
+    ticket = pool.admit(1, 9.0, 0.9)
+    assert pool.grants(0.95) == []
+    assert pool.next_wake(0.95) == 1.001
+    assert [grant.ticket for grant in pool.grants(1.001)] == [ticket]
+
+
+def test_a_target_that_sheds_gets_a_pause():
+    """With the limit at 1, an entry would send the next request at once."""
+    pool = make(1)
+    view = pool.all_views[0]
+    view.measured(0.01, 0.0)
+    pool.finished(pool.started(view, 0.0), views.Outcome.SHED, 0.001)
+    assert pool.select(0.0015) is None
+    assert pool.select(0.0175) is view
+
+
 @pytest.mark.parametrize("outcome", [views.Outcome.CANCELLED, views.Outcome.TIMEOUT])
 def test_a_straggler_whose_attempt_is_given_up_shows_as_slow(outcome):
     """Hedges that answer in its place would otherwise hide it."""
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -3,11 +3,12 @@
 import dataclasses
 import enum
 import math
+import random
 
 from coltsfootchute import ids
 from coltsfootchute.balancing import limits, loads
 
-__all__ = ["Outcome", "Target", "TargetState", "TargetView", "Token"]
+__all__ = ["AttemptKind", "Outcome", "Target", "TargetState", "TargetView", "Token"]
 
 # Share of the difference by which a slower or a faster response moves the
 # latency estimate. A straggler has to show at once; a single fast response
@@ -20,6 +21,10 @@
 # Load reports are stale when they arrive; the load of other entries changes
 # within milliseconds.
 REPORT_HALF_LIFE_S = 0.01
+# Pause after a shed request, in usual response times. The entries draw
+# different ones, so that they don't return together.
+SHED_PAUSE = (0.5, 1.5)
+MAX_SHED_PAUSE_S = 0.1
 FAST_ERRORS = 3
 EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
@@ -33,6 +38,14 @@
     SUSPECT = "suspect"
 
 
+class AttemptKind(enum.Enum):
+    """Why an attempt is made."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
 class Outcome(enum.Enum):
     """How an attempt ended, as far as selection is concerned."""
 
@@ -126,6 +139,7 @@
         "_reported_s",
         "_running",
         "_strikes",
+        "closed_until_s",
         "ejected_until_s",
         "in_flight",
         "is_draining",
@@ -142,6 +156,7 @@
         self.in_flight = 0
         self.is_draining = False
         self.last_response_s = -math.inf
+        self.closed_until_s = -math.inf
         self._running: dict[int, Token] = {}
         self._latency_s = latency_s
         self._estimated_s = -math.inf
@@ -224,10 +239,22 @@
         return self._reported * 2.0 ** (-age_s / REPORT_HALF_LIFE_S)
 
     def has_room(self, now: float) -> bool:
-        """Tell whether the in-flight limit allows another attempt."""
+        """Tell whether limit and pause after a shed allow another attempt."""
+        if now < self.closed_until_s:
+            return False
         age_s = now - self.target.up_since_s
         return self.in_flight < self.limit.current(age_s)
 
+    def shed(self, now: float, rng: random.Random) -> None:
+        """Lower the limit and pause after a request that the target shed.
+
+        The limit can't go below 1. With more entries than a target has slots
+        and queue places, one request of each entry would still overload it.
+        """
+        self.limit.shed(now)
+        pause_s = self._latency_s * rng.uniform(*SHED_PAUSE)
+        self.closed_until_s = now + min(pause_s, MAX_SHED_PAUSE_S)
+
     def is_serving(self) -> bool:
         """Tell whether the target takes new work and is not suspect."""
         return self.target.state is TargetState.SERVING and not self.is_draining
