--- a/coltsfootchute/balancing/__init__.py
+++ b/coltsfootchute/balancing/__init__.py
@@ -1,1 +1,34 @@
 """Target selection, limits, retries and hedges; no I/O."""
+
+from coltsfootchute.balancing.admissions import Admission, Grant, Ticket
+from coltsfootchute.balancing.loads import LoadReport
+from coltsfootchute.balancing.pools import Pool, PoolSettings
+from coltsfootchute.balancing.probes import ProbePermit, ProbeShares
+from coltsfootchute.balancing.quarantines import CrashGuard, CrashReport
+from coltsfootchute.balancing.views import (
+    AttemptKind,
+    Outcome,
+    Target,
+    TargetState,
+    TargetView,
+    Token,
+)
+
+__all__ = [
+    "Admission",
+    "AttemptKind",
+    "CrashGuard",
+    "CrashReport",
+    "Grant",
+    "LoadReport",
+    "Outcome",
+    "Pool",
+    "PoolSettings",
+    "ProbePermit",
+    "ProbeShares",
+    "Target",
+    "TargetState",
+    "TargetView",
+    "Ticket",
+    "Token",
+]
