--- /dev/null
+++ b/coltsfootchute/standins/links.py
@@ -0,0 +1,140 @@
+"""A loopback TCP link that forwards bytes and can be cut, delayed and healed."""
+
+import asyncio
+import contextlib
+import enum
+
+__all__ = ["Direction", "Link"]
+
+CHUNK_BYTES = 64 * 1024
+
+
+class Direction(enum.Enum):
+    """Direction of the bytes on a link."""
+
+    FORWARD = "forward"  # From the side that connects.
+    BACKWARD = "backward"  # To the side that connects.
+
+
+class _Lane:
+    """State of one direction, shared by all connections of the link."""
+
+    def __init__(self):
+        self.open = asyncio.Event()
+        self.open.set()
+        self.delay_s = 0.0
+        self.forwarded = 0
+
+
+class Link:
+    """Forwards TCP connections from a listener to an address.
+
+    Parameters
+    ----------
+    address
+        IP number and port of the far end.
+    listen
+        IP number and port of the listener; port 0 takes a free one.
+
+    Notes
+    -----
+    A cut is silent: no connection is closed, bytes stop flowing. TCP resends
+    lost segments, so bytes held back during a cut are delivered after it heals.
+    A connection that is opened during a cut is accepted by the listener, but
+    carries nothing.
+    """
+
+    def __init__(self, address: str, listen: str = "127.0.0.1:0"):
+        self._address = address
+        self._listen = listen
+        self._lanes = {direction: _Lane() for direction in Direction}
+        self._tasks: set[asyncio.Task] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the address of the listener."""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def __aenter__(self) -> "Link":
+        host, _, port = self._listen.rpartition(":")
+        self._server = await asyncio.start_server(self._accept, host, int(port))
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._server.close()
+        await self.reset()
+        await self._server.wait_closed()
+
+    def cut(self, *directions: Direction) -> None:
+        """Hold back all bytes of the directions; without any, of both."""
+        for direction in directions or Direction:
+            self._lanes[direction].open.clear()
+
+    def heal(self) -> None:
+        """Let bytes flow again in both directions, without delay."""
+        for lane in self._lanes.values():
+            lane.delay_s = 0.0
+            lane.open.set()
+
+    def delay(self, delay_s: float, *directions: Direction) -> None:
+        """Delay each chunk by a time in s; without directions, in both."""
+        for direction in directions or Direction:
+            self._lanes[direction].delay_s = delay_s
+
+    async def reset(self) -> None:
+        """Abort all connections."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def forwarded(self, direction: Direction) -> int:
+        """Return the bytes forwarded in a direction so far."""
+        return self._lanes[direction].forwarded
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            await self._forward(reader, writer)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+            self._tasks.discard(task)
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        host, _, port = self._address.rpartition(":")
+        far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, far_writer, Direction.FORWARD))
+                group.create_task(self._pump(far_reader, writer, Direction.BACKWARD))
+        except* OSError:
+            # One side was reset; aborting both tells the other side.
+            pass
+        finally:
+            far_writer.transport.abort()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
+    ) -> None:
+        lane = self._lanes[direction]
+        while data := await reader.read(CHUNK_BYTES):
+            await asyncio.sleep(lane.delay_s)
+            await lane.open.wait()
+            writer.write(data)
+            await writer.drain()
+            lane.forwarded += len(data)
+        await lane.open.wait()
+        with contextlib.suppress(OSError):
+            writer.write_eof()
