commands: add the command line, examples and the demo's parts

Cause: roles could be neither started nor inspected, and nothing showed a deployment's settings. Ruled out: starting the roles through cyclopts, since the control role is bounded to 32 MB and needs neither cyclopts nor rich. Change: commands with exit codes and one-line errors, log set-up, settings and sections of two deployments, caller, fleet, findings and demo. The demo is not run yet, as the roles are not in place.

--- /dev/null
+++ b/coltsfootchute/commands/apis.py
@@ -0,0 +1,156 @@
+"""HTTP requests of the command line to the API listeners of entries."""
+
+import asyncio
+import dataclasses
+import typing
+
+import aiohttp
+import msgspec
+
+from coltsfootchute.commands import exits
+
+__all__ = ["Reply", "fetch", "read", "reason", "send_change"]
+
+READ_TIMEOUT_S = 5.0
+CHANGE_TIMEOUT_S = 5.0
+CHANGE_ATTEMPTS = 5
+CHANGE_PAUSE_S = 0.3
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_UNKNOWN = frozenset({500, 502, 503, 504})
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """A response of an entry.
+
+    Parameters
+    ----------
+    status
+        HTTP status.
+    body
+        Decoded JSON; an empty dict if it is none.
+    """
+
+    status: int
+    body: typing.Any
+
+
+def read(addresses: typing.Sequence[str], path: str) -> typing.Any:
+    """Read from the first address that responds.
+
+    Returns
+    -------
+    object
+        The decoded JSON body.
+
+    Raises
+    ------
+    coltsfootchute.commands.exits.UnreachableError
+        If no address gives a definite response.
+    coltsfootchute.commands.exits.RefusedError
+        If the entry refuses the request.
+    """
+    reply = asyncio.run(fetch(addresses, path))
+    if reply.status == HTTP_OK:
+        return reply.body
+    raise exits.RefusedError(reason(reply))
+
+
+async def fetch(addresses: typing.Sequence[str], path: str) -> Reply:
+    """Get a path from the first address that gives a definite response."""
+    failures = []
+    timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        for address in addresses:
+            try:
+                reply = await _request(session, "GET", f"http://{address}{path}")
+            except (aiohttp.ClientError, TimeoutError) as exc:
+                failures.append(f"{address}: {_describe(exc)}")
+                continue
+            if reply.status in HTTP_UNKNOWN:
+                failures.append(f"{address}: {reason(reply)}")
+                continue
+            return reply
+    raise exits.UnreachableError("; ".join(failures))
+
+
+async def send_change(
+    addresses: typing.Sequence[str],
+    path: str,
+    body: dict[str, typing.Any],
+    headers: dict[str, str],
+) -> Reply:
+    """Put a change and resend it, unaltered, while its outcome is unknown.
+
+    Parameters
+    ----------
+    addresses
+        API listeners, used in turn.
+    path
+        Path of the request.
+    body
+        JSON body with a ``request_id``, which makes the resend harmless.
+    headers
+        Headers that name the team.
+
+    Raises
+    ------
+    coltsfootchute.commands.exits.UnreachableError
+        If no connection was made, so nothing was sent.
+    coltsfootchute.commands.exits.UnknownOutcomeError
+        If the change was sent and no definite response came.
+    """
+    sent, last = False, ""
+    timeout = aiohttp.ClientTimeout(total=CHANGE_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        for attempt in range(CHANGE_ATTEMPTS):
+            if attempt:
+                await asyncio.sleep(CHANGE_PAUSE_S)
+            address = addresses[attempt % len(addresses)]
+            try:
+                url = f"http://{address}{path}"
+                reply = await _request(session, "PUT", url, body, headers)
+            except aiohttp.ClientConnectorError as exc:
+                last = f"{address}: {_describe(exc)}"
+                continue
+            except (aiohttp.ClientError, TimeoutError) as exc:
+                sent, last = True, f"{address}: {_describe(exc)}"
+                continue
+            if reply.status not in HTTP_UNKNOWN:
+                return reply
+            sent, last = True, f"{address}: {reason(reply)}"
+    if not sent:
+        raise exits.UnreachableError(last)
+    hint = f"resend with --request-id {body['request_id']}"
+    raise exits.UnknownOutcomeError(f"outcome unknown ({last}); {hint}")
+
+
+async def _request(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    body: object = None,
+    headers: dict[str, str] | None = None,
+) -> Reply:
+    async with session.request(method, url, json=body, headers=headers) as resp:
+        data = await resp.read()
+        try:
+            return Reply(resp.status, msgspec.json.decode(data))
+        except msgspec.DecodeError:
+            return Reply(resp.status, {})
+
+
+def reason(reply: Reply) -> str:
+    """Return why an entry refused a request, in one line."""
+    body = reply.body if isinstance(reply.body, dict) else {}
+    parts = (body.get(name) for name in ("reason", "outcome", "error", "detail"))
+    return ": ".join(str(part) for part in parts if part) or f"HTTP {reply.status}"
+
+
+def _describe(exc: BaseException) -> str:
+    if isinstance(exc, TimeoutError):
+        return "no response in time"
+    if isinstance(exc, aiohttp.ClientConnectorError):
+        return exc.os_error.strerror or "no connection"
+    return str(exc) or type(exc).__name__
--- /dev/null
+++ b/coltsfootchute/commands/apps.py
@@ -0,0 +1,72 @@
+"""The commands as one cyclopts application."""
+
+import pathlib
+
+import cyclopts
+
+import coltsfootchute
+from coltsfootchute.commands import checks, documents, statuses
+
+__all__ = ["build"]
+
+HELP = """A load balancer for servers whose load shifts in milliseconds.
+
+Exit codes: 0 done, 1 refused, 2 wrong command line, 3 no entry responded,
+4 outcome unknown (resend), 5 conflict.
+"""
+
+
+def build() -> cyclopts.App:
+    """Return the application."""
+    app = cyclopts.App(
+        name="coltsfootchute", help=HELP, version=coltsfootchute.__version__
+    )
+    app.command(control)
+    app.command(entry)
+    app.command(node)
+    app.command(checks.check_settings, name="check")
+    app.command(checks.check_section, name="check-section")
+    app.command(statuses.addresses)
+    app.command(documents.app)
+    app.command(statuses.status)
+    app.command(statuses.targets)
+    return app
+
+
+def control(path: pathlib.Path, /) -> None:
+    """Run the control role.
+
+    Parameters
+    ----------
+    path
+        Settings file.
+    """
+    _run("control", path)
+
+
+def entry(path: pathlib.Path, /) -> None:
+    """Run the entry role.
+
+    Parameters
+    ----------
+    path
+        Settings file.
+    """
+    _run("entry", path)
+
+
+def node(path: pathlib.Path, /) -> None:
+    """Run both roles in one process.
+
+    Parameters
+    ----------
+    path
+        Settings file.
+    """
+    _run("node", path)
+
+
+def _run(role: str, path: pathlib.Path) -> None:
+    from coltsfootchute.commands import roles
+
+    roles.run(role, str(path))
--- /dev/null
+++ b/coltsfootchute/commands/statuses.py
@@ -0,0 +1,95 @@
+"""Commands that show the state of the system through an entry."""
+
+import urllib.parse
+
+from coltsfootchute.commands import apis, options, tables
+
+__all__ = ["addresses", "status", "targets"]
+
+
+def addresses(
+    service: str,
+    *,
+    common: options.CommonOptions = options.DEFAULTS,
+) -> None:
+    """Show the addresses that a caller of a service is given.
+
+    Parameters
+    ----------
+    service
+        Name of the service.
+    """
+    quoted = urllib.parse.quote(service, safe="")
+    path = f"/v1/services/{quoted}/addresses"
+    found = apis.read(options.api_addresses(common), path)
+    if common.json:
+        tables.print_json(found)
+        return
+    rows = [[item["address"], item["failure_domain"]] for item in found["addresses"]]
+    title = f"{service}, kept for {found['keep_s']} s"
+    tables.print_table(["address", "failure domain"], rows, title)
+
+
+def targets(*, common: options.CommonOptions = options.DEFAULTS) -> None:
+    """List the register of targets with their leases."""
+    found = apis.read(options.api_addresses(common), "/v1/targets")
+    if common.json:
+        tables.print_json(found)
+        return
+    headings = ["target", "address", "failure domain", "services", "slots", "state"]
+    rows = [
+        [
+            item["id"],
+            item["address"],
+            item["failure_domain"],
+            ", ".join(item["services"]),
+            item["slots"],
+            item["state"],
+            _seconds(item.get("remaining_ms")),
+        ]
+        for item in found["targets"]
+    ]
+    tables.print_table([*headings, "lease left"], rows)
+
+
+def status(*, common: options.CommonOptions = options.DEFAULTS) -> None:
+    """Show the leader, the members, and the revision in force at each instance."""
+    found = apis.read(options.api_addresses(common), "/v1/status")
+    if common.json:
+        tables.print_json(found)
+        return
+    print_status(found)
+
+
+def print_status(found: dict) -> None:
+    """Print a status as tables."""
+    print(
+        f"leader {found['leader']}, term {found['term']}, revision {found['revision']}"
+    )
+    rows = [
+        [
+            item["name"],
+            item["address"],
+            item["failure_domain"],
+            "voter" if item["voter"] else "learner",
+        ]
+        for item in found["members"]
+    ]
+    tables.print_table(["member", "address", "failure domain", "vote"], rows)
+    rows = [
+        [
+            item["name"],
+            item["calls_address"],
+            item["failure_domain"],
+            item["state"],
+            item["revision"],
+            "stale" if item["stale"] else "current",
+        ]
+        for item in found["instances"]
+    ]
+    headings = ["entry", "calls", "failure domain", "state", "revision", "currency"]
+    tables.print_table(headings, rows)
+
+
+def _seconds(value_ms: int | None) -> str | None:
+    return None if value_ms is None else f"{value_ms / 1000:.1f} s"
--- /dev/null
+++ b/coltsfootchute/standins/fleets.py
@@ -0,0 +1,174 @@
+"""Processes that a demo or a test starts on loopback, and ends again."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import msgspec
+
+from coltsfootchute import errors
+
+__all__ = ["Fleet", "Process", "StartError", "free_ports", "until"]
+
+POLL_S = 0.05
+# An entry ends at once on the second SIGTERM.
+SECOND_SIGNAL_S = 0.5
+STOP_TIMEOUT_S = 5.0
+
+
+class StartError(errors.ColtsfootchuteError):
+    """A process ended early, or a condition didn't come true in time."""
+
+
+class Process:
+    """A process that this program started.
+
+    Parameters
+    ----------
+    name
+        Name in messages; also of the log file.
+    role
+        ``control``, ``entry`` or ``target``.
+    popen
+        The process.
+    log
+        File with its output.
+    """
+
+    def __init__(
+        self, name: str, role: str, popen: subprocess.Popen, log: pathlib.Path
+    ):
+        self.name = name
+        self.role = role
+        self.log = log
+        self._popen = popen
+
+    @property
+    def exit_code(self) -> int | None:
+        """Return the exit code, or None while the process runs."""
+        return self._popen.poll()
+
+    def signal(self, signum: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        with contextlib.suppress(ProcessLookupError):
+            self._popen.send_signal(signum)
+
+    async def wait(self, timeout_s: float) -> int | None:
+        """Return the exit code, or None if the process still runs."""
+        end = time.monotonic() + timeout_s
+        while True:
+            if self.exit_code is not None or time.monotonic() > end:
+                return self.exit_code
+            await asyncio.sleep(POLL_S)
+
+    def tail(self, lines: int = 5) -> str:
+        """Return the last lines of its output."""
+        return "\n".join(self.log.read_text(errors="replace").splitlines()[-lines:])
+
+
+class Fleet:
+    """All processes of a demo.
+
+    Parameters
+    ----------
+    folder
+        Folder for settings, data and logs.
+
+    Notes
+    -----
+    Each process is started without an await between the start and its entry in
+    the list, so that no cancellation can leave one behind. Each is in a session
+    of its own: Ctrl-C reaches only this program, which then ends them in order.
+    """
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.processes: list[Process] = []
+
+    async def __aenter__(self) -> "Fleet":
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        await self.stop()
+
+    def start(self, name: str, role: str, module: str, *args: str) -> Process:
+        """Start a module of this package as a process."""
+        log = self.folder / f"{name}.log"
+        with log.open("wb") as output:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *args],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+            )
+        process = Process(name, role, popen, log)
+        self.processes.append(process)
+        return process
+
+    def start_role(self, name: str, role: str, cfg: dict[str, typing.Any]) -> Process:
+        """Write settings and start a role with them."""
+        path = self.folder / f"{name}.jsonc"
+        path.write_bytes(msgspec.json.encode(cfg))
+        return self.start(name, role, "coltsfootchute.commands.main", role, str(path))
+
+    def of_role(self, role: str) -> list[Process]:
+        """Return the processes of a role in the order of their start."""
+        return [process for process in self.processes if process.role == role]
+
+    def ended(self) -> list[Process]:
+        """Return the processes that have ended."""
+        return [p for p in self.processes if p.exit_code is not None]
+
+    async def stop(self) -> None:
+        """End all processes: SIGTERM, once more, then SIGKILL."""
+        for signum, timeout_s in (
+            (signal.SIGTERM, SECOND_SIGNAL_S),
+            (signal.SIGTERM, STOP_TIMEOUT_S),
+            (signal.SIGKILL, STOP_TIMEOUT_S),
+        ):
+            running = [p for p in self.processes if p.exit_code is None]
+            for process in running:
+                process.signal(signum)
+            end = time.monotonic() + timeout_s
+            for process in running:
+                await process.wait(max(0.0, end - time.monotonic()))
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of 127.0.0.1 that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+async def until(
+    condition: typing.Callable[[], typing.Awaitable[bool]],
+    what: str,
+    timeout_s: float,
+    fleet: Fleet | None = None,
+) -> None:
+    """Wait for a condition.
+
+    Raises
+    ------
+    StartError
+        If it isn't true in time, or a process of the fleet ends meanwhile.
+    """
+    end = time.monotonic() + timeout_s
+    while not await condition():
+        ended = fleet.ended() if fleet is not None else []
+        if ended:
+            first = ended[0]
+            raise StartError(f"{first.name} ended early: {first.tail()}")
+        if time.monotonic() > end:
+            raise StartError(f"not within {timeout_s:.0f} s: {what}")
+        await asyncio.sleep(POLL_S)
