--- a/coltsfootchute/commands/apis.py
+++ b/coltsfootchute/commands/apis.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import os
 import typing
 
 import aiohttp
@@ -144,7 +145,7 @@
 def reason(reply: Reply) -> str:
     """Return why an entry refused a request, in one line."""
     body = reply.body if isinstance(reply.body, dict) else {}
-    parts = (body.get(name) for name in ("reason", "outcome", "error", "detail"))
+    parts = (body.get(name) for name in ("error", "detail"))
     return ": ".join(str(part) for part in parts if part) or f"HTTP {reply.status}"
 
 
@@ -152,5 +153,6 @@
     if isinstance(exc, TimeoutError):
         return "no response in time"
     if isinstance(exc, aiohttp.ClientConnectorError):
-        return exc.os_error.strerror or "no connection"
+        number = exc.os_error.errno
+        return os.strerror(number) if number else "no connection"
     return str(exc) or type(exc).__name__
--- a/coltsfootchute/commands/documents.py
+++ b/coltsfootchute/commands/documents.py
@@ -20,7 +20,6 @@
 TOKEN_VARIABLE = "COLTSFOOTCHUTE_TOKEN"
 
 HTTP_OK = 200
-HTTP_CONFLICT = 409
 
 app = cyclopts.App(name="section", help="Read and change section documents.")
 
@@ -144,7 +143,7 @@
     if reply.status == HTTP_OK:
         return
     body: dict[str, typing.Any] = reply.body if isinstance(reply.body, dict) else {}
-    if reply.status == HTTP_CONFLICT and "revision" in body:
+    if body.get("error") == "conflict":
         held = f"revision {body['revision']} by {body.get('author', 'unknown')}"
         raise exits.ConflictError(f"{name}: conflict: {held} is in force")
     problems = body.get("errors") or []
--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -1,6 +1,10 @@
 """Start of the roles control, entry and node."""
 
 import asyncio
+import contextlib
+import os
+import signal
+import typing
 
 import uvloop
 
@@ -9,6 +13,8 @@
 
 __all__ = ["run"]
 
+FORCED_EXIT_CODE = 1
+
 
 def run(role: str, path: str) -> None:
     """Run a role until its planned stop.
@@ -37,13 +43,28 @@
 
 
 async def _serve(cfg: settings.Settings, names: tuple[str, ...]) -> None:
-    daemons = [_daemon(name, cfg) for name in names]
-    async with asyncio.TaskGroup() as group:
-        for daemon in daemons:
-            group.create_task(daemon.run())
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, _signalled, stopping)
+    async with contextlib.AsyncExitStack() as stack:
+        for name in names:
+            daemon = _daemon(name, cfg)
+            await daemon.start()
+            # The entry was started last and stops first: until then it needs
+            # control for its claims.
+            stack.push_async_callback(daemon.stop)
+        await stopping.wait()
+
+
+def _signalled(stopping: asyncio.Event) -> None:
+    if stopping.is_set():
+        # The second signal ends the process at once, as the operator asked.
+        os._exit(FORCED_EXIT_CODE)
+    stopping.set()
 
 
-def _daemon(name: str, cfg: settings.Settings) -> object:
+def _daemon(name: str, cfg: settings.Settings) -> typing.Any:
     # The control role must not load what only the entry needs.
     if name == "control":
         from coltsfootchute.control import daemons as control_daemons
--- a/coltsfootchute/commands/statuses.py
+++ b/coltsfootchute/commands/statuses.py
@@ -1,10 +1,11 @@
 """Commands that show the state of the system through an entry."""
 
+import typing
 import urllib.parse
 
 from coltsfootchute.commands import apis, options, tables
 
-__all__ = ["addresses", "status", "targets"]
+__all__ = ["addresses", "leader_name", "print_status", "status", "targets"]
 
 
 def addresses(
@@ -61,11 +62,16 @@
     print_status(found)
 
 
-def print_status(found: dict) -> None:
+def leader_name(found: dict[str, typing.Any]) -> str:
+    """Return the instance name of the leader; empty if it is not known."""
+    names = {item["member_id"]: item["name"] for item in found.get("members", ())}
+    return names.get(found.get("leader_id"), "")
+
+
+def print_status(found: dict[str, typing.Any]) -> None:
     """Print a status as tables."""
-    print(
-        f"leader {found['leader']}, term {found['term']}, revision {found['revision']}"
-    )
+    leader = leader_name(found) or "unknown"
+    print(f"leader {leader}, term {found['term']}, revision {found['revision']}")
     rows = [
         [
             item["name"],
@@ -79,9 +85,9 @@
     rows = [
         [
             item["name"],
-            item["calls_address"],
+            item["calls"],
             item["failure_domain"],
-            item["state"],
+            "stopping" if item["stopping"] else "serving",
             item["revision"],
             "stale" if item["stale"] else "current",
         ]
--- /dev/null
+++ b/coltsfootchute/commands/tests/test_logs.py
@@ -0,0 +1,47 @@
+"""Guards against log lines that a machine can't read, or that hold request data."""
+
+import io
+import json
+
+import loguru
+import pytest
+
+from coltsfootchute import settings
+from coltsfootchute.commands import logs
+
+
+@pytest.fixture
+def stream():
+    yield io.StringIO()
+    loguru.logger.remove()
+
+
+def _settings(log_format):
+    return settings.parse(
+        f"""{{"instance": {{"name": "i1", "failure_domain": "a"}},
+        "entry": {{"calls": "127.0.0.1:0", "api": "127.0.0.1:0",
+                   "peer": "127.0.0.1:0", "control": ["127.0.0.1:1"]}},
+        "log": {{"format": "{log_format}", "level": "WARNING"}}}}"""
+    )
+
+
+def test_json_lines_hold_one_object_each_without_variable_values(stream):
+    logs.configure(_settings("json"), stream)
+    loguru.logger.info("entry: too quiet")
+    body = "private"
+    try:
+        raise ValueError(len(body))
+    except ValueError:
+        loguru.logger.exception("entry: {it} failed")
+    lines = stream.getvalue().splitlines()
+    (line,) = map(json.loads, lines)
+    assert (line["instance"], line["level"]) == ("i1", "ERROR")
+    assert line["message"] == "entry: {it} failed"
+    assert "ValueError: 7" in line["exception"]
+    assert body not in line["exception"]
+
+
+def test_human_lines_name_the_instance(stream):
+    logs.configure(_settings("human"), stream)
+    loguru.logger.warning("entry: slow")
+    assert stream.getvalue().endswith("WARNING i1 entry: slow\n")
--- a/coltsfootchute/standins/callers.py
+++ b/coltsfootchute/standins/callers.py
@@ -14,7 +14,7 @@
 from coltsfootchute import errors, verdicts
 from coltsfootchute.standins import keys, targets
 
-__all__ = ["AddressBook", "Attempt", "Call", "Caller", "Outcome"]
+__all__ = ["AddressBook", "Attempt", "Call", "Caller", "Outcome", "open_session"]
 
 ATTEMPT_TIMEOUT_S = 6.0
 ADDRESS_TIMEOUT_S = 1.0
@@ -127,6 +127,18 @@
         return self.attempts[-1].ended_s - self.attempts[0].started_s
 
 
+def open_session() -> aiohttp.ClientSession:
+    """Return an HTTP client that connects for each attempt and resends nothing.
+
+    aiohttp resends a GET once by itself when a connection breaks, which would
+    hide the break. It has no public option to turn this off.
+    """
+    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    session = aiohttp.ClientSession(connector=connector)
+    session._retry_connection = False
+    return session
+
+
 class AddressBook:
     """Addresses of the entries for one service, kept as long as stated.
 
@@ -202,8 +214,7 @@
     apis
         Addresses of API listeners.
     session
-        HTTP client; a connector with ``force_close`` opens a connection per
-        attempt.
+        HTTP client; see `open_session`.
     rng
         Source of randomness.
     resends
--- a/coltsfootchute/standins/demos.py
+++ b/coltsfootchute/standins/demos.py
@@ -194,7 +194,7 @@
     async def _has_leader(self) -> bool:
         found = await self._read("/v1/status")
         names = {item["name"] for item in found.get("instances", ())}
-        return bool(found.get("leader")) and len(names) >= self._plan.entries
+        return bool(statuses.leader_name(found)) and len(names) >= self._plan.entries
 
     async def _is_ready(self) -> bool:
         ready = [await self._is_entry_ready(api) for api in self._apis]
@@ -283,7 +283,7 @@
         ]
         self._killed = running[-1]
         if self._plan.kill == "control":
-            leader = (await self._read("/v1/status")).get("leader")
+            leader = statuses.leader_name(await self._read("/v1/status"))
             named = [process for process in running if process.name == leader]
             self._killed = (named or running)[0]
         _say(f"{self._plan.kill} {self._killed.name} gets SIGKILL")
@@ -360,11 +360,10 @@
     task = asyncio.current_task()
     for signum in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(signum, task.cancel)
-    connector = aiohttp.TCPConnector(force_close=True, limit=0)
     with tempfile.TemporaryDirectory(prefix="coltsfootchute-demo-") as folder:
         async with (
             fleets.Fleet(pathlib.Path(folder)) as fleet,
-            aiohttp.ClientSession(connector=connector) as session,
+            callers.open_session() as session,
         ):
             return await Demo(plan, fleet, session).run()
 
--- /dev/null
+++ b/coltsfootchute/standins/tests/test_links.py
@@ -0,0 +1,67 @@
+"""Guards against a cut that is not silent, which would test another fault."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from coltsfootchute.standins import links
+
+
+def with_link(use):
+    async def echo(reader, writer):
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(100):
+                writer.write(data)
+        writer.close()
+
+    async def run():
+        server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with links.Link(f"127.0.0.1:{port}") as link:
+            host, _, port = link.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.wait_for(use(link, reader, writer), 10)
+            writer.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("direction", links.Direction)
+def test_a_cut_holds_bytes_back_until_it_heals(direction):
+    async def use(link, reader, writer):
+        writer.write(b"one")
+        assert await reader.readexactly(3) == b"one"
+        link.cut(direction)
+        writer.write(b"two")
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(reader.read(1), 0.2)
+        passed = 6 if direction is links.Direction.BACKWARD else 3
+        assert link.forwarded(links.Direction.FORWARD) == passed
+        link.heal()
+        assert await reader.readexactly(3) == b"two"
+
+    with_link(use)
+
+
+def test_a_delay_adds_to_each_way():
+    async def use(link, reader, writer):
+        link.delay(0.1)
+        start = asyncio.get_running_loop().time()
+        writer.write(b"one")
+        await reader.readexactly(3)
+        assert asyncio.get_running_loop().time() - start >= 0.2
+
+    with_link(use)
+
+
+def test_a_reset_ends_connections():
+    async def use(link, reader, writer):
+        writer.write(b"one")
+        await reader.readexactly(3)
+        await link.reset()
+        with contextlib.suppress(ConnectionResetError):
+            assert await reader.read() == b""
+
+    with_link(use)
--- /dev/null
+++ b/coltsfootchute/standins/tests/test_targets.py
@@ -0,0 +1,172 @@
+"""Guards against a stand-in that hides what ran, which would hide a second run."""
+
+import asyncio
+import contextlib
+import hashlib
+import random
+import subprocess
+import sys
+import time
+
+import aiohttp
+import aiohttp.web
+import pytest
+
+from coltsfootchute import verdicts
+from coltsfootchute.standins import announcers, fleets, keys, loads, records, targets
+
+
+@contextlib.asynccontextmanager
+async def serving(app):
+    runner = aiohttp.web.AppRunner(app, handler_cancellation=True)
+    await runner.setup()
+    await aiohttp.web.TCPSite(runner, "127.0.0.1", 0).start()
+    try:
+        yield f"http://127.0.0.1:{runner.addresses[0][1]}"
+    finally:
+        await runner.cleanup()
+
+
+def with_target(options, use):
+    async def run():
+        target = targets.Target(options)
+        async with serving(target.app()) as url, aiohttp.ClientSession() as session:
+            await use(target, session, url)
+
+    asyncio.run(run())
+
+
+def test_every_run_is_recorded_echoed_and_kept_in_the_file(tmp_path):
+    path = tmp_path / "runs.jsonl"
+    headers = {verdicts.KEY_HEADER: "k1", targets.REQUEST_ID_HEADER: "q1"}
+
+    async def use(target, session, url):
+        for _ in range(2):
+            async with session.post(f"{url}/a", data=b"x", headers=headers) as resp:
+                answer = await resp.json()
+        assert answer["request_id"] == "q1"
+        assert answer["body_sha256"] == hashlib.sha256(b"x").hexdigest()
+        async with session.get(f"{url}/-/runs") as resp:
+            assert [run["key"] for run in await resp.json()] == ["k1", "k1"]
+
+    with_target(targets.Options(service_ms=1, runs=path), use)
+    runs = records.read_runs([path])
+    assert records.runs_per_key(runs) == {"k1": 2}
+
+
+def test_a_full_target_sheds_without_a_run():
+    async def use(target, session, url):
+        async def get():
+            async with session.get(f"{url}/a") as resp:
+                return resp.status, resp.headers.get(verdicts.VERDICT_HEADER)
+
+        results = await asyncio.gather(*(get() for _ in range(5)))
+        assert results.count((503, "not_run")) == 3
+        assert len(target.log.runs) == 2
+
+    with_target(targets.Options(slots=2, service_ms=300, sigma=0), use)
+
+
+def test_a_cancelled_request_frees_its_slot():
+    async def use(target, session, url):
+        with pytest.raises(TimeoutError):
+            await session.get(f"{url}/a", timeout=aiohttp.ClientTimeout(total=0.2))
+
+        async def is_free():
+            async with session.get(f"{url}/-/load") as resp:
+                return (await resp.json())["in_flight"] == 0
+
+        await fleets.until(is_free, "the slot is free", 5)
+        assert len(target.log.runs) == 1
+
+    with_target(targets.Options(slots=1, service_ms=60_000, sigma=0), use)
+
+
+def test_a_drain_marks_later_responses():
+    async def use(target, session, url):
+        async with session.get(f"{url}/a") as resp:
+            assert verdicts.DRAINING_HEADER not in resp.headers
+        async with session.post(f"{url}/-/drain") as resp:
+            assert resp.status == 200
+        async with session.get(f"{url}/a") as resp:
+            assert resp.headers[verdicts.DRAINING_HEADER] == "1"
+        async with session.get(f"{url}/-/health") as resp:
+            assert (await resp.json())["state"] == "serving", "health lags"
+
+    with_target(targets.Options(service_ms=1, lag_s=60), use)
+
+
+def test_cold_and_straggling_targets_take_longer():
+    options = targets.Options(service_ms=10, sigma=0, cold_s=10, cold_factor=3)
+    target = targets.Target(options)
+    start = time.monotonic()
+    assert target.service_time_s(start) == pytest.approx(0.03, rel=0.05)
+    assert target.service_time_s(start + 20) == pytest.approx(0.01)
+
+
+def test_a_marked_request_ends_the_process_after_its_record(tmp_path):
+    path = tmp_path / "runs.jsonl"
+    args = [sys.executable, "-m", targets.__name__, "--runs", str(path)]
+    with subprocess.Popen(args, stdout=subprocess.PIPE, text=True) as popen:
+        url = f"http://{popen.stdout.readline().strip()}/a"
+
+        async def crash():
+            async with aiohttp.ClientSession() as session:
+                await session.get(url, headers={targets.CRASH_HEADER: "1"})
+
+        with pytest.raises(aiohttp.ClientError):
+            asyncio.run(crash())
+        assert popen.wait(10) == targets.CRASH_EXIT_CODE
+    assert len(records.read_runs([path])) == 1
+
+
+def test_a_target_whose_lease_was_lost_announces_itself_and_its_drain_again():
+    sent = []
+
+    async def handle(req):
+        sent.append(req.path.removeprefix("/v1/targets"))
+        lost = sent[-1] == "/t1/renew" and sent.count("") == 1 and "/t1/drain" in sent
+        status = 404 if lost else 200
+        return aiohttp.web.json_response({"renew_s": 0.02}, status=status)
+
+    async def run():
+        app = aiohttp.web.Application()
+        app.router.add_post("/v1/targets{rest:.*}", handle)
+        async with serving(app) as url, aiohttp.ClientSession() as session:
+            announcement = announcers.Announcement("t1", 1, "a", "fd", ("s",), 4)
+            api = url.removeprefix("http://")
+            announcer = announcers.Announcer(announcement, [api], session)
+            task = asyncio.create_task(announcer.run())
+
+            async def is_announced(count):
+                return sent.count("") >= count and sent[-1] == "/t1/renew"
+
+            await fleets.until(lambda: is_announced(1), "renewed", 5)
+            await announcer.drain()
+            await fleets.until(lambda: is_announced(2), "renewed again", 5)
+            task.cancel()
+        again = sent.index("", 1)
+        assert sent[again - 1 : again + 3] == [
+            "/t1/renew",
+            "",
+            "/t1/drain",
+            "/t1/renew",
+        ]
+
+    asyncio.run(run())
+
+
+def test_reported_load_lags_and_misleads():
+    reporter = loads.LoadReporter(lag_s=5, factor=0.5)
+    for second in range(10):
+        reporter.observe(loads.Load(in_flight=second, slots=4), float(second))
+    assert reporter.report(4.0) is None
+    assert reporter.report(9.0) == loads.Load(in_flight=2, slots=4)
+
+
+def test_keys_hold_their_time_and_differ():
+    rng = random.Random(1)
+    found = [keys.uuid7(1_700_000_000_000, rng) for _ in range(100)]
+    assert len(set(found)) == 100
+    assert all(key.int >> 80 == 1_700_000_000_000 for key in found)
+    assert all(key.version == 7 for key in found)
