--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -130,15 +130,13 @@
         now = time.monotonic()
         token = await service.admit(call.rule.priority, call.deadline, now)
         if key is not None:
-            try:
-                stored = await self._claims.claim(call, key)
-            except BaseException:
-                service.finish(token, balancing.Outcome.CANCELLED)
-                raise
+            # A claim holds no place at a target: if control hangs, repeatable
+            # requests still get theirs.
+            service.finish(token, balancing.Outcome.CANCELLED)
+            stored = await self._claims.claim(call, key)
             if stored is not None:
-                service.finish(token, balancing.Outcome.CANCELLED)
                 return await answers.replay(call.request, stored, self._keeps(call))
-            service.pool.sent(token, time.monotonic())
+            token = await service.readmit(call.rule.priority, call.deadline)
         attempt, token = await self._attempts(call, token)
         return await self._answer(call, attempt, token)
 
--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -1,6 +1,7 @@
 """The client of the Control service: finds the leader and resends safely."""
 
 import asyncio
+import itertools
 import typing
 
 import grpclib.client
@@ -105,10 +106,11 @@
             The call may have taken effect.
         """
         unknown = False
-        deadline = asyncio.get_running_loop().time() + limit_s
-        while True:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limit_s
+        for tries in itertools.count(1):
             try:
-                reply = await self._try_leader(method, request, deadline)
+                reply = await self._try(self._leader, method, request, deadline)
             except errors.OutcomeUnknownError:
                 if not repeatable:
                     raise
@@ -116,55 +118,57 @@
                 reply = None
             if reply is not None:
                 return reply
-            if asyncio.get_running_loop().time() + RETRY_PAUSE_S >= deadline:
+            if loop.time() + RETRY_PAUSE_S >= deadline:
                 break
-            if self._turn % len(self._addresses) == 0:
+            # A hint and every address once, then wait for an election.
+            if tries % (len(self._addresses) + 1) == 0:
                 await asyncio.sleep(RETRY_PAUSE_S)
         if unknown:
             raise errors.OutcomeUnknownError(f"no reply to {method}")
         raise errors.UnavailableError(f"no leader took {method}")
 
-    async def _try_leader(
-        self, method: str, request: typing.Any, deadline: float
+    async def _try(
+        self, address: str, method: str, request: typing.Any, deadline: float
     ) -> typing.Any | None:
-        address = self._leader
         try:
             async with asyncio.timeout_at(deadline):
                 stub = await self._connect(address)
         except (OSError, TimeoutError):
-            self._pass_over()
+            self._pass_over(address)
             return None
-        reply = await self._send(getattr(stub, method), request, deadline)
-        return self._judge(reply, method)
+        reply = await self._send(address, getattr(stub, method), request, deadline)
+        return self._judge(address, reply)
 
     async def _send(
-        self, method: typing.Any, request: typing.Any, deadline: float
+        self, address: str, method: typing.Any, request: typing.Any, deadline: float
     ) -> typing.Any:
         now = asyncio.get_running_loop().time()
         timeout_s = min(CALL_TIMEOUT_S, max(deadline - now, 0.001))
         try:
             return await method(request, timeout=timeout_s)
         except _FAILURES as exc:
-            self._pass_over()
+            self._pass_over(address)
             raise errors.OutcomeUnknownError(repr(exc)) from exc
 
-    def _judge(self, reply: typing.Any, method: str) -> typing.Any | None:
+    def _judge(self, address: str, reply: typing.Any) -> typing.Any | None:
         status = reply.header.status
         if status == coltsfootchute_pb2.REPLY_STATUS_OK:
             return reply
         if status == coltsfootchute_pb2.REPLY_STATUS_NOT_LEADER:
-            self._follow(reply.header.leader_address)
+            self._follow(address, reply.header.leader_address)
             return None
-        raise errors.OutcomeUnknownError(f"{method}: the outcome is not known")
+        raise errors.OutcomeUnknownError("the leader does not know the outcome")
 
-    def _follow(self, hint: str) -> None:
-        if hint and hint != self._leader:
-            self._turn += 1
+    def _follow(self, address: str, hint: str) -> None:
+        if hint in {"", address}:
+            self._pass_over(address)
+        elif address == self._leader:
             self._leader = hint
-        else:
-            self._pass_over()
 
-    def _pass_over(self) -> None:
+    def _pass_over(self, address: str) -> None:
+        # Another call may have found the leader since this one chose its address.
+        if address != self._leader:
+            return
         self._turn += 1
         self._leader = self._addresses[self._turn % len(self._addresses)]
 
--- a/coltsfootchute/entry/forwards.py
+++ b/coltsfootchute/entry/forwards.py
@@ -400,5 +400,5 @@
         verdicts.Verdict.MAY_HAVE_RUN,
         verdicts.Reason.CONNECTION_LOST,
         str(exc) or type(exc).__name__,
-        broke=True,
+        broke=not isinstance(exc, aiohttp.http.HttpProcessingError),
     )
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -75,6 +75,20 @@
             return await self._wait(admitted)
         raise RefusedError(admitted)
 
+    async def readmit(self, priority: int, deadline_s: float) -> balancing.Token:
+        """Wait for a target again, for a request that was admitted before.
+
+        Raises
+        ------
+        RefusedError
+            If the queue refuses the request.
+        """
+        now = time.monotonic()
+        view = None if self._waiting else self.pool.select(now)
+        if view is not None:
+            return self.pool.started(view, now)
+        return await self.admit(priority, deadline_s, now)
+
     async def _wait(self, ticket: balancing.Ticket) -> balancing.Token:
         fut = asyncio.get_running_loop().create_future()
         self._waiting[ticket] = fut
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -196,9 +196,13 @@
         self._name = name
         self._control = control
         self._next = 0
+        self._alive_at = clock()
+        self._freezes = 0
+        self._foreign: set[str] = set()
 
     async def run(self) -> None:
         """Watch one source after the other until cancelled."""
+        self._alive_at = clock()
         freezes = asyncio.ensure_future(self._watch_freezes())
         try:
             while True:
@@ -254,19 +258,20 @@
         self, address: str, stream: grpclib.client.Stream[typing.Any, typing.Any]
     ) -> None:
         opened_at = clock()
+        freezes = self._freezes
         while True:
             async with asyncio.timeout(SILENCE_S):
                 message = await stream.recv_message()
             if message is None:
                 return
             now = clock()
+            self._check_freeze(now)
+            if self._freezes != freezes:
+                await stream.cancel()
+                return
             taken = self._view.take(message, now)
             if taken is Taken.FOREIGN_CLUSTER:
-                loguru.logger.error(
-                    "feed: {} belongs to the foreign cluster {}",
-                    address,
-                    message.cluster_id,
-                )
+                self._log_foreign(address, message.cluster_id)
                 await stream.cancel()
                 return
             proven_at = max(self._view.proof_at, opened_at)
@@ -274,14 +279,25 @@
                 await stream.cancel()
                 return
 
+    def _log_foreign(self, address: str, cluster_id: str) -> None:
+        if address not in self._foreign:
+            self._foreign.add(address)
+            loguru.logger.error(
+                "feed: {} belongs to the foreign cluster {}", address, cluster_id
+            )
+
     async def _watch_freezes(self) -> None:
-        last = clock()
         while True:
             await asyncio.sleep(TICK_S)
             now = clock()
-            if now - last > FREEZE_S:
-                loguru.logger.warning(
-                    "entry: the process stood for {:.1f} s", now - last
-                )
-                self._view.forget_proof()
-            last = now
+            self._check_freeze(now)
+            self._alive_at = now
+
+    def _check_freeze(self, now: float) -> None:
+        stood_s = now - self._alive_at
+        if stood_s <= FREEZE_S:
+            return
+        loguru.logger.warning("entry: the process did not run for {:.1f} s", stood_s)
+        self._alive_at = now
+        self._freezes += 1
+        self._view.forget_proof()
