control: relay reports to members without a link

Cause: seen with three control and three entry processes on loopback: one follower listed one of three entries for 20 s, and its watchers never learned the others. A follower has links only to members that it sent agreement messages to, so a report that it took did not reach the other follower. Ruled out: lost feed messages; a second watcher got the same short list. Change: relay opens the missing links of the membership. Conclusion: the owner of control should add a test with two followers.

--- a/coltsfootchute/control/members.py
+++ b/coltsfootchute/control/members.py
@@ -57,20 +57,33 @@
 
     def send(self, message: pb.PeerMessage) -> None:
         """Queue a message for its receiver; drop it if the address is unknown."""
-        link = self._links.get(message.receiver)
+        link = self._link(message.receiver)
+        if link is not None:
+            link.send(message)
+
+    def _link(self, member_id: str) -> links.Link | None:
+        """Return the link to another member; None if its address is unknown."""
+        link = self._links.get(member_id)
         if link is None:
-            address = self.address(message.receiver)
-            if not address or message.receiver == self._member_id:
-                return
+            address = self.address(member_id)
+            if not address or member_id == self._member_id:
+                return None
             link = links.Link(address, self._rng)
-            self._links[message.receiver] = link
-        link.send(message)
+            self._links[member_id] = link
+        return link
 
     def relay(self, instance: pb.Instance) -> None:
-        """Pass the report of an entry on to all other members."""
+        """Pass the report of an entry on to all other members.
+
+        A follower exchanges messages with its leader only, so it may have no
+        link to another follower yet.
+        """
         request = pb.ReportRequest(instance=instance)
-        for link in self._links.values():
-            self._spawn(self._relay(link, request))
+        members = self._membership.members if self._membership else ()
+        for member in members:
+            link = self._link(member.member_id)
+            if link is not None:
+                self._spawn(self._relay(link, request))
 
     @staticmethod
     async def _relay(link: links.Link, request: pb.ReportRequest) -> None:
