--- a/coltsfootchute/entry/__main__.py
+++ b/coltsfootchute/entry/__main__.py
@@ -18,32 +18,26 @@
 
 
 class EntryService(aiomisc.Service):
-    """Runs a daemon for as long as the entrypoint does."""
+    """Runs a daemon from the start of the entrypoint until a signal."""
 
     daemon: daemons.Daemon
 
     async def start(self) -> None:
-        """Start the daemon."""
+        """Start the daemon; signals are handled before it can be seen."""
+        self.signalled = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self._signal)
         await self.daemon.start()
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the daemon gracefully."""
         await self.daemon.stop()
 
-
-async def _until_signalled() -> None:
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-
-    def signalled() -> None:
-        if stopping.is_set():
+    def _signal(self) -> None:
+        if self.signalled.is_set():
             # The operator asks again: end at once, requests in progress included.
             os._exit(SECOND_SIGNAL_STATUS)
-        stopping.set()
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, signalled)
-    await stopping.wait()
+        self.signalled.set()
 
 
 def main(path: str) -> int:
@@ -79,7 +73,7 @@
         log_config=False,
         shutdown_timeout=daemons.STOP_LIMIT_S,
     ) as loop:
-        loop.run_until_complete(_until_signalled())
+        loop.run_until_complete(service.signalled.wait())
     return 0
 
 
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -22,7 +22,7 @@
 _Name = typing.Annotated[
     str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:-]*$", max_length=128)
 ]
-_Number = typing.Annotated[int, msgspec.Meta(ge=0, lt=1 << 63)]
+_Number = typing.Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
 
 
 class TargetLeaseTimes(msgspec.Struct, frozen=True):
@@ -54,6 +54,10 @@
     incarnation: _Number
 
 
+_PROPOSAL = msgspec.json.Decoder(_ProposalBody)
+_TARGET = msgspec.json.Decoder(_TargetBody)
+_INCARNATION = msgspec.json.Decoder(_IncarnationBody)
+
 _PROPOSAL_ANSWERS = {
     coltsfootchute_pb2.PROPOSAL_STATUS_CONFLICT: (409, "conflict"),
     coltsfootchute_pb2.PROPOSAL_STATUS_NOT_OWNER: (403, "not_owner"),
@@ -182,7 +186,7 @@
     async def propose(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Propose a new revision of a section."""
         team = self._teams.team_of(request)
-        body = msgspec.json.decode(await request.read(), type=_ProposalBody)
+        body = _PROPOSAL.decode(await request.read())
         document = body.document
         if not isinstance(document, str):
             document = msgspec.json.encode(document).decode()
@@ -202,7 +206,7 @@
 
     async def announce(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Take the announcement of a target."""
-        body = msgspec.json.decode(await request.read(), type=_TargetBody)
+        body = _TARGET.decode(await request.read())
         target = coltsfootchute_pb2.Target(
             target_id=body.id,
             incarnation=body.incarnation,
@@ -216,7 +220,7 @@
 
     async def retire(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Drain or withdraw a target."""
-        body = msgspec.json.decode(await request.read(), type=_IncarnationBody)
+        body = _INCARNATION.decode(await request.read())
         target = coltsfootchute_pb2.Target(
             target_id=request.match_info["id"], incarnation=body.incarnation
         )
@@ -242,7 +246,7 @@
 
     async def renew(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Renew the lease of a target with the next batch."""
-        body = msgspec.json.decode(await request.read(), type=_IncarnationBody)
+        body = _INCARNATION.decode(await request.read())
         target_id = request.match_info["id"]
         refused = await self._client.renew(target_id, body.incarnation)
         if refused is None:
--- /dev/null
+++ b/coltsfootchute/entry/tests/test_apis.py
@@ -0,0 +1,143 @@
+"""Guards against unauthorized changes, unclear errors and lost announcements."""
+
+import hashlib
+import json
+
+import pytest
+
+from coltsfootchute.entry.tests import stands
+
+pb = stands.pb
+TOKEN = "a secret of the team"
+PROPOSAL = {
+    "expected_revision": 0,
+    "document": "{}",
+    "author": "someone",
+    "request_id": "r1",
+}
+TARGET = {
+    "id": "t9",
+    "incarnation": 3,
+    "address": "127.0.0.1:9",
+    "failure_domain": "fd-a",
+    "services": ["shop"],
+    "slots": 4,
+}
+
+
+async def ask(stage, method, path, body=None, **headers):
+    data = b"" if body is None else json.dumps(body).encode()
+    to = stage.entry.api_address
+    answer = await stage.send(method, path, data, to=to, **headers)
+    return answer.status, json.loads(answer.body)
+
+
+def test_addresses_of_a_known_service():
+    async def play(stage):
+        status, body = await ask(stage, "GET", "/v1/services/shop/addresses")
+        own = {"address": stage.entry.calls_address, "failure_domain": "fd-a"}
+        assert (status, body["addresses"], body["keep_s"]) == (200, [own], 0.1)
+        status, body = await ask(stage, "GET", "/v1/services/none/addresses")
+        assert (status, body["error"]) == (404, "no_service")
+
+    stands.run(play)
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ({}, 401),
+        ({"Authorization": "Bearer wrong"}, 401),
+        ({"Authorization": TOKEN}, 401),
+        ({"Coltsfootchute_Team": "team-a"}, 401),
+        ({"Authorization": f"Bearer {TOKEN}"}, 200),
+    ],
+)
+def test_only_a_known_token_may_propose(headers, status):
+    async def play(stage):
+        got, _ = await ask(stage, "PUT", "/v1/sections/shop", PROPOSAL, **headers)
+        assert got == status
+        assert [p.team for p in stage.control.proposals] == ["team-a"] * (status == 200)
+
+    operators = {"team-a": hashlib.sha256(TOKEN.encode()).hexdigest()}
+    stands.run(play, operators=operators)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status", "error"),
+    [
+        (pb.PROPOSAL_STATUS_CONFLICT, 409, "conflict"),
+        (pb.PROPOSAL_STATUS_NOT_OWNER, 403, "not_owner"),
+        (pb.PROPOSAL_STATUS_INVALID, 400, "invalid"),
+        (pb.PROPOSAL_STATUS_REQUEST_ID_REUSED, 409, "request_id_reused"),
+        (pb.PROPOSAL_STATUS_UNKNOWN, 504, "unknown"),
+    ],
+)
+def test_each_outcome_of_a_proposal_has_its_own_answer(outcome, status, error):
+    async def play(stage):
+        problem = pb.FieldError(path="$.rules", reason="missing")
+        stage.control.proposal = pb.ProposalOutcome(status=outcome, errors=[problem])
+        team = {"Coltsfootchute_Team": "team-a"}
+        got, body = await ask(stage, "PUT", "/v1/sections/shop", PROPOSAL, **team)
+        assert (got, body["error"]) == (status, error)
+        if error == "invalid":
+            assert body["errors"] == [{"path": "$.rules", "reason": "missing"}]
+
+    stands.run(play)
+
+
+def test_targets_announce_renew_and_drain():
+    async def play(stage):
+        status, body = await ask(stage, "POST", "/v1/targets", TARGET)
+        assert (status, body["lease_s"], body["renew_s"]) == (200, 30, 10)
+        one = {"incarnation": 3}
+        assert (await ask(stage, "POST", "/v1/targets/t9/renew", one))[0] == 200
+        status, body = await ask(stage, "POST", "/v1/targets/old/renew", one)
+        assert (status, body["error"]) == (409, "old_incarnation")
+        assert (await ask(stage, "POST", "/v1/targets/t9/drain", one))[0] == 200
+        kinds = [c.kind for c in stage.control.commands if hasattr(c, "kind")]
+        kind = pb.TargetCommand
+        assert kinds == [kind.KIND_ANNOUNCE, kind.KIND_DRAIN]
+
+    stands.run(play)
+
+
+@pytest.mark.parametrize(
+    ("body", "path"),
+    [
+        ({**TARGET, "slots": 0}, "$.slots"),
+        ({**TARGET, "address": "host:1"}, "$.address"),
+        ({**TARGET, "more": 1}, "$"),
+        ([], "$"),
+    ],
+)
+def test_a_malformed_announcement_names_the_field(body, path):
+    async def play(stage):
+        status, got = await ask(stage, "POST", "/v1/targets", body)
+        assert (status, got["error"]) == (400, "invalid")
+        assert got["errors"][0]["path"] == path
+        assert not stage.control.commands
+
+    stands.run(play)
+
+
+def test_large_bodies_and_unknown_paths_have_clear_errors():
+    async def play(stage):
+        status, body = await ask(stage, "POST", "/v1/targets", "x" * (2 << 20))
+        assert (status, body["error"]) == (413, "body_too_large")
+        status, body = await ask(stage, "GET", "/v1/none")
+        assert (status, body["error"]) == (404, "not_found")
+
+    stands.run(play)
+
+
+def test_metrics_count_each_refusal_reason():
+    async def play(stage):
+        await stage.send("GET", "/none/x")
+        to = stage.entry.api_address
+        text = (await stage.send("GET", "/metrics", to=to)).body.decode()
+        assert 'coltsfootchute_refusals_total{reason="no_service"} 1.0' in text
+        assert 'coltsfootchute_refusals_total{reason="stale"} 0.0' in text
+        assert 'coltsfootchute_retries_total{reason="target_shed"} 0.0' in text
+
+    stands.run(play)
--- /dev/null
+++ b/coltsfootchute/entry/tests/test_daemons.py
@@ -0,0 +1,77 @@
+"""Guards against a planned stop that cuts off a request."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+
+import pytest
+
+from coltsfootchute.entry import daemons
+from coltsfootchute.entry.tests import stands
+
+pb = stands.pb
+
+
+def test_a_stop_is_announced_and_cuts_nothing(monkeypatch):
+    monkeypatch.setattr(daemons, "NEWS_S", 0.1)
+    go = asyncio.Event()
+
+    async def play(stage):
+        slow = asyncio.ensure_future(stage.order())
+        await stands.until(lambda: stage.targets[0].heads)
+        _, idle_writer = await stage.connect()
+        stop = asyncio.ensure_future(stage.entry.stop())
+        stopping = pb.INSTANCE_STATE_STOPPING
+        await stands.until(lambda: stage.control.reports[-1].state == stopping)
+        path = "/v1/services/shop/addresses"
+        answer = await stage.send("GET", path, to=stage.entry.api_address)
+        assert json.loads(answer.body)["addresses"] == []
+        # Callers that still have the address are served.
+        stage.targets[0].script = stands.respond(b"late")
+        assert (await stage.send("GET", "/shop/items/1")).body == b"late"
+        await stands.until(lambda: stage.entry._calls.is_closing)
+        assert not stop.done()
+        go.set()
+        answer = await slow
+        assert (answer.status, answer.body) == (200, b"hello")
+        await stop
+        # The settlement of the last request was not lost.
+        assert len(stage.control.settlements) == 1
+        with pytest.raises(OSError):
+            await stage.connect()
+        idle_writer.close()
+
+    stands.run(play, stands.respond(before=go))
+
+
+@pytest.mark.parametrize("signals", [1, 2])
+def test_sigterm_ends_the_process_with_status_0_and_a_second_one_at_once(
+    tmp_path, signals
+):
+    async def play(stage):
+        cfg = stage.settings()
+        entry = {"calls": cfg.entry.calls, "api": cfg.entry.api, "peer": cfg.entry.peer}
+        entry |= {"control": cfg.entry.control, "keep_s": 0.1}
+        instance = {"name": "e9", "failure_domain": "fd-a"}
+        path = tmp_path / "settings.json"
+        path.write_text(json.dumps({"instance": instance, "entry": entry}))
+        command = [sys.executable, "-m", "coltsfootchute.entry", str(path)]
+        process = await asyncio.create_subprocess_exec(*command)
+        names = lambda: {r.name for r in stage.control.reports}  # noqa: E731
+        await stands.until(lambda: "e9" in names())
+        os.kill(process.pid, signal.SIGTERM)
+        stopping = pb.INSTANCE_STATE_STOPPING
+        await stands.until(
+            lambda: any(
+                r.state == stopping for r in stage.control.reports if r.name == "e9"
+            )
+        )
+        if signals == 2:
+            assert process.returncode is None
+            os.kill(process.pid, signal.SIGTERM)
+        async with asyncio.timeout(20):
+            assert await process.wait() == (0 if signals == 1 else 1)
+
+    stands.run(play)
--- a/coltsfootchute/entry/tests/test_keys.py
+++ b/coltsfootchute/entry/tests/test_keys.py
@@ -56,7 +56,8 @@
 
 def test_an_unavailable_control_refuses_claims_but_not_repeatable_requests():
     async def play(stage):
-        await stage.control.stop()
+        header = pb.ReplyHeader(status=pb.REPLY_STATUS_NOT_LEADER)
+        stage.control.claim_reply = pb.ClaimReply(header=header)
         answer = await stage.order()
         assert answer.refusal == ("not_run", "claim_unavailable", 503)
         assert (await stage.send("GET", "/shop/items/1")).status == 200
@@ -129,17 +130,19 @@
 
 def test_a_request_that_crashes_two_targets_is_reported_and_refused():
     async def play(stage):
-        assert (await stage.send("GET", "/shop/items/bad")).status == 502
+        answer = await stage.send("GET", "/shop/items/bad")
+        assert answer.refusal == ("may_have_run", "quarantined", 422)
         await stands.until(lambda: len(stage.control.crashes) == 2)
         first, second = stage.control.crashes
         assert first.digest == second.digest
         assert first.target_id != second.target_id
         heads = sum(len(t.heads) for t in stage.targets)
+        assert heads == 2
         refused = await stage.send("GET", "/shop/items/bad")
         assert refused.refusal == ("not_run", "quarantined", 422)
         assert sum(len(t.heads) for t in stage.targets) == heads
 
-    stands.run(play, *[stands.close_after()] * 3)
+    stands.run(play, *[stands.close_after()] * 3)  # The third one stays alive.
 
 
 def test_a_quarantine_of_the_log_is_applied_and_removed():
--- /dev/null
+++ b/coltsfootchute/entry/tests/test_watches.py
@@ -0,0 +1,152 @@
+"""Guards against an older or foreign state replacing the one in force."""
+
+import asyncio
+import json
+
+import pytest
+
+from coltsfootchute.entry import watches
+from coltsfootchute.entry.tests import stands
+
+pb = stands.pb
+Taken = watches.Taken
+
+
+def section(revision, percent):
+    document = {"rules": stands.RULES, "retry_budget_percent": percent}
+    body = pb.SectionInForce(name="shop", document=json.dumps(document))
+    return pb.FeedChange(revision=revision, section=body)
+
+
+def message(revision, *changes, cluster="c1", age_ms=0, **more):
+    return pb.FeedMessage(
+        cluster_id=cluster,
+        revision=revision,
+        has_proof=True,
+        proof_age_ms=age_ms,
+        changes=changes,
+        **more,
+    )
+
+
+def percent_in_force(view):
+    return view.tables["shop"].section.retry_budget_percent
+
+
+def _older_full_view_wins(view):
+    """Tell whether a source that is behind can take an accepted change back."""
+    view.take(message(7, section(7, 70), full=True), 1.0)
+    view.take(message(5, section(5, 50), full=True), 2.0)
+    return percent_in_force(view) != 70 or view.revision != 7
+
+
+def test_an_older_revision_is_refused():
+    view = watches.View()
+    assert not _older_full_view_wins(view)
+    assert view.take(message(6, section(6, 60)), 3.0) is Taken.OLD_REVISION
+    assert view.take(message(8, section(6, 60)), 3.0) is Taken.APPLIED
+    assert (percent_in_force(view), view.revision) == (70, 8)
+
+
+def test_the_check_of_old_revisions_catches_a_broken_rule(monkeypatch):
+    """A view that accepts every revision must be seen to revert."""
+    monkeypatch.setattr(watches.View, "_accepts", lambda self, message: True)
+    assert _older_full_view_wins(watches.View())
+
+
+def test_a_foreign_cluster_is_refused_with_its_proof():
+    view = watches.View()
+    view.take(message(7, section(7, 70)), 1.0)
+    foreign = message(9, section(9, 90), cluster="c2", full=True)
+    assert view.take(foreign, 5.0) is Taken.FOREIGN_CLUSTER
+    assert (percent_in_force(view), view.revision) == (70, 7)
+    assert view.is_stale(5.0)
+
+
+@pytest.mark.parametrize(
+    ("age_ms", "later_s", "stale"),
+    [(0, 2.9, False), (0, 3.1, True), (2000, 0.9, False), (2000, 1.1, True)],
+)
+def test_staleness_counts_from_the_proof_and_not_from_the_message(
+    age_ms, later_s, stale
+):
+    view = watches.View()
+    assert view.is_stale(0.0)
+    view.take(message(1, age_ms=age_ms), 10.0)
+    assert view.is_stale(10.0 + later_s) is stale
+
+
+def test_an_old_proof_does_not_shorten_a_newer_one():
+    view = watches.View()
+    view.take(message(1), 10.0)
+    view.take(message(1, age_ms=9000), 10.5)
+    assert not view.is_stale(12.9)
+
+
+def test_an_unusable_section_leaves_the_last_one_in_force():
+    view = watches.View()
+    view.take(message(1, section(1, 10)), 0.0)
+    body = pb.SectionInForce(name="shop", document="{")
+    view.take(message(2, pb.FeedChange(revision=2, section=body)), 0.0)
+    assert percent_in_force(view) == 10
+
+
+def test_a_target_that_left_is_not_used():
+    async def play(stage):
+        stage.control.publish(removed_target_id="t0")
+        await stands.until(lambda: not stage.entry.view.targets)
+        answer = await stage.send("GET", "/shop/items/1")
+        assert answer.refusal == ("not_run", "no_target", 503)
+
+    stands.run(play, stands.respond())
+
+
+@pytest.mark.parametrize("when_stale", ["serve", "refuse"])
+def test_a_stale_entry_refuses_claims_and_says_that_it_is_stale(when_stale):
+    async def play(stage):
+        stage.entry.view.forget_proof()
+        answer = await stage.order()
+        assert answer.refusal == ("not_run", "stale", 503)
+        answer = await stage.send("GET", "/shop/items/1")
+        assert answer.status == (200 if when_stale == "serve" else 503)
+        assert answer.headers["coltsfootchute-stale"] == "1"
+        ready = await stage.send("GET", "/readyz", to=stage.entry.api_address)
+        assert (ready.status, json.loads(ready.body)["stale"]) == (503, True)
+
+    section = {"when_stale": when_stale}
+    stands.run(play, stands.respond(), section=section)
+
+
+def test_an_entry_without_control_watches_another_entry():
+    async def play(stage):
+        peer = pb.Instance(name="e1", peer_address=stage.entry.peer_address)
+        stage.control.feed.set_instances([peer])
+        second = stands.daemons.Daemon(stage.settings())
+        await second.start()
+        await stands.until(lambda: second.view.instances and second.view.revision)
+        # The second entry loses control; the first one keeps it.
+        second._watcher._control = []
+        second._watcher._name = "e2"
+        second.view.forget_proof()
+        for task in second._tasks:
+            task.cancel()
+        second._tasks = [asyncio.ensure_future(second._watcher.run())]
+        stage.control.section("late")
+        await stands.until(lambda: "late" in second.view.tables)
+        assert not second.view.is_stale(watches.clock())
+        await second.abort()
+
+    stands.run(play)
+
+
+def test_a_process_that_stood_still_is_stale_until_it_hears_again():
+    async def play(stage):
+        watcher = stage.entry._watcher
+        assert not stage.entry.view.is_stale(watches.clock())
+        watcher._check_freeze(watches.clock() + watches.FREEZE_S + 1)
+        assert stage.entry.view.is_stale(watches.clock())
+        # The message that waited in the socket is not believed.
+        stage.control.section("other")
+        await stands.until(lambda: "other" in stage.entry.view.tables)
+
+    stands.run(play)
