entry: ask the leader for the register of targets

Cause: GET /v1/targets listed nothing at two of three entries: any control instance answers Status, but only the leader knows the leases. Ruled out: an error of the register; the leader listed all six targets. Change: Status follows the named leader once; without a leader the register is refused as unavailable instead of shown empty. Conclusion: the owner of entry may prefer a flag in the request.

--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -258,6 +258,9 @@
     async def targets(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return the register with the leases, as the leader knows them."""
         reply = await self._status()
+        if reply.role != "leader":
+            # Only the leader knows the leases; others list no targets.
+            return _error(503, "unavailable", "no leader took Status")
         targets = [
             {**_target(t.target), "remaining_ms": t.remaining_ms} for t in reply.targets
         ]
@@ -270,6 +273,13 @@
 
     async def _status(self) -> coltsfootchute_pb2.StatusReply:
         request = coltsfootchute_pb2.StatusRequest()
+        reply = await self._client.call(
+            "Status", request, READ_LIMIT_S, repeatable=True
+        )
+        if reply.role == "leader" or not reply.header.leader_address:
+            return reply
+        # Any control instance answers, but only the leader knows the leases.
+        self._client.follow(reply.header.leader_address)
         return await self._client.call("Status", request, READ_LIMIT_S, repeatable=True)
 
     async def metrics(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -165,6 +165,11 @@
         elif address == self._leader:
             self._leader = hint
 
+    def follow(self, address: str) -> None:
+        """Send the next call to an instance that was named as the leader."""
+        if address:
+            self._leader = address
+
     def _pass_over(self, address: str) -> None:
         # Another call may have found the leader since this one chose its address.
         if address != self._leader:
