standins: run the demo end to end, with a kill of any role

Cause: no run showed the roles together, and a kill at a random time mostly hits no request in progress. Ruled out: a record written at the end of a run, since a killed target would hide the run that it was in. Change: cluster and demo, kill during a burst on slowed targets, test of all four runs and of an interrupt; roles end when control can't go on.

--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -48,13 +48,29 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, _signalled, stopping)
     async with contextlib.AsyncExitStack() as stack:
+        failures = []
         for name in names:
             daemon = _daemon(name, cfg)
             await daemon.start()
             # The entry was started last and stops first: until then it needs
             # control for its claims.
             stack.push_async_callback(daemon.stop)
-        await stopping.wait()
+            failures += [daemon.failed] if hasattr(daemon, "failed") else []
+        await _wait_for_any(stopping, failures)
+        # A role that can't go on must not write anything more, so the process
+        # ends without a graceful stop.
+        for failure in failures:
+            if failure.done():
+                stack.pop_all()
+                raise failure.exception()
+
+
+async def _wait_for_any(
+    stopping: asyncio.Event, failures: list[asyncio.Future]
+) -> None:
+    signalled = asyncio.ensure_future(stopping.wait())
+    await asyncio.wait([signalled, *failures], return_when=asyncio.FIRST_COMPLETED)
+    signalled.cancel()
 
 
 def _signalled(stopping: asyncio.Event) -> None:
--- /dev/null
+++ b/coltsfootchute/commands/tests/test_main.py
@@ -0,0 +1,63 @@
+"""Guards against tracebacks, wrong exit codes, and a control role grown too large."""
+
+import subprocess
+import sys
+
+import pytest
+
+from coltsfootchute.commands import main, options
+
+
+@pytest.mark.parametrize(
+    "args",
+    [
+        ["unknown"],
+        ["status", "--no-such-option"],
+        ["check"],
+        ["status"],
+        ["status", "--api", "nowhere"],
+        ["section", "put", "demo", "file", "--expected-revision", "one"],
+    ],
+)
+def test_a_wrong_command_line_is_one_line_and_exit_code_2(monkeypatch, capsys, args):
+    monkeypatch.delenv(options.API_VARIABLE, raising=False)
+    assert main.main(args) == 2
+    assert capsys.readouterr().err.count("\n") == 1
+
+
+@pytest.mark.parametrize("role", ["control", "entry", "node"])
+def test_a_role_with_bad_settings_ends_with_one_line(tmp_path, capsys, role):
+    path = tmp_path / "settings.jsonc"
+    path.write_text('{"instance": {"name": "i1", "failure_domain": "a"}}')
+    assert main.main([role, str(path)]) == 1
+    err = capsys.readouterr().err
+    assert "needs `control`, `entry` or both" in err
+    assert err.count("\n") == 1
+
+
+def test_an_entry_without_entry_settings_is_refused(tmp_path, capsys):
+    path = tmp_path / "settings.jsonc"
+    path.write_text(
+        """{"instance": {"name": "i1", "failure_domain": "a"},
+        "control": {"peer": "127.0.0.1:0", "data": "d",
+                    "initial": [{"name": "i1", "address": "127.0.0.1:7001"}]}}"""
+    )
+    assert main.main(["entry", str(path)]) == 1
+    assert "$.entry: missing" in capsys.readouterr().err
+
+
+def test_starting_control_loads_no_library_of_the_other_roles():
+    # Each of these would take a part of the 32 MB that the control role has.
+    code = """
+import sys
+from coltsfootchute.commands import main
+from coltsfootchute.commands import roles
+assert main.main(["control", "no-such-file"]) == 1
+import coltsfootchute.control.daemons
+heavy = {"aiohttp", "aiomisc", "cyclopts", "rich", "prometheus_client"}
+print(sorted(heavy & set(sys.modules)))
+"""
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert done.stdout == "[]\n"
--- /dev/null
+++ b/coltsfootchute/standins/clusters.py
@@ -0,0 +1,191 @@
+"""A cluster on loopback: control, entry and target processes with one service."""
+
+import pathlib
+import typing
+
+import msgspec
+
+from coltsfootchute.commands import apis, documents, exits, statuses
+from coltsfootchute.standins import fleets, targets
+
+__all__ = ["SECTION", "SERVICE", "Cluster"]
+
+SERVICE = "demo"
+TEAM = "demo-team"
+DOMAINS = ("fd-a", "fd-b", "fd-c")
+START_TIMEOUT_S = 20.0
+
+SECTION = {
+    "policy": "expected_wait",
+    "queue": {"length": 64, "wait_ms": 500},
+    "retry_budget_percent": 20,
+    "rules": [
+        {
+            "name": "read_item",
+            "methods": ["GET"],
+            "path": "/items/*",
+            "repeatable": True,
+            "deadline_ms": 2000,
+            "hedge": True,
+        },
+        {
+            "name": "create_order",
+            "methods": ["POST"],
+            "path": "/orders",
+            "repeatable": False,
+            "key": "required",
+            "deadline_ms": 3000,
+            "priority": 9,
+        },
+    ],
+}
+
+
+class Cluster:
+    """Starts the processes of a cluster and asks its entries.
+
+    Parameters
+    ----------
+    fleet
+        Starts and ends the processes.
+    control, entries, count
+        Numbers of control, entry and target processes.
+
+    Attributes
+    ----------
+    apis
+        Addresses of the API listeners, in the order of the entries.
+    target_addresses
+        Addresses of the targets, in the order of their names.
+    """
+
+    def __init__(self, fleet: fleets.Fleet, control: int, entries: int, count: int):
+        self.fleet = fleet
+        self.apis: list[str] = []
+        self.target_addresses: list[str] = []
+        self._control = control
+        self._entries = entries
+        self._count = count
+
+    async def start(self) -> None:
+        """Start all processes, propose the section, and wait for the views.
+
+        Raises
+        ------
+        coltsfootchute.standins.fleets.StartError
+            If a process ends, or the cluster is not ready in time.
+        """
+        self._start_roles()
+        await self._until(self._has_leader, "a leader and all entries")
+        await self._propose()
+        self._start_targets()
+        await self._until(self._is_ready, "targets and entries known to each entry")
+
+    async def _until(
+        self, condition: typing.Callable[[], typing.Awaitable[bool]], what: str
+    ) -> None:
+        await fleets.until(condition, what, START_TIMEOUT_S, self.fleet)
+
+    def _start_roles(self) -> None:
+        ports = iter(fleets.free_ports(self._control + 3 * self._entries))
+        members = [
+            {"name": f"c{number}", "address": f"127.0.0.1:{next(ports)}"}
+            for number in range(1, self._control + 1)
+        ]
+        for number, member in enumerate(members):
+            control = {
+                "peer": member["address"],
+                "data": f"data-{member['name']}",
+                "initial": members,
+            }
+            self._start_role(member["name"], number, {"control": control})
+        for number in range(self._entries):
+            entry = {
+                listener: f"127.0.0.1:{next(ports)}"
+                for listener in ("calls", "api", "peer")
+            }
+            self.apis.append(entry["api"])
+            entry["control"] = [member["address"] for member in members]
+            self._start_role(f"e{number + 1}", number, {"entry": entry})
+
+    def _start_role(self, name: str, number: int, cfg: dict[str, typing.Any]) -> None:
+        (role,) = cfg
+        instance = {"name": name, "failure_domain": _domain(number)}
+        self.fleet.start_role(name, role, {"instance": instance, **cfg})
+
+    def _start_targets(self) -> None:
+        for number, port in enumerate(fleets.free_ports(self._count)):
+            name, address = f"t{number + 1}", f"127.0.0.1:{port}"
+            self.target_addresses.append(address)
+            options = {
+                "--id": name,
+                "--listen": address,
+                "--failure-domain": _domain(number),
+                "--services": SERVICE,
+                "--runs": str(self.runs_path(name)),
+                "--seed": str(number),
+            }
+            args = [part for pair in options.items() for part in pair]
+            args += [part for api in self.apis for part in ("--api", api)]
+            self.fleet.start(name, "target", targets.__name__, *args)
+
+    def runs_path(self, name: str) -> pathlib.Path:
+        """Return the file with the record of a target."""
+        return self.fleet.folder / f"runs-{name}.jsonl"
+
+    def runs_paths(self) -> list[pathlib.Path]:
+        """Return the files with the records of all targets that wrote one."""
+        names = [process.name for process in self.fleet.of_role("target")]
+        return [path for name in names if (path := self.runs_path(name)).exists()]
+
+    async def read(
+        self, path: str, addresses: typing.Sequence[str] = ()
+    ) -> dict[str, typing.Any]:
+        """Read from an entry that runs; an empty dict if none responds."""
+        running = [
+            api
+            for api, process in zip(self.apis, self.fleet.of_role("entry"), strict=True)
+            if process.exit_code is None
+        ]
+        try:
+            reply = await apis.fetch(addresses or running, path)
+        except exits.UnreachableError:
+            return {}
+        return reply.body if isinstance(reply.body, dict) else {}
+
+    async def _has_leader(self) -> bool:
+        found = await self.read("/v1/status")
+        known = len(found.get("instances", ())) >= self._entries
+        return known and bool(statuses.leader_name(found))
+
+    async def _propose(self) -> None:
+        body = {
+            "expected_revision": 0,
+            "document": msgspec.json.encode(SECTION).decode(),
+            "author": "demo",
+            "request_id": "demo-1",
+        }
+        path = f"/v1/sections/{SERVICE}"
+        headers = {documents.TEAM_HEADER: TEAM}
+        reply = await apis.send_change(self.apis, path, body, headers)
+        if reply.status != apis.HTTP_OK:
+            raise fleets.StartError(f"section refused: {apis.reason(reply)}")
+
+    async def _is_ready(self) -> bool:
+        """Tell whether each entry has the targets and knows the other entries."""
+        found = await self.read("/v1/targets")
+        if len(found.get("targets", ())) < self._count:
+            return False
+        found = await self.read("/v1/status")
+        instances = found.get("instances", ())
+        if any(item["revision"] < found["revision"] for item in instances):
+            return False
+        path = f"/v1/services/{SERVICE}/addresses"
+        replies = [await self.read(path, [api]) for api in self.apis]
+        return all(
+            len(reply.get("addresses", ())) == self._entries for reply in replies
+        )
+
+
+def _domain(number: int) -> str:
+    return DOMAINS[number % len(DOMAINS)]
--- a/coltsfootchute/standins/demos.py
+++ b/coltsfootchute/standins/demos.py
@@ -18,22 +18,19 @@
 
 import aiohttp
 import cyclopts
-import msgspec
 import uvloop
 
 from coltsfootchute import errors
-from coltsfootchute.commands import apis, exits, statuses, tables
-from coltsfootchute.standins import callers, fleets, records, reports, targets
+from coltsfootchute.commands import apis, statuses, tables
+from coltsfootchute.standins import callers, clusters, fleets, records, reports
 
 __all__ = ["Plan", "main", "run"]
 
-SERVICE = "demo"
-TEAM = "demo-team"
-DOMAINS = ("fd-a", "fd-b", "fd-c")
-START_TIMEOUT_S = 20.0
 DRAIN_TIMEOUT_S = 10.0
 # 8 s of service after SIGTERM, and requests in progress.
 ENTRY_STOP_TIMEOUT_S = 15.0
+KILL_TIMEOUT_S = 5.0
+CALLERS = 8
 INTERRUPTED = 130
 
 # Points in the run at which something happens, as shares of the requests.
@@ -41,30 +38,10 @@
 STOP_AT = 0.25
 KILL_AT = 0.4
 
-SECTION = {
-    "policy": "expected_wait",
-    "queue": {"length": 64, "wait_ms": 500},
-    "retry_budget_percent": 20,
-    "rules": [
-        {
-            "name": "read_item",
-            "methods": ["GET"],
-            "path": "/items/*",
-            "repeatable": True,
-            "deadline_ms": 2000,
-            "hedge": True,
-        },
-        {
-            "name": "create_order",
-            "methods": ["POST"],
-            "path": "/orders",
-            "repeatable": False,
-            "key": "required",
-            "deadline_ms": 3000,
-            "priority": 9,
-        },
-    ],
-}
+# Calls that are started at once right before a kill, so that it hits some.
+BURST = 48
+# Targets work slowly before a kill, so that a target or an entry dies at work.
+STRAGGLE = {"factor": 30, "for_s": 0.5}
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,6 +64,9 @@
         Role of which one process is killed: control, entry or target.
     seed
         Seed of the calls.
+    folder
+        Folder for settings, logs and records, which are kept; by default a
+        temporary one.
     """
 
     requests: int = 600
@@ -96,6 +76,7 @@
     targets: int = 6
     kill: typing.Literal["", "control", "entry", "target"] = ""
     seed: int = 0
+    folder: pathlib.Path | None = None
 
 
 DEFAULT_PLAN = Plan()
@@ -108,32 +89,33 @@
     ----------
     plan
         Size and faults.
-    fleet
-        Starts the processes.
+    cluster
+        The processes.
     session
         HTTP client of the callers.
     """
 
-    def __init__(self, plan: Plan, fleet: fleets.Fleet, session: aiohttp.ClientSession):
+    def __init__(
+        self, plan: Plan, cluster: clusters.Cluster, session: aiohttp.ClientSession
+    ):
         self._plan = plan
-        self._fleet = fleet
+        self._cluster = cluster
+        self._fleet = cluster.fleet
         self._session = session
         self._rng = random.Random(plan.seed)
+        self._callers = [
+            callers.Caller(
+                clusters.SERVICE, cluster.apis, session, random.Random(number)
+            )
+            for number in range(CALLERS)
+        ]
+        self._calls: list[asyncio.Task[callers.Outcome]] = []
         self._drained_s = float("inf")
-        self._apis: list[str] = []
-        self._target_addresses: list[str] = []
         self._stopped: fleets.Process | None = None
         self._killed: fleets.Process | None = None
 
     async def run(self) -> bool:
-        """Run the demo; tell whether all checks passed."""
-        self._start_roles()
-        await fleets.until(self._has_leader, "a leader", START_TIMEOUT_S, self._fleet)
-        await self._propose()
-        self._start_targets()
-        await fleets.until(
-            self._is_ready, "targets known to entries", START_TIMEOUT_S, self._fleet
-        )
+        """Send the calls; tell whether all checks passed."""
         _say("processes are up, requests start")
         outcomes = await self._send_calls()
         problems = await self._problems_of_stop()
@@ -141,94 +123,6 @@
         await self._fleet.stop()
         return self._show(outcomes, problems)
 
-    def _start_roles(self) -> None:
-        plan = self._plan
-        ports = iter(fleets.free_ports(plan.control + 3 * plan.entries))
-        members = [
-            {"name": f"c{number}", "address": f"127.0.0.1:{next(ports)}"}
-            for number in range(1, plan.control + 1)
-        ]
-        for number, member in enumerate(members):
-            instance = {"name": member["name"], "failure_domain": _domain(number)}
-            control = {
-                "peer": member["address"],
-                "data": f"data-{member['name']}",
-                "initial": members,
-            }
-            cfg = {"instance": instance, "control": control}
-            self._fleet.start_role(member["name"], "control", cfg)
-        for number in range(plan.entries):
-            name = f"e{number + 1}"
-            entry = {
-                listener: f"127.0.0.1:{next(ports)}"
-                for listener in ("calls", "api", "peer")
-            }
-            self._apis.append(entry["api"])
-            entry["control"] = [member["address"] for member in members]
-            instance = {"name": name, "failure_domain": _domain(number)}
-            self._fleet.start_role(
-                name, "entry", {"instance": instance, "entry": entry}
-            )
-
-    def _start_targets(self) -> None:
-        ports = fleets.free_ports(self._plan.targets)
-        for number, port in enumerate(ports):
-            name = f"t{number + 1}"
-            address = f"127.0.0.1:{port}"
-            self._target_addresses.append(address)
-            args = {
-                "--id": name,
-                "--listen": address,
-                "--failure-domain": _domain(number),
-                "--services": SERVICE,
-                "--runs": str(self._runs_path(name)),
-                "--seed": str(number),
-            }
-            flat = [part for pair in args.items() for part in pair]
-            flat += [part for api in self._apis for part in ("--api", api)]
-            self._fleet.start(name, "target", targets.__name__, *flat)
-
-    def _runs_path(self, name: str) -> pathlib.Path:
-        return self._fleet.folder / f"runs-{name}.jsonl"
-
-    async def _has_leader(self) -> bool:
-        found = await self._read("/v1/status")
-        names = {item["name"] for item in found.get("instances", ())}
-        return bool(statuses.leader_name(found)) and len(names) >= self._plan.entries
-
-    async def _is_ready(self) -> bool:
-        ready = [await self._is_entry_ready(api) for api in self._apis]
-        return all(ready)
-
-    async def _is_entry_ready(self, api: str) -> bool:
-        found = await self._read("/v1/targets", [api])
-        known = len(found.get("targets", ())) == self._plan.targets
-        path = f"/v1/services/{SERVICE}/addresses"
-        found = await self._read(path, [api])
-        return known and len(found.get("addresses", ())) == self._plan.entries
-
-    async def _read(
-        self, path: str, addresses: list[str] | None = None
-    ) -> dict[str, typing.Any]:
-        try:
-            reply = await apis.fetch(addresses or self._apis, path)
-        except exits.UnreachableError:
-            return {}
-        return reply.body if isinstance(reply.body, dict) else {}
-
-    async def _propose(self) -> None:
-        body = {
-            "expected_revision": 0,
-            "document": msgspec.json.encode(SECTION).decode(),
-            "author": "demo",
-            "request_id": f"demo-{self._plan.seed}",
-        }
-        path = f"/v1/sections/{SERVICE}"
-        headers = {"Coltsfootchute-Team": TEAM}
-        reply = await apis.send_change(self._apis, path, body, headers)
-        if reply.status != apis.HTTP_OK:
-            raise fleets.StartError(f"section refused: {apis.reason(reply)}")
-
     async def _send_calls(self) -> list[callers.Outcome]:
         plan = self._plan
         events = {
@@ -237,21 +131,20 @@
         }
         if plan.kill:
             events[int(plan.requests * KILL_AT)] = self._kill
-        people = [
-            callers.Caller(SERVICE, self._apis, self._session, random.Random(number))
-            for number in range(8)
-        ]
         start = time.monotonic()
         async with asyncio.TaskGroup() as group:
-            tasks = []
             for number in range(plan.requests):
                 if number in events:
                     group.create_task(events[number]())
-                caller = people[number % len(people)]
-                tasks.append(group.create_task(caller.call(self._call(number))))
+                self._start_call(group)
                 due = start + (number + 1) / plan.rate
                 await asyncio.sleep(max(0.0, due - time.monotonic()))
-        return [task.result() for task in tasks]
+        return [task.result() for task in self._calls]
+
+    def _start_call(self, group: asyncio.TaskGroup) -> None:
+        number = len(self._calls)
+        caller = self._callers[number % len(self._callers)]
+        self._calls.append(group.create_task(caller.call(self._call(number))))
 
     def _call(self, number: int) -> callers.Call:
         if self._rng.random() < 0.5:
@@ -261,7 +154,7 @@
 
     async def _drain_target(self) -> None:
         _say("target t1 drains")
-        url = f"http://{self._target_addresses[0]}/-/drain"
+        url = f"http://{self._cluster.target_addresses[0]}/-/drain"
         self._drained_s = time.time()
 
         async def is_accepted() -> bool:
@@ -283,11 +176,35 @@
         ]
         self._killed = running[-1]
         if self._plan.kill == "control":
-            leader = statuses.leader_name(await self._read("/v1/status"))
+            leader = statuses.leader_name(await self._cluster.read("/v1/status"))
             named = [process for process in running if process.name == leader]
             self._killed = (named or running)[0]
-        _say(f"{self._plan.kill} {self._killed.name} gets SIGKILL")
-        self._killed.signal(signal.SIGKILL)
+        if self._plan.kill == "target":
+            await self._slow_down(self._cluster.target_addresses[-1:])
+        if self._plan.kill == "entry":
+            await self._slow_down(self._cluster.target_addresses)
+        async with asyncio.TaskGroup() as group:
+            for _ in range(BURST):
+                self._start_call(group)
+            await self._until_burst_arrived()
+            _say(f"{self._plan.kill} {self._killed.name} gets SIGKILL")
+            self._killed.signal(signal.SIGKILL)
+
+    async def _slow_down(self, addresses: list[str]) -> None:
+        for address in addresses:
+            url = f"http://{address}/-/straggle"
+            async with self._session.post(url, json=STRAGGLE):
+                pass
+
+    async def _until_burst_arrived(self) -> None:
+        """Wait until targets work on calls of the burst, the last target too."""
+
+        async def is_working() -> bool:
+            url = f"http://{self._cluster.target_addresses[-1]}/-/load"
+            async with self._session.get(url) as resp:
+                return (await resp.json())["in_flight"] > 0
+
+        await fleets.until(is_working, "the last target at work", KILL_TIMEOUT_S)
 
     async def _problems_of_stop(self) -> list[str]:
         """Return what is wrong with the processes after the requests."""
@@ -304,24 +221,15 @@
         return problems
 
     async def _show_status(self) -> None:
-        running = [
-            api
-            for api, process in zip(
-                self._apis, self._fleet.of_role("entry"), strict=True
-            )
-            if process.exit_code is None
-        ]
-        found = await self._read("/v1/status", running)
-        if found:
+        found = await self._cluster.read("/v1/status")
+        if found.get("members"):
             statuses.print_status(found)
         else:
-            print("no status: no entry responds")
+            print("no status: no entry has it")
 
     def _show(self, outcomes: list[callers.Outcome], problems: list[str]) -> bool:
-        names = [process.name for process in self._fleet.of_role("target")]
-        paths = [path for name in names if (path := self._runs_path(name)).exists()]
-        runs = records.read_runs(paths)
-        findings = reports.judge(outcomes, runs, self._drained_s)
+        paths = self._cluster.runs_paths()
+        findings = reports.judge(outcomes, records.read_runs(paths), self._drained_s)
         headings = ["kind", "verdict", "calls", "resends", "replayed", "p50 ms"]
         rows = reports.outcome_rows(outcomes)
         tables.print_table([*headings, "p99 ms"], rows)
@@ -329,22 +237,30 @@
         if reasons:
             tables.print_table(["resent after", "status", "attempts"], reasons)
         counts = dataclasses.asdict(findings)
+        counts["unfinished_runs"] = len(records.read_unfinished(paths))
         print(", ".join(f"{name} {count}" for name, count in counts.items()))
         broken = findings.broken(killed=self._killed is not None) + problems
         print(f"FAILED: {', '.join(broken)}" if broken else "passed")
         return not broken
 
 
-def _domain(number: int) -> str:
-    return DOMAINS[number % len(DOMAINS)]
-
-
 def _say(text: str) -> None:
     print(f"demo: {text}", flush=True)
 
 
+@contextlib.contextmanager
+def _folder(plan: Plan) -> typing.Iterator[pathlib.Path]:
+    if plan.folder is None:
+        with tempfile.TemporaryDirectory(prefix="coltsfootchute-demo-") as name:
+            yield pathlib.Path(name)
+        return
+    # An earlier run's data would be taken for a formed cluster.
+    plan.folder.mkdir(parents=True)
+    yield plan.folder.resolve()
+
+
 async def run(plan: Plan) -> bool:
-    """Run a demo and leave no process and no file behind.
+    """Run a demo and leave no process behind, and no file without a folder.
 
     Returns
     -------
@@ -360,12 +276,14 @@
     task = asyncio.current_task()
     for signum in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(signum, task.cancel)
-    with tempfile.TemporaryDirectory(prefix="coltsfootchute-demo-") as folder:
+    with _folder(plan) as folder:
         async with (
-            fleets.Fleet(pathlib.Path(folder)) as fleet,
+            fleets.Fleet(folder) as fleet,
             callers.open_session() as session,
         ):
-            return await Demo(plan, fleet, session).run()
+            cluster = clusters.Cluster(fleet, plan.control, plan.entries, plan.targets)
+            await cluster.start()
+            return await Demo(plan, cluster, session).run()
 
 
 def _run(
--- a/coltsfootchute/standins/records.py
+++ b/coltsfootchute/standins/records.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-__all__ = ["Run", "RunLog", "read_runs", "runs_per_key"]
+__all__ = ["Run", "RunLog", "read_runs", "read_unfinished", "runs_per_key"]
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -28,6 +28,8 @@
         Unix time of the start in s.
     draining
         Whether the target had announced a drain before.
+    finished
+        False for the start of a run, True for the note that it ended.
     """
 
     target: str
@@ -37,6 +39,7 @@
     path: str
     time_s: float
     draining: bool = False
+    finished: bool = False
 
 
 class RunLog:
@@ -63,6 +66,13 @@
     def add(self, run: Run) -> None:
         """Record the start of a run."""
         self.runs.append(run)
+        self._write(run)
+
+    def finish(self, run: Run) -> None:
+        """Note in the file that a run ended, completely or by cancellation."""
+        self._write(msgspec.structs.replace(run, finished=True))
+
+    def _write(self, run: Run) -> None:
         if self._fd is not None:
             os.write(self._fd, msgspec.json.encode(run) + b"\n")
 
@@ -74,13 +84,25 @@
 
 
 def read_runs(paths: typing.Iterable[pathlib.Path]) -> list[Run]:
-    """Read the runs of several files.
+    """Read the starts of runs from several files.
 
     Raises
     ------
     msgspec.DecodeError
         If a line is not a run.
     """
+    return [run for run in _read(paths) if not run.finished]
+
+
+def read_unfinished(paths: typing.Iterable[pathlib.Path]) -> list[Run]:
+    """Read the runs that were in progress when their target died."""
+    lines = _read(paths)
+    ended = {(run.target, run.time_s) for run in lines if run.finished}
+    started = [run for run in lines if not run.finished]
+    return [run for run in started if (run.target, run.time_s) not in ended]
+
+
+def _read(paths: typing.Iterable[pathlib.Path]) -> list[Run]:
     lines = (line for path in paths for line in path.read_bytes().splitlines())
     return [msgspec.json.decode(line, type=Run) for line in lines]
 
--- a/coltsfootchute/standins/targets.py
+++ b/coltsfootchute/standins/targets.py
@@ -218,7 +218,10 @@
         self.log.add(run)
         if CRASH_HEADER in req.headers:
             os._exit(CRASH_EXIT_CODE)
-        await asyncio.sleep(self.service_time_s(time.monotonic()))
+        try:
+            await asyncio.sleep(self.service_time_s(time.monotonic()))
+        finally:
+            self.log.finish(run)
         self._completed.append(time.monotonic())
         answer = Answer(
             target=self.options.id,
--- a/coltsfootchute/standins/tests/test_targets.py
+++ b/coltsfootchute/standins/tests/test_targets.py
@@ -52,6 +52,7 @@
     with_target(targets.Options(service_ms=1, runs=path), use)
     runs = records.read_runs([path])
     assert records.runs_per_key(runs) == {"k1": 2}
+    assert records.read_unfinished([path]) == []
 
 
 def test_a_full_target_sheds_without_a_run():
@@ -118,6 +119,7 @@
             asyncio.run(crash())
         assert popen.wait(10) == targets.CRASH_EXIT_CODE
     assert len(records.read_runs([path])) == 1
+    assert len(records.read_unfinished([path])) == 1
 
 
 def test_a_target_whose_lease_was_lost_announces_itself_and_its_drain_again():
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,68 @@
+"""Guards against roles that work alone, and lose or repeat requests together."""
+
+import contextlib
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from coltsfootchute.standins import demos
+
+pytestmark = pytest.mark.timeout(180)
+COMMAND = [sys.executable, "-m", demos.__name__]
+SMALL = ["--requests", "300", "--rate", "25"]
+
+
+def _children(folder):
+    """Return the command lines that name the folder of a demo."""
+    found = []
+    for path in pathlib.Path("/proc").glob("[0-9]*/cmdline"):
+        with contextlib.suppress(OSError):
+            found.append(path.read_bytes())
+    return [line for line in found if str(folder).encode() in line]
+
+
+# What shows that the kill hit work in progress.
+DANGERS = {
+    "": r"target t1 drains",
+    "control": r"claim_unavailable",
+    "entry": r"cut [1-9]",
+    "target": r"unfinished_runs [1-9]",
+}
+
+
+@pytest.mark.parametrize("kill", DANGERS)
+def test_nothing_is_lost_or_run_twice(kill, tmp_path):
+    done = subprocess.run(
+        [*COMMAND, *SMALL, *(["--kill", kill] if kill else [])],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={"TMPDIR": str(tmp_path)},
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert re.search(DANGERS[kill], done.stdout), done.stdout
+    assert "gets SIGTERM" in done.stdout
+    assert ("gets SIGKILL" in done.stdout) is bool(kill)
+    assert _children(tmp_path) == []
+
+
+def test_an_interrupt_leaves_no_process_and_no_file(tmp_path):
+    with subprocess.Popen(
+        [*COMMAND, *SMALL],
+        stdout=subprocess.PIPE,
+        text=True,
+        env={"TMPDIR": str(tmp_path)},
+    ) as popen:
+        end = time.monotonic() + 30
+        while not _children(tmp_path) and time.monotonic() < end:
+            time.sleep(0.05)
+        assert _children(tmp_path), "the demo started processes"
+        popen.send_signal(signal.SIGINT)
+        assert popen.wait(30) == demos.INTERRUPTED
+    assert _children(tmp_path) == []
+    assert list(tmp_path.iterdir()) == []
