--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -5,13 +5,14 @@
 import typing
 
 import grpclib.client
+import grpclib.const
 import grpclib.exceptions
 import loguru
 
 from coltsfootchute import errors
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
-__all__ = ["ControlClient"]
+__all__ = ["ControlClient", "RejectedError"]
 
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 1.0
@@ -24,16 +25,19 @@
 MAX_RESENDS = 10_000
 RENEW_PERIOD_S = 1.0
 
-_RenewalFuture = asyncio.Future[int | None]
+_RenewalFuture = asyncio.Future[bool]
 _FAILURES = (
     OSError,
     TimeoutError,
-    grpclib.exceptions.GRPCError,
     grpclib.exceptions.ProtocolError,
     grpclib.exceptions.StreamTerminatedError,
 )
 
 
+class RejectedError(errors.ColtsfootchuteError):
+    """Control finds a message invalid; sending it again is of no use."""
+
+
 class ControlClient:
     """Calls the leader among the control instances.
 
@@ -104,6 +108,8 @@
             The call did not take effect.
         coltsfootchute.errors.OutcomeUnknownError
             The call may have taken effect.
+        RejectedError
+            Control finds the message invalid.
         """
         unknown = False
         loop = asyncio.get_running_loop()
@@ -146,6 +152,11 @@
         timeout_s = min(CALL_TIMEOUT_S, max(deadline - now, 0.001))
         try:
             return await method(request, timeout=timeout_s)
+        except grpclib.exceptions.GRPCError as exc:
+            if exc.status is grpclib.const.Status.INVALID_ARGUMENT:
+                raise RejectedError(exc.message or "invalid message") from exc
+            self._pass_over(address)
+            raise errors.OutcomeUnknownError(repr(exc)) from exc
         except _FAILURES as exc:
             self._pass_over(address)
             raise errors.OutcomeUnknownError(repr(exc)) from exc
@@ -165,11 +176,6 @@
         elif address == self._leader:
             self._leader = hint
 
-    def follow(self, address: str) -> None:
-        """Send the next call to an instance that was named as the leader."""
-        if address:
-            self._leader = address
-
     def _pass_over(self, address: str) -> None:
         # Another call may have found the leader since this one chose its address.
         if address != self._leader:
@@ -187,6 +193,19 @@
             await channel.__connect__()
         return coltsfootchute_grpc.ControlStub(channel)
 
+    async def status(self, limit_s: float) -> coltsfootchute_pb2.StatusReply:
+        """Return the leader's status, or another one if the leader is silent.
+
+        Every control instance answers; only the leader knows the leases.
+        """
+        request = coltsfootchute_pb2.StatusRequest()
+        reply = await self.call("Status", request, limit_s, repeatable=True)
+        hint = reply.header.leader_address
+        if reply.role == "leader" or not hint:
+            return reply
+        self._follow(self._leader, hint)
+        return await self.call("Status", request, limit_s, repeatable=True)
+
     async def claim(
         self, command: coltsfootchute_pb2.ClaimCommand, limit_s: float
     ) -> coltsfootchute_pb2.ClaimOutcome:
@@ -225,17 +244,19 @@
                 await self.call(method, command, repeatable=True)
             except (errors.UnavailableError, errors.OutcomeUnknownError):
                 await asyncio.sleep(RESEND_PAUSE_S)
+            except RejectedError as exc:
+                loguru.logger.error("entry: control rejected a {}: {}", method, exc)
+                return
             else:
                 return
 
-    async def renew(self, target_id: str, incarnation: int) -> int | None:
+    async def renew(self, target_id: str, incarnation: int) -> bool:
         """Renew a target's lease with the next batch.
 
         Returns
         -------
-        int or None
-            None if the lease was renewed; else the incarnation in the register,
-            not above the target's own one if the target is unknown.
+        bool
+            False if the target is unknown or has another incarnation.
 
         Raises
         ------
@@ -245,10 +266,10 @@
         fut = asyncio.get_running_loop().create_future()
         known, waiting = self._renewals.get(target_id, (incarnation, []))
         if incarnation < known:
-            return known
+            return False
         if incarnation > known:
             for older in waiting:
-                older.set_result(incarnation)
+                _resolve(older, False)
             waiting = []
         self._renewals[target_id] = (incarnation, [*waiting, fut])
         if self._renewing is None:
@@ -270,14 +291,17 @@
             reply = await self.call("Renew", request, repeatable=True)
         except errors.ColtsfootchuteError as exc:
             for _, fut in waiting:
-                _settle_future(fut, exc)
+                _resolve(fut, exc)
             return
-        refused = {r.target_id: r.incarnation for r in reply.refused}
+        refused = {r.target_id for r in reply.refused}
         for target_id, fut in waiting:
-            if not fut.done():
-                fut.set_result(refused.get(target_id))
+            _resolve(fut, target_id not in refused)
 
 
-def _settle_future(fut: _RenewalFuture, exc: Exception) -> None:
-    if not fut.done():
-        fut.set_exception(exc)
+def _resolve(fut: _RenewalFuture, result: bool | Exception) -> None:
+    if fut.done():
+        return
+    if isinstance(result, Exception):
+        fut.set_exception(result)
+    else:
+        fut.set_result(result)
--- a/coltsfootchute/entry/tests/test_apis.py
+++ b/coltsfootchute/entry/tests/test_apis.py
@@ -93,6 +93,10 @@
         one = {"incarnation": 3}
         assert (await ask(stage, "POST", "/v1/targets/t9/renew", one))[0] == 200
         status, body = await ask(stage, "POST", "/v1/targets/old/renew", one)
+        assert (status, body["error"]) == (404, "unknown_target")
+        stage.control.publish(target=pb.Target(target_id="old", incarnation=9))
+        await stands.until(lambda: "old" in stage.entry.view.targets)
+        status, body = await ask(stage, "POST", "/v1/targets/old/renew", one)
         assert (status, body["error"]) == (409, "old_incarnation")
         assert (await ask(stage, "POST", "/v1/targets/t9/drain", one))[0] == 200
         kinds = [c.kind for c in stage.control.commands if hasattr(c, "kind")]
