balancing: bound renewals of probe shares and waits for targets

A share renewed before its end could be spent twice within one lease. A slow serving target was passed over for suspect ones that take no work, so its requests waited until they were refused. A retry got no target when only a slow one was left. Ruled out: leaving renewals to the leader alone; an entry that asks too often would spend more than the share.

--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -45,6 +45,8 @@
 class Pool:
     """Selection, limits, budgets and queue of one service in one entry.
 
+    Retries and hedges don't queue: they use a target that has room, or none.
+
     Parameters
     ----------
     service
@@ -75,8 +77,7 @@
 
     Notes
     -----
-    A daemon drives a pool as follows. All calls are synchronous, so no other
-    call comes between `admit` and `started`.
+    A daemon calls a pool as follows, `started` right after `admit` or `select`.
 
     1. On each feed message: `update_targets`, `update_settings`,
        `update_share`. On a response with the draining header: `draining`.
@@ -87,7 +88,8 @@
        a claim: `sent`. On the response head: `responded`. At the end of each
        attempt, on every path and exactly once: `finished`.
     4. After each `finished`, and at `next_wake(now)`: `grants`, which wakes
-       tickets, and then `admission.expired`, which refuses them.
+       tickets, and then `admission.expired`, which refuses them. A grant whose
+       caller has left is finished as `CANCELLED`.
     5. A repeatable request without a response head after `hedge_delay` may be
        hedged: ``view = pool.select(now, exclude=tried, kind=HEDGE)``. If there
        is a view and `may_hedge()` is true: `started`. A retry likewise with
@@ -104,9 +106,8 @@
         rng: random.Random,
     ):
         self.service = service
-        self.admission = admissions.Admission(
-            settings.queue_length, settings.queue_wait_s
-        )
+        wait_s = settings.queue_wait_s
+        self.admission = admissions.Admission(settings.queue_length, wait_s)
         self.probes = probes.ProbeShares()
         self.crashes = quarantines.CrashGuard()
         self._settings = settings
@@ -232,12 +233,16 @@
                 v for v in found if v.target.failure_domain not in domains
             ] or found
         chosen = self._policy.select(found, now, self._rng)
-        if chosen is None or not self._policy.waits_for_fast:
+        # A retry can't wait in the queue; a slow target is better than none.
+        may_wait = kind is not views.AttemptKind.RETRY and self._policy.waits_for_fast
+        if chosen is None or not may_wait:
             return chosen
         usual_s = self._hedge_delay.delay_s()
         if usual_s is None or chosen.latency_s(now) <= usual_s:
             return chosen
+        # Suspect targets take no part while a serving one is eligible.
         peers = [view for view in self._in_use() if not view.is_ejected(now)]
+        peers = [v for v in peers if v.is_serving() == chosen.is_serving()]
         fast = policies.without_slow(found, peers, now)
         if len(fast) == len(found):
             return chosen
@@ -254,11 +259,7 @@
     def responded(
         self, token: views.Token, now: float, load: loads.LoadReport | None = None
     ) -> None:
-        """Measure the response time at the response head.
-
-        Only for responses that are neither errors nor refusals; otherwise
-        `finished` alone is called.
-        """
+        """Measure the response time at the head of a response that is no error."""
         if token.is_measured or not token.is_open:
             return
         token.is_measured = True
--- a/coltsfootchute/balancing/probes.py
+++ b/coltsfootchute/balancing/probes.py
@@ -35,6 +35,7 @@
 @dataclasses.dataclass(slots=True)
 class _Share:
     left_s: float
+    asked_s: float
     ends_s: float
 
 
@@ -54,6 +55,10 @@
     ) -> None:
         """Replace the share of a target by a new lease.
 
+        A renewal before the end of the lease adds probe time only for the time
+        since the last one. Renewals in quick succession would otherwise spend
+        a whole share each.
+
         Parameters
         ----------
         target_id
@@ -66,7 +71,12 @@
             Time at which the entry sent its request. The lease counts from
             then, because the leader's count starts later.
         """
-        self._shares[target_id] = _Share(time_s, asked_s + lease_s * LEASE_USE)
+        old = self._shares.get(target_id)
+        if old is not None:
+            since_s = max(0.0, asked_s - old.asked_s)
+            time_s *= min(1.0, since_s / lease_s)
+        ends_s = asked_s + lease_s * LEASE_USE
+        self._shares[target_id] = _Share(time_s, asked_s, ends_s)
 
     def begin(
         self, target_id: ids.TargetId, last_response_s: float, now: float
