--- a/coltsfootchute/standins/clusters.py
+++ b/coltsfootchute/standins/clusters.py
@@ -8,7 +8,7 @@
 from coltsfootchute.commands import apis, documents, exits, statuses
 from coltsfootchute.standins import fleets, targets
 
-__all__ = ["SECTION", "SERVICE", "Cluster"]
+__all__ = ["SECTION", "SERVICE", "TEAM", "Cluster", "Route", "direct"]
 
 SERVICE = "demo"
 TEAM = "demo-team"
@@ -41,6 +41,14 @@
 }
 
 
+Route = typing.Callable[[str, list[str]], typing.Awaitable[list[str]]]
+
+
+async def direct(entry: str, addresses: list[str]) -> list[str]:
+    """Let an entry reach the control instances at their own addresses."""
+    return addresses
+
+
 class Cluster:
     """Starts the processes of a cluster and asks its entries.
 
@@ -50,22 +58,42 @@
         Starts and ends the processes.
     control, entries, count
         Numbers of control, entry and target processes.
+    keep_s
+        Seconds for which callers keep an address response.
+    route
+        Takes the name of an entry and the addresses of the control instances;
+        returns the addresses that the entry uses, such as those of links.
 
     Attributes
     ----------
-    apis
-        Addresses of the API listeners, in the order of the entries.
+    apis, calls
+        Addresses of the API and calls listeners, in the order of the entries.
+    control_addresses
+        Addresses of the control instances, in the order of their names.
     target_addresses
         Addresses of the targets, in the order of their names.
     """
 
-    def __init__(self, fleet: fleets.Fleet, control: int, entries: int, count: int):
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        control: int,
+        entries: int,
+        count: int,
+        *,
+        keep_s: float = 5.0,
+        route: Route = direct,
+    ):
         self.fleet = fleet
         self.apis: list[str] = []
+        self.calls: list[str] = []
+        self.control_addresses: list[str] = []
         self.target_addresses: list[str] = []
         self._control = control
         self._entries = entries
         self._count = count
+        self._keep_s = keep_s
+        self._route = route
 
     async def start(self) -> None:
         """Start all processes, propose the section, and wait for the views.
@@ -75,7 +103,7 @@
         coltsfootchute.standins.fleets.StartError
             If a process ends, or the cluster is not ready in time.
         """
-        self._start_roles()
+        await self._start_roles()
         await self._until(self._has_leader, "a leader and all entries")
         await self._propose()
         self._start_targets()
@@ -86,12 +114,13 @@
     ) -> None:
         await fleets.until(condition, what, START_TIMEOUT_S, self.fleet)
 
-    def _start_roles(self) -> None:
+    async def _start_roles(self) -> None:
         ports = iter(fleets.free_ports(self._control + 3 * self._entries))
         members = [
             {"name": f"c{number}", "address": f"127.0.0.1:{next(ports)}"}
             for number in range(1, self._control + 1)
         ]
+        self.control_addresses = [member["address"] for member in members]
         for number, member in enumerate(members):
             control = {
                 "peer": member["address"],
@@ -104,9 +133,12 @@
                 listener: f"127.0.0.1:{next(ports)}"
                 for listener in ("calls", "api", "peer")
             }
+            name = f"e{number + 1}"
             self.apis.append(entry["api"])
-            entry["control"] = [member["address"] for member in members]
-            self._start_role(f"e{number + 1}", number, {"entry": entry})
+            self.calls.append(entry["calls"])
+            entry["control"] = await self._route(name, self.control_addresses)
+            entry["keep_s"] = self._keep_s
+            self._start_role(name, number, {"entry": entry})
 
     def _start_role(self, name: str, number: int, cfg: dict[str, typing.Any]) -> None:
         (role,) = cfg
--- /dev/null
+++ b/coltsfootchute/standins/editors.py
@@ -0,0 +1,180 @@
+"""An operator who changes a section, resends, and remembers what was accepted."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+import time
+import typing
+
+import aiohttp
+import msgspec
+
+from coltsfootchute import errors
+from coltsfootchute.commands import documents
+from coltsfootchute.standins import clusters
+
+__all__ = ["Change", "Editor", "find_lost"]
+
+# Shorter than an election, so that a change is resent while its outcome is unknown.
+SEND_TIMEOUT_S = 0.7
+PAUSE_S = 0.05
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """An accepted change.
+
+    Parameters
+    ----------
+    revision
+        Revision of the section.
+    index
+        Log index, to which the entries' revision in force compares.
+    request_id
+        Id of the request.
+    accepted_s
+        Monotonic time in s of the response.
+    sendings
+        How often the request was sent.
+    """
+
+    revision: int
+    index: int
+    request_id: str
+    accepted_s: float
+    sendings: int
+
+
+class Editor:
+    """Proposes changes to a section one after the other.
+
+    Parameters
+    ----------
+    name
+        Author of the changes; unique among the editors of a section.
+    apis
+        Addresses of API listeners, used in turn.
+    session
+        HTTP client.
+    rng
+        Source of the values that are changed.
+
+    Attributes
+    ----------
+    accepted
+        Changes in the order of their acceptance.
+    conflicts
+        Number of changes that lost to another editor.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        apis: typing.Sequence[str],
+        session: aiohttp.ClientSession,
+        rng: random.Random,
+    ):
+        self.accepted: list[Change] = []
+        self.conflicts = 0
+        self._name = name
+        self._apis = itertools.cycle(apis)
+        self._session = session
+        self._rng = rng
+        self._revision = 1
+        self._numbers = itertools.count(1)
+
+    async def propose(self, timeout_s: float = 20.0) -> Change:
+        """Propose a change until it is accepted, with a new id after a conflict.
+
+        Raises
+        ------
+        coltsfootchute.errors.OutcomeUnknownError
+            If the outcome is not known in time.
+        """
+        end = time.monotonic() + timeout_s
+        while time.monotonic() < end:
+            body = self._body()
+            reply, sendings = await self._send_until_known(body, end)
+            self._revision = reply["revision"]
+            if "index" in reply:
+                change = Change(
+                    revision=reply["revision"],
+                    index=reply["index"],
+                    request_id=body["request_id"],
+                    accepted_s=time.monotonic(),
+                    sendings=sendings,
+                )
+                self.accepted.append(change)
+                return change
+            self.conflicts += 1
+        raise errors.OutcomeUnknownError("only conflicts")
+
+    async def _send_until_known(
+        self, body: dict[str, typing.Any], end: float
+    ) -> tuple[dict[str, typing.Any], int]:
+        sendings, status, reply = 0, 0, {}
+        while time.monotonic() < end:
+            sendings += 1
+            status, reply = await self._send(body)
+            if status in (HTTP_OK, HTTP_CONFLICT):
+                return reply, sendings
+            await asyncio.sleep(PAUSE_S)
+        raise errors.OutcomeUnknownError(f"HTTP {status}: {reply}")
+
+    def _body(self) -> dict[str, typing.Any]:
+        percent = self._rng.randrange(10, 100)
+        document = {**clusters.SECTION, "retry_budget_percent": percent}
+        return {
+            "expected_revision": self._revision,
+            "document": document,
+            "author": self._name,
+            "request_id": f"{self._name}-{next(self._numbers)}",
+        }
+
+    async def _send(
+        self, body: dict[str, typing.Any]
+    ) -> tuple[int, dict[str, typing.Any]]:
+        url = f"http://{next(self._apis)}/v1/sections/{clusters.SERVICE}"
+        timeout = aiohttp.ClientTimeout(total=SEND_TIMEOUT_S)
+        headers = {documents.TEAM_HEADER: clusters.TEAM}
+        try:
+            async with self._session.put(
+                url, json=body, headers=headers, timeout=timeout
+            ) as resp:
+                return resp.status, msgspec.json.decode(await resp.read())
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as exc:
+            return 0, {"error": repr(exc)}
+
+
+def find_lost(
+    accepted: typing.Iterable[Change], history: typing.Iterable[dict[str, typing.Any]]
+) -> list[str]:
+    """Return the request ids of accepted changes that a history contradicts.
+
+    Parameters
+    ----------
+    accepted
+        Changes of all editors.
+    history
+        Kept revisions, oldest first, as the API listener returns them.
+
+    Notes
+    -----
+    The history keeps the last revisions only. An older change is lost if
+    another accepted change has its revision.
+    """
+    kept = {item["revision"]: item["request_id"] for item in history}
+    oldest, latest = min(kept, default=0), max(kept, default=0)
+    seen: set[int] = set()
+    lost = []
+    for change in accepted:
+        gone = change.revision > latest or change.revision in seen
+        if change.revision >= oldest:
+            gone = gone or kept.get(change.revision) != change.request_id
+        if gone:
+            lost.append(change.request_id)
+        seen.add(change.revision)
+    return lost
--- a/coltsfootchute/standins/fleets.py
+++ b/coltsfootchute/standins/fleets.py
@@ -39,14 +39,22 @@
         The process.
     log
         File with its output.
+    command
+        Module and arguments.
     """
 
     def __init__(
-        self, name: str, role: str, popen: subprocess.Popen, log: pathlib.Path
+        self,
+        name: str,
+        role: str,
+        popen: subprocess.Popen,
+        log: pathlib.Path,
+        command: tuple[str, ...],
     ):
         self.name = name
         self.role = role
         self.log = log
+        self.command = command
         self._popen = popen
 
     @property
@@ -99,18 +107,49 @@
 
     def start(self, name: str, role: str, module: str, *args: str) -> Process:
         """Start a module of this package as a process."""
+        process = self._start(name, role, (module, *args))
+        self.processes.append(process)
+        return process
+
+    def _start(self, name: str, role: str, command: tuple[str, ...]) -> Process:
         log = self.folder / f"{name}.log"
-        with log.open("wb") as output:
+        with log.open("ab") as output:
             popen = subprocess.Popen(
-                [sys.executable, "-m", module, *args],
+                [sys.executable, "-m", *command],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 start_new_session=True,
             )
-        process = Process(name, role, popen, log)
-        self.processes.append(process)
-        return process
+        return Process(name, role, popen, log, command)
+
+    def restart(self, process: Process) -> Process:
+        """Start a process that has ended again, in its place in the list.
+
+        Raises
+        ------
+        StartError
+            If it still runs.
+        """
+        if process.exit_code is None:
+            raise StartError(f"{process.name} still runs")
+        place = self.processes.index(process)
+        started = self._start(process.name, process.role, process.command)
+        self.processes[place] = started
+        return started
+
+    def named(self, name: str) -> Process:
+        """Return the process with a name.
+
+        Raises
+        ------
+        KeyError
+            If there is none.
+        """
+        for process in self.processes:
+            if process.name == name:
+                return process
+        raise KeyError(name)
 
     def start_role(self, name: str, role: str, cfg: dict[str, typing.Any]) -> Process:
         """Write settings and start a role with them."""
@@ -128,6 +167,9 @@
 
     async def stop(self) -> None:
         """End all processes: SIGTERM, once more, then SIGKILL."""
+        for process in self.processes:
+            # A stopped process handles no other signal but SIGKILL.
+            process.signal(signal.SIGCONT)
         for signum, timeout_s in (
             (signal.SIGTERM, SECOND_SIGNAL_S),
             (signal.SIGTERM, STOP_TIMEOUT_S),
--- /dev/null
+++ b/tests/end_to_end/stages.py
@@ -0,0 +1,147 @@
+"""A cluster of real processes with what the end-to-end tests ask of it."""
+
+import asyncio
+import contextlib
+import pathlib
+import signal
+import typing
+
+import aiohttp
+import grpclib.client
+import grpclib.exceptions
+
+from coltsfootchute.commands import statuses
+from coltsfootchute.proto import coltsfootchute_grpc as rpc
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+from coltsfootchute.standins import (
+    callers,
+    clusters,
+    fleets,
+    records,
+    reports,
+)
+
+TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+
+
+class Stage:
+    def __init__(self, cluster: clusters.Cluster, session: aiohttp.ClientSession):
+        self.cluster = cluster
+        self.fleet = cluster.fleet
+        self.session = session
+
+    async def until(self, condition, what):
+        """Wait until a coroutine function returns something true; return it."""
+        found = []
+
+        async def is_met():
+            found.append(await condition())
+            return bool(found[-1])
+
+        await fleets.until(is_met, what, TIMEOUT_S)
+        return found[-1]
+
+    async def leader(self, but=""):
+        """Return the name of the leader, which is not the one named."""
+
+        async def other():
+            name = statuses.leader_name(await self.cluster.read("/v1/status"))
+            return name if name != but else ""
+
+        return await self.until(other, "a leader")
+
+    async def get(self, address, path):
+        """Return status and body; (0, {}) without a response."""
+        timeout = aiohttp.ClientTimeout(total=3.5)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self.session.get(
+                f"http://{address}{path}", timeout=timeout
+            ) as resp:
+                return resp.status, await resp.json()
+        return 0, {}
+
+    async def post(self, address, path, body=None):
+        async with self.session.post(f"http://{address}{path}", json=body) as resp:
+            return resp.status, await resp.json()
+
+    async def metric(self, api, line):
+        """Return the value of the metric whose name and labels are `line`."""
+        async with self.session.get(f"http://{api}/metrics") as resp:
+            text = await resp.text()
+        found = [row for row in text.splitlines() if row.startswith(line + " ")]
+        return float(found[0].rpartition(" ")[2]) if found else 0.0
+
+    async def revision(self, api):
+        _, body = await self.get(api, "/readyz")
+        return body.get("revision", 0)
+
+    async def is_current(self, api):
+        status, _ = await self.get(api, "/readyz")
+        return status == 200
+
+    async def all_current(self):
+        return all([await self.is_current(api) for api in self.cluster.apis])
+
+    def kill(self, name):
+        process = self.fleet.named(name)
+        process.signal(signal.SIGKILL)
+        return process
+
+    async def ended(self, process):
+        """Wait for the end of a process; return its exit code."""
+        code = await process.wait(STOP_TIMEOUT_S)
+        assert code is not None, f"{process.name} still runs: {process.tail()}"
+        return code
+
+    async def control_status(self, number):
+        """Return the status of one control instance, or None if it is down."""
+        host, _, port = self.cluster.control_addresses[number - 1].rpartition(":")
+        channel = grpclib.client.Channel(host, int(port))
+        try:
+            return await rpc.ControlStub(channel).Status(pb.StatusRequest(), timeout=1)
+        except (OSError, TimeoutError, grpclib.exceptions.StreamTerminatedError):
+            return None
+        finally:
+            channel.close()
+
+    async def history(self):
+        path = f"/v1/sections/{clusters.SERVICE}/history"
+
+        async def read():
+            return (await self.cluster.read(path)).get("history")
+
+        return await self.until(read, "the history")
+
+    def runs(self):
+        return records.read_runs(self.cluster.runs_paths())
+
+    def judge(self, outcomes, drained_s=float("inf")) -> reports.Findings:
+        return reports.judge(outcomes, self.runs(), drained_s)
+
+    async def send(self, method, path, api=0, **more):
+        """Send one attempt to one entry, without the caller's resends."""
+        url = f"http://{self.cluster.calls[api]}/{clusters.SERVICE}{path}"
+        async with self.session.request(method, url, **more) as resp:
+            return resp.status, resp.headers, await resp.read()
+
+
+@contextlib.asynccontextmanager
+async def running(
+    folder: pathlib.Path, control=3, entries=2, targets=4, **options: typing.Any
+) -> typing.AsyncIterator[Stage]:
+    """Run a cluster and end all of its processes, also after a failure."""
+    async with fleets.Fleet(folder) as fleet, callers.open_session() as session:
+        cluster = clusters.Cluster(fleet, control, entries, targets, **options)
+        await cluster.start()
+        yield Stage(cluster, session)
+
+
+def play(folder: pathlib.Path, scene, **options) -> None:
+    """Run a scene on a stage."""
+
+    async def main():
+        async with running(folder, **options) as stage:
+            await scene(stage)
+
+    asyncio.run(main())
