entry: probe quiet targets within leased shares of probe time

Cause: a section may grant a measuring budget, and control leases shares of it, but no entry used them. Change: a prober that asks for shares only if a section has a budget, and sends `OPTIONS *`, because a target's own health path is not agreed on. A probe is given up at 70 percent of its limit, since timers fire late.

--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -18,6 +18,7 @@
     crashes,
     forwards,
     keys,
+    measurements,
     metrics,
     operators,
     pools,
@@ -128,9 +129,12 @@
         self._own.peer_address = await self._start_peer(entry.peer)
         self._own.api_address = await self._start_api(entry.api)
         self._own.calls_address = await self._start_calls(entry.calls)
+        name = self._cfg.instance.name
+        prober = measurements.Prober(self.services, self._forwarder, self.client, name)
         self._tasks = [
             asyncio.ensure_future(self._watcher.run()),
             asyncio.ensure_future(self._report()),
+            asyncio.ensure_future(prober.run()),
         ]
         loguru.logger.info("entry: calls at {}", self.calls_address)
 
--- /dev/null
+++ b/coltsfootchute/entry/measurements.py
@@ -0,0 +1,140 @@
+"""Probes of quiet targets, within the shares of probe time that control leases."""
+
+import asyncio
+import time
+
+import loguru
+import multidict
+
+from coltsfootchute import balancing, errors, verdicts
+from coltsfootchute.entry import attempts, clients, forwards, pools
+from coltsfootchute.proto import coltsfootchute_pb2
+
+__all__ = ["Prober"]
+
+PERIOD_S = 0.5
+# A share is asked for again when its lease has ended at the leader as well.
+LEASE_PERIOD_S = 10.0
+LEASE_LIMIT_S = 1.0
+# Timers of the event loop fire late, so a probe is given up before its share of
+# time is spent.
+GIVE_UP_AT = 0.7
+# RFC 9110, section 9.3.7: without a path, OPTIONS is a no-op of the server.
+PROBE_LINE = "OPTIONS * HTTP/1.1"
+_NO_BODY = attempts.Body(b"", None)
+
+
+class Prober:
+    """Probes targets from which no response came within the last second.
+
+    Parameters
+    ----------
+    services
+        The services and their pools.
+    forwarder
+        Connections to targets.
+    client
+        The Control client.
+    entry
+        Name of this instance.
+
+    Notes
+    -----
+    Nothing is asked for or sent while no section has a measuring budget.
+    """
+
+    def __init__(
+        self,
+        services: pools.Services,
+        forwarder: forwards.Forwarder,
+        client: clients.ControlClient,
+        entry: str,
+    ):
+        self._services = services.by_name
+        self._forwarder = forwarder
+        self._client = client
+        self._entry = entry
+        self._asked_s = float("-inf")
+
+    async def run(self) -> None:
+        """Lease shares and probe until cancelled."""
+        while True:
+            await asyncio.sleep(PERIOD_S)
+            measured = [
+                s
+                for s in self._services.values()
+                if s.section.measuring_budget_ms_per_s > 0
+            ]
+            if not measured:
+                continue
+            if time.monotonic() - self._asked_s >= LEASE_PERIOD_S:
+                await self._lease(measured)
+            await asyncio.gather(*self._due(measured))
+
+    async def _lease(self, measured: list[pools.Service]) -> None:
+        # A target of several services has one share, which one pool spends.
+        spenders: dict[str, balancing.Pool] = {}
+        for service in measured:
+            for view in service.pool.all_views:
+                spenders.setdefault(view.target.target_id, service.pool)
+        request = coltsfootchute_pb2.LeaseProbesRequest(
+            entry=self._entry, target_ids=list(spenders)
+        )
+        asked_s = self._asked_s = time.monotonic()
+        try:
+            reply = await self._client.call("LeaseProbes", request, LEASE_LIMIT_S)
+        except errors.ColtsfootchuteError as exc:
+            loguru.logger.debug("entry: no shares of probe time: {}", exc)
+            return
+        for share in reply.shares:
+            spenders[share.target_id].probes.granted(
+                share.target_id,
+                share.probe_time_us / 1e6,
+                share.lease_ms / 1e3,
+                asked_s,
+            )
+
+    def _due(self, measured: list[pools.Service]):
+        now = time.monotonic()
+        for service in measured:
+            for view in service.pool.all_views:
+                permit = service.pool.probe(view.target.target_id, now)
+                if permit is not None:
+                    yield self._probe(service, view, permit)
+
+    async def _probe(
+        self,
+        service: pools.Service,
+        view: balancing.TargetView,
+        permit: balancing.ProbePermit,
+    ) -> None:
+        limit_s = permit.limit_s
+        address = view.target.address
+        attempt = attempts.Attempt()
+        headers = multidict.CIMultiDict({"Host": address})
+        headers[verdicts.DEADLINE_HEADER] = str(int(limit_s * 1000))
+        is_ok = False
+        started_s = time.monotonic()
+        try:
+            async with asyncio.timeout(limit_s * GIVE_UP_AT):
+                await self._forwarder.send(
+                    attempt,
+                    service.endpoint(address),
+                    PROBE_LINE,
+                    headers,
+                    _NO_BODY,
+                    fresh=False,
+                    head_only=False,
+                )
+                while await attempt.read():
+                    pass
+            is_ok = attempt.message.code < 500
+        except (TimeoutError, attempts.AttemptError, attempts.TruncatedError) as exc:
+            loguru.logger.debug("entry: probe of {}: {!r}", address, exc)
+        finally:
+            attempt.finish()
+            now = time.monotonic()
+            service.pool.probed(permit, now - started_s, is_ok, now)
+            if now - started_s > limit_s:
+                # The time over the limit is taken from the rest of the share.
+                service.pool.probes.forget(permit.target_id)
--- a/coltsfootchute/entry/tests/stands.py
+++ b/coltsfootchute/entry/tests/stands.py
@@ -55,6 +55,9 @@
         )
         self.header = pb.ReplyHeader()
         self.refused_settlements = 0
+        self.probe_requests = []
+        share = pb.ProbeShare(target_id="t0", probe_time_us=100_000, lease_ms=10_000)
+        self.shares = [share]
         self.proposal = pb.ProposalOutcome(
             status=pb.PROPOSAL_STATUS_ACCEPTED, revision=1
         )
@@ -136,7 +139,12 @@
     async def _unused(self, stream):
         raise NotImplementedError
 
-    ReadSections = LeaseProbes = Status = _unused
+    async def LeaseProbes(self, stream):  # noqa: N802
+        self.probe_requests.append(await stream.recv_message())
+        reply = pb.LeaseProbesReply(shares=self.shares)
+        await stream.send_message(reply)
+
+    ReadSections = Status = _unused
 
 
 class Target:
--- /dev/null
+++ b/coltsfootchute/entry/tests/test_measurements.py
@@ -0,0 +1,42 @@
+"""Guards against probes that nobody paid for."""
+
+import asyncio
+
+import pytest
+
+from coltsfootchute import balancing
+from coltsfootchute.entry import measurements
+from coltsfootchute.entry.tests import stands
+
+SHARE_S = 0.1
+
+
+@pytest.mark.parametrize("budget", [0, 10])
+def test_probes_take_no_more_time_than_their_share(monkeypatch, budget):
+    monkeypatch.setattr(measurements, "PERIOD_S", 0.005)
+
+    async def slow(target, head, reader, writer):
+        assert head.startswith("OPTIONS * HTTP/1.1\r\n")
+        # The probe is given up; the end of its connection is seen here.
+        await reader.read(1)
+        return "close"
+
+    async def play(stage):
+        if not budget:
+            for _ in range(20):
+                await asyncio.sleep(measurements.PERIOD_S)
+            assert not stage.control.probe_requests
+            return
+        # The share is spent when no probe came for many periods.
+        heads, quiet = stage.targets[0].heads, -1
+        while quiet != len(heads) or not heads:
+            quiet = len(heads)
+            for _ in range(40):
+                await asyncio.sleep(measurements.PERIOD_S)
+        least_s = balancing.probes.TYPICAL_PROBE_S * measurements.GIVE_UP_AT
+        assert len(heads) <= SHARE_S / least_s
+        assert not stage.targets[1].heads
+        assert len(stage.control.probe_requests) == 1
+
+    section = {"measuring_budget_ms_per_s": budget}
+    stands.run(play, slow, slow, section=section)
