state: count the crash of a retry that outran the log

Cause: an entry retries a repeatable request at once after a broken connection, before the first crash is in force there, so the log refused to count the second crash and only that entry's own guard quarantined the digest. Other entries then each lost another target (seen in review by the entry's author; tests of this commit). Ruled out: delaying the retry until the log has the crash, which costs every innocent retry a quorum round trip. Change: a crash report names the targets whose crashes the same entry had recorded before the attempt started; the state machine accepts them as proof of the order, also when the first report was lost. Conclusion: the stated blast radius of 2 targets holds for a retry.

--- a/coltsfootchute/balancing/quarantines.py
+++ b/coltsfootchute/balancing/quarantines.py
@@ -58,11 +58,16 @@
     started_revision
         Revision in force at the entry when the attempt started. The state
         machine counts a second crash only if this is not before the first.
+    earlier_target_ids
+        Targets whose crashes this entry had recorded before the attempt started.
+        They prove the order also when the retry started before the first crash
+        was in force.
     """
 
     digest: bytes
     target_id: ids.TargetId
     started_revision: int
+    earlier_target_ids: frozenset[ids.TargetId] = frozenset()
 
 
 @dataclasses.dataclass(slots=True)
@@ -105,16 +110,16 @@
         attempt started after the first was recorded, since several targets
         may fail at once without any fault of the requests they run.
         """
-        report = CrashReport(digest, target_id, started_revision)
         record = self._current(digest, now)
         if record is None:
             self._store(digest, _Record({target_id}, now))
-            return report
+            return CrashReport(digest, target_id, started_revision)
         if started_s < record.recorded_s or target_id in record.target_ids:
             return None
+        earlier = frozenset(record.target_ids)
         record.target_ids.add(target_id)
         record.active = len(record.target_ids) >= CRASHES
-        return report
+        return CrashReport(digest, target_id, started_revision, earlier)
 
     def answered(self, digest: bytes) -> bool:
         """Clear the count after a complete response.
--- a/coltsfootchute/balancing/tests/test_quarantines.py
+++ b/coltsfootchute/balancing/tests/test_quarantines.py
@@ -22,7 +22,10 @@
     guard = quarantines.CrashGuard()
     assert guard.crashed(DIGEST, "t1", 0.0, 1, 1.0)
     assert not guard.is_quarantined(DIGEST, 1.0)
-    assert guard.crashed(DIGEST, "t2", 1.1, 2, 2.0).started_revision == 2
+    second = guard.crashed(DIGEST, "t2", 1.1, 2, 2.0)
+    assert second.started_revision == 2
+    # The log needs them for a retry that started before it had the first crash.
+    assert second.earlier_target_ids == {"t1"}
     assert guard.is_quarantined(DIGEST, 2.0)
 
 
--- a/coltsfootchute/entry/crashes.py
+++ b/coltsfootchute/entry/crashes.py
@@ -51,6 +51,7 @@
             digest=report.digest,
             target_id=report.target_id,
             seen_revision=report.started_revision,
+            earlier_target_ids=sorted(report.earlier_target_ids),
         )
         self._client.report_crash(command)
 
--- a/coltsfootchute/state/quarantines.py
+++ b/coltsfootchute/state/quarantines.py
@@ -5,6 +5,7 @@
 __all__ = ["QUARANTINE_KEPT_MS", "QuarantineTable"]
 
 QUARANTINE_KEPT_MS = 10 * 60 * 1000
+CRASHES = 2
 
 
 class QuarantineTable:
@@ -12,9 +13,11 @@
 
     Notes
     -----
-    The second crash counts only if its attempt started at an entry that had the
-    first crash in force. The entry's revision shows this without comparing
-    clocks.
+    The second crash counts only if its attempt started after the first crash was
+    known to its entry: either the first crash was in force there, which the
+    entry's revision shows without comparing clocks, or it happened at the same
+    entry, which then names the earlier targets. The latter covers the retry that
+    an entry makes at once, before the log has the first crash.
     """
 
     def __init__(self):
@@ -47,30 +50,29 @@
                 return None
             del self._items[name]
             return self._removed(item)
-        if item is None:
-            item = pb.Quarantine(
-                service=command.service,
-                digest=command.digest,
-                target_ids=[command.target_id],
-                first_ms=clock_ms,
-                index=index,
-                expires_ms=clock_ms + QUARANTINE_KEPT_MS,
-            )
-        elif self._counts(item, command):
-            previous, item = item, pb.Quarantine()
-            item.CopyFrom(previous)
-            item.target_ids.append(command.target_id)
-            item.active = True
-            item.expires_ms = clock_ms + QUARANTINE_KEPT_MS
-        else:
+        known = set(item.target_ids) if item else set()
+        if item is not None and not self._counts(item, command):
             return None
-        self._items[name] = item
-        return item
+        changed = pb.Quarantine(
+            service=command.service,
+            digest=command.digest,
+            target_ids=sorted(known | {command.target_id, *command.earlier_target_ids}),
+            first_ms=item.first_ms if item else clock_ms,
+            index=item.index if item else index,
+            expires_ms=clock_ms + QUARANTINE_KEPT_MS,
+        )
+        changed.active = len(changed.target_ids) >= CRASHES
+        self._items[name] = changed
+        return changed
 
     @staticmethod
     def _counts(item: pb.Quarantine, command: pb.CrashCommand) -> bool:
+        if item.active:
+            return False
+        if command.earlier_target_ids:
+            return True
         seen = command.seen_revision >= item.index
-        return seen and not item.active and command.target_id not in item.target_ids
+        return seen and command.target_id not in item.target_ids
 
     @staticmethod
     def _removed(item: pb.Quarantine) -> pb.Quarantine:
--- a/coltsfootchute/state/tests/test_machines.py
+++ b/coltsfootchute/state/tests/test_machines.py
@@ -351,6 +351,8 @@
         ([crash("t1", 1)], False),  # The same target.
         ([crash("t2", 0)], False),  # Started before the first crash was known.
         ([crash("", 0, cleared=True), crash("t2", 9)], False),
+        # A retry at the same entry, made before the log had the first crash.
+        ([crash("t2", 0, earlier_target_ids=["t1"])], True),
     ],
 )
 def test_second_counted_crash_quarantines(second, quarantined):
@@ -364,6 +366,11 @@
     assert (reply.status == pb.CLAIM_STATUS_QUARANTINED) == quarantined
 
 
+def test_a_lost_report_of_the_first_crash_does_not_prevent_a_quarantine():
+    machine = machine_with(crash("t2", 0, earlier_target_ids=["t1"]))
+    assert machine.quarantines.is_active("s", b"d")
+
+
 def test_quarantine_ends_in_the_feed():
     # Guards against a digest that stays refused at the entries.
     machine = machine_with(crash("t1", 0), crash("t2", 1))
