commands: apply a folder of section documents

Cause: sections are declared in version control, but section put takes one file and its revision, so a pipeline would have to compare, look up revisions and make request ids itself. Ruled out: proposing every file blindly, which raises each revision at each run and overwrites a change made meanwhile. Change: section apply checks all files, compares them with the sections in force and proposes those that differ under the revision it read. Conclusion: one command brings a deployment to its declared state.

--- a/coltsfootchute/commands/apps.py
+++ b/coltsfootchute/commands/apps.py
@@ -5,7 +5,7 @@
 import cyclopts
 
 import coltsfootchute
-from coltsfootchute.commands import checks, documents, statuses
+from coltsfootchute.commands import checks, declarations, documents, statuses
 
 __all__ = ["build"]
 
@@ -27,12 +27,21 @@
     app.command(checks.check_settings, name="check")
     app.command(checks.check_section, name="check-section")
     app.command(statuses.addresses)
-    app.command(documents.app)
+    app.command(_build_section())
     app.command(statuses.status)
     app.command(statuses.targets)
     return app
 
 
+def _build_section() -> cyclopts.App:
+    app = cyclopts.App(name="section", help="Read and change section documents.")
+    app.command(documents.get)
+    app.command(documents.put)
+    app.command(declarations.apply)
+    app.command(documents.history)
+    return app
+
+
 def control(path: pathlib.Path, /) -> None:
     """Run the control role.
 
--- a/coltsfootchute/commands/documents.py
+++ b/coltsfootchute/commands/documents.py
@@ -8,12 +8,18 @@
 import urllib.parse
 import uuid
 
-import cyclopts
-
 from coltsfootchute import errors, sections
 from coltsfootchute.commands import apis, checks, exits, options, tables
 
-__all__ = ["TEAM_HEADER", "TEAM_VARIABLE", "TOKEN_VARIABLE", "app"]
+__all__ = [
+    "TEAM_HEADER",
+    "TEAM_VARIABLE",
+    "TOKEN_VARIABLE",
+    "get",
+    "history",
+    "put",
+    "send",
+]
 
 TEAM_HEADER = "Coltsfootchute-Team"
 TEAM_VARIABLE = "COLTSFOOTCHUTE_TEAM"
@@ -21,10 +27,7 @@
 
 HTTP_OK = 200
 
-app = cyclopts.App(name="section", help="Read and change section documents.")
-
 
-@app.command
 def get(name: str = "", *, common: options.CommonOptions = options.DEFAULTS) -> None:
     """Print the document in force of a section, or list all sections.
 
@@ -52,7 +55,6 @@
     tables.print_table(["section", "owner", "revision", "author"], rows)
 
 
-@app.command
 def history(name: str, *, common: options.CommonOptions = options.DEFAULTS) -> None:
     """List the kept revisions of a section.
 
@@ -72,7 +74,6 @@
     tables.print_table(["revision", "author", "request id", "time in ms"], rows)
 
 
-@app.command
 def put(
     name: str,
     file: pathlib.Path,
@@ -117,15 +118,45 @@
         "author": author or getpass.getuser(),
         "request_id": request_id or str(uuid.uuid4()),
     }
-    change = apis.send_change(addresses, _path(name), body, _credentials(team))
-    reply = asyncio.run(change)
-    _raise_for(reply, name)
+    reply = asyncio.run(send(addresses, name, body, team))
     if common.json:
         tables.print_json({**reply.body, "request_id": body["request_id"]})
         return
     print(f"{name}: revision {reply.body['revision']} accepted")
 
 
+async def send(
+    addresses: list[str], name: str, body: dict[str, typing.Any], team: str
+) -> apis.Reply:
+    """Propose a document.
+
+    Parameters
+    ----------
+    addresses
+        API listeners.
+    name
+        Name of the section.
+    body
+        The proposal.
+    team
+        Team for entries without operator tokens.
+
+    Returns
+    -------
+    coltsfootchute.commands.apis.Reply
+        The response to an accepted proposal.
+
+    Raises
+    ------
+    coltsfootchute.commands.exits.CommandError
+        If the proposal is refused or its outcome is unknown.
+    """
+    change = apis.send_change(addresses, _path(name), body, _credentials(team))
+    reply = await change
+    _raise_for(reply, name)
+    return reply
+
+
 def _path(name: str) -> str:
     return f"/v1/sections/{urllib.parse.quote(name, safe='')}"
 
--- a/coltsfootchute/commands/tests/test_documents.py
+++ b/coltsfootchute/commands/tests/test_documents.py
@@ -32,6 +32,10 @@
     def __init__(self, *script):
         self.script = list(script)
         self.requests = []
+        self.sections = []
+
+    async def list(self, req):
+        return aiohttp.web.json_response({"sections": self.sections})
 
     async def handle(self, req):
         self.requests.append(await req.json())
@@ -46,6 +50,7 @@
 def serving(api):
     loop = asyncio.new_event_loop()
     app = aiohttp.web.Application()
+    app.router.add_get("/v1/sections", api.list)
     app.router.add_put("/v1/sections/{name}", api.handle)
     runner = aiohttp.web.AppRunner(app)
     loop.run_until_complete(runner.setup())
