--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -128,6 +128,7 @@
         return requests.Call(request, service, rule, (path, query), now)
 
     async def _serve(self, call: requests.Call) -> answers.Written:
+        await self._view.catch_up()
         self._check_currency(call)
         key = None if call.rule.repeatable else requests.parse_key(call.request.headers)
         call.body = await requests.read_body(call)
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -32,6 +32,8 @@
 # A loop that did not run for this long was frozen: messages that waited in the
 # socket meanwhile state too young a proof.
 FREEZE_S = 1.0
+# A new source needs a few milliseconds to tell what happened during a freeze.
+CATCH_UP_S = 0.5
 
 Listener = typing.Callable[[coltsfootchute_pb2.FeedMessage, set[str]], None]
 
@@ -74,6 +76,10 @@
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
         self.instances: dict[str, coltsfootchute_pb2.Instance] = {}
         self.proof_at = float("-inf")
+        # When the loop ran last, and when it went on after a freeze.
+        self.alive_at = clock()
+        self.thawed_at = float("-inf")
+        self._news = asyncio.Event()
         self.listener = listener
 
     def is_stale(self, now: float) -> bool:
@@ -90,6 +96,25 @@
         """Become stale until a source proves again that it is current."""
         self.proof_at = float("-inf")
 
+    async def catch_up(self) -> None:
+        """Wait for the news after a freeze, for a short time.
+
+        Notes
+        -----
+        The requests that waited in the sockets of a frozen process are read
+        before the feed is. Without the wait, they went to targets that had
+        drained meanwhile.
+        """
+        if not self._is_catching_up(clock()):
+            return
+        self._news.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._news.wait(), CATCH_UP_S)
+
+    def _is_catching_up(self, now: float) -> bool:
+        has_stood = now - self.alive_at > FREEZE_S
+        return self.is_stale(now) and (has_stood or now - self.thawed_at < CATCH_UP_S)
+
     def targets_of(self, service: str) -> list[coltsfootchute_pb2.Target]:
         """Return the targets that announced a service."""
         return [t for t in self.targets.values() if service in t.services]
@@ -121,6 +146,8 @@
         if message.has_proof:
             proof_at = now - message.proof_age_ms / 1000
             self.proof_at = max(self.proof_at, proof_at)
+        if not self.is_stale(now):
+            self._news.set()
         if self.listener is not None:
             self.listener(message, touched)
         return Taken.APPLIED
@@ -201,13 +228,12 @@
         self._control = control
         self._next = 0
         self._next_peer = 0
-        self._alive_at = clock()
         self._freezes = 0
         self._foreign: set[str] = set()
 
     async def run(self) -> None:
         """Watch one source after the other until cancelled."""
-        self._alive_at = clock()
+        self._view.alive_at = clock()
         freezes = asyncio.ensure_future(self._watch_freezes())
         try:
             while True:
@@ -320,13 +346,13 @@
             await asyncio.sleep(TICK_S)
             now = clock()
             self._check_freeze(now)
-            self._alive_at = now
+            self._view.alive_at = now
 
     def _check_freeze(self, now: float) -> None:
-        stood_s = now - self._alive_at
+        stood_s = now - self._view.alive_at
         if stood_s <= FREEZE_S:
             return
         loguru.logger.warning("entry: the process did not run for {:.1f} s", stood_s)
-        self._alive_at = now
+        self._view.alive_at = self._view.thawed_at = now
         self._freezes += 1
         self._view.forget_proof()
