control: test that a report reaches a follower through another

Cause: nothing tested MemberLinks.relay between two followers, which exchange no agreement messages and so may have no link to each other.

Change: a report to one follower, with no link between the two, has to reach the other one. A second test gives the check a relay over the present links only, and expects it to fail.

--- a/coltsfootchute/control/tests/test_daemons.py
+++ b/coltsfootchute/control/tests/test_daemons.py
@@ -12,7 +12,7 @@
 import pytest
 
 from coltsfootchute import settings
-from coltsfootchute.control import daemons, links
+from coltsfootchute.control import daemons, links, members
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 from coltsfootchute.state import outcomes
@@ -287,6 +287,55 @@
     asyncio.run(main())
 
 
+async def check_relay(cluster):
+    """Report to one follower; the other one has to know the entry as well."""
+    leader = await cluster.leader()
+    taker, other = (name for name in cluster.daemons if name != leader)
+    # Followers exchange messages with the leader only, but an election may have
+    # left a link between them.
+    for name, core in [(n, cluster.daemons[n].core) for n in (taker, other)]:
+        beside = cluster.daemons[other if name == taker else taker].core
+        link = core.links._links.pop(beside.identity.member_id, None)
+        if link is not None:
+            await link.stop()
+    channel = links.open_channel(cluster.daemons[taker].address)
+    try:
+        report = pb.ReportRequest(instance=pb.Instance(name="e1", start_ms=1))
+        await rpc.ControlStub(channel).Report(report)
+    finally:
+        channel.close()
+    known = cluster.daemons[other].duties.instances
+    await wait_for(lambda: [i.name for i in known.all()] == ["e1"])
+
+
+def test_a_report_to_one_follower_reaches_the_other(tmp_path):
+    # Guards against an entry that is missing in the address responses of entries
+    # that watch another follower (a relay only over the links to the leader).
+    async def main():
+        async with running(tmp_path) as cluster:
+            await check_relay(cluster)
+
+    asyncio.run(main())
+
+
+def test_check_rejects_a_relay_over_present_links_only(tmp_path, monkeypatch):
+    def relay(self, instance):
+        request = pb.ReportRequest(instance=instance)
+        for link in self._links.values():
+            self._spawn(self._relay(link, request))
+
+    monkeypatch.setattr(members.MemberLinks, "relay", relay)
+
+    async def main():
+        async with running(tmp_path) as cluster:
+            await cluster.leader()
+            monkeypatch.setitem(globals(), "TIMEOUT_S", 2.0)
+            await check_relay(cluster)
+
+    with pytest.raises(AssertionError, match="not met in time"):
+        asyncio.run(main())
+
+
 def test_metrics_are_served_if_set(tmp_path):
     # Guards against an instance that reports ready without proof of currency.
     async def get(port, path):
