logs: set up log lines in one place

Cause: the set-up stood in coltsfootchute/control/logs.py, in coltsfootchute/entry/__main__.py and in coltsfootchute/commands/logs.py, with three formats of lines.

Change: coltsfootchute/logs.py serves all roles. It imports loguru and msgspec, which the control role loads anyway.

Conclusion: the start of control still loads none of aiohttp, aiomisc, cyclopts, rich and prometheus_client (coltsfootchute/commands/tests/ test_main.py).

--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -8,8 +8,7 @@
 
 import uvloop
 
-from coltsfootchute import errors, settings
-from coltsfootchute.commands import logs
+from coltsfootchute import errors, logs, settings
 
 __all__ = ["run"]
 
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -10,14 +10,13 @@
 import uvloop
 from loguru import logger
 
-from coltsfootchute import agreement, errors, settings
+from coltsfootchute import agreement, errors, logs, settings
 from coltsfootchute.control import (
     cores,
     duties,
     feeds,
     joins,
     links,
-    logs,
     services,
 )
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
--- a/coltsfootchute/entry/__main__.py
+++ b/coltsfootchute/entry/__main__.py
@@ -6,10 +6,9 @@
 import sys
 
 import aiomisc
-import loguru
 import uvloop
 
-from coltsfootchute import errors, settings
+from coltsfootchute import errors, logs, settings
 from coltsfootchute.entry import daemons
 
 __all__ = ["main"]
@@ -61,10 +60,7 @@
     if cfg.entry is None:
         sys.stderr.write("the settings have no entry role\n")
         return 2
-    loguru.logger.remove()
-    loguru.logger.add(
-        sys.stderr, level=cfg.log.level, serialize=cfg.log.format == "json"
-    )
+    logs.configure(cfg)
     asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
     service = EntryService(daemon=daemons.Daemon(cfg))
     with aiomisc.entrypoint(
--- a/coltsfootchute/logs.py
+++ b/coltsfootchute/logs.py
@@ -23,7 +23,7 @@
     exception: str = ""
 
 
-def configure(cfg: settings.Settings, stream: typing.TextIO = sys.stderr) -> None:
+def configure(cfg: settings.Settings, stream: typing.TextIO | None = None) -> None:
     """Send all log lines of the process to a stream.
 
     Parameters
@@ -31,13 +31,14 @@
     cfg
         Settings of the instance: format, least level, and name.
     stream
-        Where lines go.
+        Where lines go; by default the standard error stream.
 
     Notes
     -----
     Variable values stay out of tracebacks (``diagnose=False``), because they
     may hold bodies and headers of callers.
     """
+    stream = stream or sys.stderr
     loguru.logger.remove()
     loguru.logger.configure(extra={"instance": cfg.instance.name})
     if cfg.log.format == "json":
--- a/coltsfootchute/tests/test_logs.py
+++ b/coltsfootchute/tests/test_logs.py
@@ -6,8 +6,7 @@
 import loguru
 import pytest
 
-from coltsfootchute import settings
-from coltsfootchute.commands import logs
+from coltsfootchute import logs, settings
 
 
 @pytest.fixture
