control: count no unknown claim at a follower

Cause: every claim at an instance that does not lead counted as claims_unknown, besides not_leader (seen in /metrics of a follower after one claim). An unknown target's drain was refused with "incarnation 0 is known".

Change: only an unknown outcome counts; the refusal says that the target must announce itself.

Conclusion: claims_unknown is fit for an alarm.

--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -177,11 +177,11 @@
         _require(bool(request.service), "service: missing")
         _require(bool(request.attempt_id), "attempt_id: missing")
         fields = await self._commit(pb.Command(claim=request))
-        status = pb.CLAIM_STATUS_UNKNOWN
-        if "outcome" in fields:
-            status = fields["outcome"].status
-        name = pb.ClaimStatus.Name(status).removeprefix("CLAIM_STATUS_")
-        self._count(f"claims_{name.lower()}")
+        # A claim at a follower has no outcome at all; `not_leader` counts it.
+        if fields["header"].status != pb.REPLY_STATUS_NOT_LEADER:
+            outcome = fields.get("outcome", pb.ClaimOutcome())
+            name = pb.ClaimStatus.Name(outcome.status)
+            self._count(f"claims_{name.removeprefix('CLAIM_STATUS_').lower()}")
         return pb.ClaimReply(**fields)
 
     @_unary
--- a/coltsfootchute/control/tests/test_daemons.py
+++ b/coltsfootchute/control/tests/test_daemons.py
@@ -336,6 +336,24 @@
         asyncio.run(main())
 
 
+def test_a_claim_at_a_follower_is_no_unknown_outcome(tmp_path):
+    # Guards against an alarm on unknown claims that every lost leader sets off.
+    async def main():
+        async with running(tmp_path) as cluster:
+            leader = await cluster.leader()
+            follower = next(n for n in cluster.daemons if n != leader)
+            channel = links.open_channel(cluster.daemons[follower].address)
+            try:
+                reply = await rpc.ControlStub(channel).Claim(claim(b"attempt-1"))
+            finally:
+                channel.close()
+            assert reply.header.status == pb.REPLY_STATUS_NOT_LEADER
+            counters = cluster.daemons[follower].core.counters
+            assert (counters["not_leader"], counters["claims_unknown"]) == (1, 0)
+
+    asyncio.run(main())
+
+
 def test_metrics_are_served_if_set(tmp_path):
     # Guards against an instance that reports ready without proof of currency.
     async def get(port, path):
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -76,6 +76,7 @@
     coltsfootchute_pb2.ANNOUNCEMENT_STATUS_OLD_INCARNATION: (409, "old_incarnation"),
     coltsfootchute_pb2.ANNOUNCEMENT_STATUS_UNKNOWN_TARGET: (404, "unknown_target"),
 }
+_UNANNOUNCED = "the target must announce itself"
 _KINDS = {
     "drain": coltsfootchute_pb2.TargetCommand.KIND_DRAIN,
     "withdraw": coltsfootchute_pb2.TargetCommand.KIND_WITHDRAW,
@@ -248,7 +249,8 @@
         outcome = reply.outcome
         if outcome.status in _ANNOUNCEMENT_ERRORS:
             status, name = _ANNOUNCEMENT_ERRORS[outcome.status]
-            return _error(status, name, f"incarnation {outcome.incarnation} is known")
+            detail = f"incarnation {outcome.incarnation} is known"
+            return _error(status, name, _UNANNOUNCED if status == 404 else detail)
         if outcome.status != coltsfootchute_pb2.ANNOUNCEMENT_STATUS_ACCEPTED:
             return _error(504, "unknown", "the outcome is not known; send it again")
         times = msgspec.to_builtins(TargetLeaseTimes())
@@ -264,7 +266,7 @@
         if known is not None and known.incarnation > body.incarnation:
             detail = f"incarnation {known.incarnation} is known"
             return _error(409, "old_incarnation", detail)
-        return _error(404, "unknown_target", "the target must announce itself")
+        return _error(404, "unknown_target", _UNANNOUNCED)
 
     async def targets(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return the register with the leases, as the leader knows them."""
