bench: measure slopes of each role and write the capacity page

Cause: the size designed for (860 targets, 100,000 calls/s) rested on no measurement, and `make slopes` had no program behind it.

Ruled out: measuring inside one process, because the callers' and the targets' own work would count as the entry's; counting bytes in /proc/net, because the loopback interface is shared with other work.

Change: `benchmarks.slopes` starts the roles as processes, reads their processor time from the kernel and their bytes from TCP_INFO, and writes docs/capacity.json.

Conclusion: the page states the misses; the list of entries and the memory of control are worked on next.

--- /dev/null
+++ b/benchmarks/capacity_models.py
@@ -0,0 +1,279 @@
+"""Arithmetic from measured slopes to the size designed for."""
+
+import dataclasses
+import itertools
+import math
+
+__all__ = ["SIZE", "Estimate", "Results", "Size", "placements"]
+
+US_PER_S = 1e6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Size:
+    """The size designed for (`docs/design.md`, section 1), and what it assumes.
+
+    Parameters
+    ----------
+    utilization
+        Share of a core that an entry's calls may use on an ordinary day. The loss
+        of one failure domain of four raises it by a third.
+    caller_connections
+        Connections of callers at one entry; an assumption.
+    address_queries_per_s
+        Address queries of all callers: 10,000 callers that ask once in the 5 s for
+        which an answer is kept; an assumption.
+    """
+
+    targets: int = 860
+    services: int = 22
+    calls_per_s: float = 100_000
+    depth: int = 12
+    added_p99_ms: float = 0.59
+    changes_per_day: int = 600
+    in_force_s: float = 3.0
+    regions: int = 2
+    domains: int = 4
+    members: int = 5
+    most_members: int = 8
+    node_core_share: float = 0.011
+    node_kib: float = 32 * 1024
+    node_bytes_per_s: float = 4096
+    utilization: float = 0.5
+    caller_connections: int = 500
+    address_queries_per_s: float = 2000
+    slots: int = 4
+    renew_s: float = 10.0
+    report_s: float = 5.0
+    retention_s: float = 3600
+    keep_s: float = 5.0
+
+    @property
+    def changes_per_s(self) -> float:
+        """Return the mean rate of changes."""
+        return self.changes_per_day / 86_400
+
+
+SIZE = Size()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Estimate:
+    """A figure that follows from measurements.
+
+    Parameters
+    ----------
+    value
+        The figure.
+    beyond
+        Whether it lies outside of the measured sizes.
+    """
+
+    value: float
+    beyond: bool = False
+
+    def __add__(self, other: "Estimate") -> "Estimate":
+        return Estimate(self.value + other.value, self.beyond or other.beyond)
+
+    def times(self, factor: float) -> "Estimate":
+        """Return the figure multiplied by a number."""
+        return Estimate(self.value * factor, self.beyond)
+
+    def text(self, digits: int = 2) -> str:
+        """Return the figure, marked if it is extrapolated."""
+        mark = "†" if self.beyond else ""
+        magnitude = math.floor(math.log10(abs(self.value))) if self.value else 0
+        places = max(0, digits - 1 - magnitude)
+        return f"{round(self.value, digits - 1 - magnitude):,.{places}f}{mark}"
+
+
+class Results:
+    """What `benchmarks.slopes` measured.
+
+    Parameters
+    ----------
+    data
+        The content of `docs/capacity.json`.
+    """
+
+    def __init__(self, data: dict):
+        self.data = data
+
+    def get(self, key: str):
+        """Return the data under a dotted key."""
+        found = self.data
+        for part in key.split("."):
+            found = found[part]
+        return found
+
+    def slope(self, key: str) -> Estimate:
+        """Return the slope of a figure."""
+        return Estimate(self.get(key)["slope"])
+
+    def at(self, key: str, size: float) -> Estimate:
+        """Return the value on the line at a size; never below 0."""
+        found = self.get(key)
+        beyond = not found["sizes"][0] <= size <= found["sizes"][-1]
+        value = found["intercept"] + found["slope"] * size
+        return Estimate(max(0.0, value), beyond)
+
+    def growth(self, key: str, size: float) -> Estimate:
+        """Return the part of a value that grows with the size."""
+        found = self.get(key)
+        return Estimate(found["slope"] * size, size > found["sizes"][-1])
+
+    def highest(self, key: str) -> tuple[float, float]:
+        """Return the greatest size and the median value there."""
+        found = self.get(key)
+        return found["sizes"][-1], found["medians"][-1]
+
+    def call_us(self, kind: str, process: str = "entry") -> Estimate:
+        """Return processor time per call at the highest measured rate."""
+        rate, used = self.highest(f"calls.{kind}.{process}")
+        return Estimate(used / rate)
+
+    def held_utilization(self, limit_ms: float) -> float | None:
+        """Return the highest measured utilization that keeps the added p99."""
+        held = [
+            point["utilization"]
+            for point in self.get("latency.points")
+            if point["added_p99_ms"] <= limit_ms
+        ]
+        return max(held, default=None)
+
+    def entries(self, size: Size, utilization: float) -> Estimate:
+        """Return how many entry processes the calls need at a utilization."""
+        needed = size.calls_per_s * self.call_us("small").value / US_PER_S / utilization
+        return Estimate(math.ceil(needed))
+
+    def started_kib(self, role: str) -> Estimate:
+        """Return the resident memory of a role just started."""
+        found = self.get(f"imports.started.{role}")
+        return Estimate(found["anonymous"] + found["file"])
+
+    def control(self, role: str, name: str, size: Size, entries: float) -> Estimate:
+        """Return processor time (us/s) or bytes per second of a control instance.
+
+        Parameters
+        ----------
+        role
+            ``leader`` or ``follower``.
+        name
+            ``cpu`` or ``bytes``.
+        size
+            The size designed for.
+        entries
+            Number of entries, spread evenly over the control instances.
+        """
+        parts = [
+            self.at(f"rest.members.{role}.{name}", size.members),
+            self.growth(f"rest.watchers.{role}.{name}", entries / size.members),
+            self.growth(f"work.reports.{role}.{name}", entries / size.report_s),
+            self.growth(f"work.changes.{role}.{name}", size.changes_per_s),
+            self.news(role, name, entries).times(size.changes_per_s),
+        ]
+        if role == "leader":
+            messages = size.targets / size.renew_s
+            parts.append(self.growth(f"work.renew_messages.{role}.{name}", messages))
+        return sum(parts, Estimate(0.0))
+
+    def news(self, role: str, name: str, entries: float) -> Estimate:
+        """Return what the reports after one change cost (us or bytes)."""
+        found = self.at(f"news.{role}.{name}", entries)
+        return found.times(1000) if name == "cpu" else found
+
+    def control_kib(self, size: Size, entries: float) -> Estimate:
+        """Return the resident memory of a control instance without claims."""
+        return (
+            self.started_kib("control")
+            + self.growth("state.control.targets", size.targets)
+            + self.growth("state.control.services", size.services)
+            + self.growth("rest.watchers.leader.memory", entries / size.members)
+        )
+
+    def entry_state_kib(self, size: Size) -> Estimate:
+        """Return the memory of the replicated state and the pools in an entry."""
+        return self.growth("state.entry.targets", size.targets) + self.growth(
+            "state.entry.services", size.services
+        )
+
+    def entry_kib(self, size: Size) -> Estimate:
+        """Return the resident memory of an entry."""
+        return (
+            self.started_kib("entry")
+            + self.entry_state_kib(size)
+            + self.growth("connections", size.caller_connections)
+        )
+
+    def claims_per_s(self, utilization: float) -> Estimate:
+        """Return the claims (with settlement) per second that one leader carries."""
+        return Estimate(utilization * US_PER_S / self.call_us("claim", "leader").value)
+
+    def claims_in(self, kib: float) -> Estimate:
+        """Return how many claims fit into an amount of memory."""
+        return Estimate(kib / self.slope("state.control.claims").value)
+
+    def full_view_bytes(self, size: Size) -> Estimate:
+        """Return the size of a full view in the feed."""
+        return self.growth("state.full_view.targets", size.targets) + self.growth(
+            "state.full_view.services", size.services
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """Voters by failure domain; the first half of the domains is region 1.
+
+    Parameters
+    ----------
+    voters
+        Number of voters in each failure domain.
+    """
+
+    voters: tuple[int, ...]
+
+    @property
+    def quorum(self) -> int:
+        """Return the votes that a quorum takes."""
+        return sum(self.voters) // 2 + 1
+
+    @property
+    def regions(self) -> tuple[int, int]:
+        """Return the voters in each region."""
+        half = len(self.voters) // 2
+        return sum(self.voters[:half]), sum(self.voters[half:])
+
+    def survives_domains(self) -> bool:
+        """Tell whether a quorum survives the loss of any failure domain."""
+        return sum(self.voters) - max(self.voters) >= self.quorum
+
+    def survives_domain_and_voter(self) -> bool:
+        """Tell whether a quorum survives a failure domain and one more voter."""
+        return sum(self.voters) - max(self.voters) - 1 >= self.quorum
+
+    def quorate_region(self) -> int | None:
+        """Return the region (1 or 2) that has a quorum by itself."""
+        quorate = [n for n, votes in enumerate(self.regions, 1) if votes >= self.quorum]
+        return quorate[0] if quorate else None
+
+
+def placements(voters: int, domains: int) -> list[Placement]:
+    """Return the placements of voters that survive any one failure domain.
+
+    Those that differ only in the order of domains in a region, or of regions, are
+    given once.
+    """
+    seen, found = set(), []
+    for counts in itertools.product(range(voters, -1, -1), repeat=domains):
+        if sum(counts) != voters:
+            continue
+        half = domains // 2
+        shape = (
+            frozenset({tuple(sorted(counts[:half])), tuple(sorted(counts[half:]))}),
+            tuple(sorted(counts)),
+        )
+        placement = Placement(counts)
+        if shape not in seen and placement.survives_domains():
+            seen.add(shape)
+            found.append(placement)
+    return found
--- /dev/null
+++ b/benchmarks/capacity_tables.py
@@ -0,0 +1,53 @@
+"""The registry of the tables of `docs/CAPACITY.md`, and what they share."""
+
+import collections.abc
+
+from benchmarks import capacity_models as models
+from coltsfootchute import registries
+
+__all__ = ["MIB", "TABLES", "US_PER_S", "control_share", "percent", "planned", "table"]
+
+MIB = 1024
+US_PER_S = 1e6
+
+TABLES = registries.Registry("table")
+Rows = list[collections.abc.Sequence[str]]
+
+
+def table(keys: str, head: collections.abc.Sequence[str], rows: Rows) -> str:
+    """Return a table in Markdown with the JSON keys that it comes from."""
+    lines = [head, ["---"] * len(head), *rows]
+    text = "\n".join("| " + " | ".join(line) + " |" for line in lines)
+    named = ", ".join(f"`{key}`" for key in keys.split(", "))
+    return f"From {named}.\n\n{text}\n"
+
+
+def planned(results: models.Results) -> float:
+    """Return the planned number of entries."""
+    return results.entries(models.SIZE, models.SIZE.utilization).value
+
+
+def verdict(holds: bool) -> str:
+    """Return the word for a bound that holds or not."""
+    return "holds" if holds else "**miss**"
+
+
+def percent(us_per_s: models.Estimate) -> str:
+    """Return processor time as a percentage of a core."""
+    return us_per_s.times(100 / US_PER_S).text()
+
+
+def control_share(
+    results: models.Results,
+) -> tuple[models.Estimate, models.Estimate, models.Estimate]:
+    """Return processor time (us/s), KiB and bytes/s of control in an entry."""
+    size = models.SIZE
+    count = planned(results)
+    # The two followers of the measured cluster send about the same.
+    sent = results.news("leader", "bytes", count) + results.news(
+        "follower", "bytes", count
+    ).times(2)
+    news = sent.times(size.changes_per_s / count)
+    cpu = results.at("entry_rest.cpu", count - 1)
+    rest = results.at("entry_rest.bytes", count - 1)
+    return cpu, results.entry_state_kib(size), rest + news
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,221 @@
+"""Measure what each role costs by the size of what it handles: `make slopes`.
+
+The results are in `docs/capacity.json`, and `benchmarks.capacity` writes them
+into `docs/CAPACITY.md`.
+"""
+
+import argparse
+import asyncio
+import collections.abc
+import json
+import pathlib
+import sys
+import tempfile
+import time
+
+from benchmarks import (
+    slopes_children,
+    slopes_controls,
+    slopes_entries,
+    slopes_feeds,
+    slopes_states,
+)
+from benchmarks import slopes_fits as fits
+from benchmarks import slopes_processes as processes
+from coltsfootchute import registries
+
+__all__ = ["MEASUREMENTS", "main"]
+
+RESULTS = pathlib.Path(__file__).resolve().parent.parent / "docs" / "capacity.json"
+CHILDREN = ("-m", slopes_children.__name__)
+STATE_SIZES = {
+    "targets": (500, 1000, 2000),
+    "services": (25, 50, 100),
+    "claims": (5000, 10_000, 20_000),
+}
+ENTRY_KINDS = ("targets", "services")
+RESTART_CHANGES = (500, 2000, 8000)
+SYNC_ENTRIES = (1, 8, 64, 512)
+
+MEASUREMENTS = registries.Registry("measurement")
+
+
+@MEASUREMENTS.register("imports")
+def measure_imports(quick: bool) -> dict:
+    """Measure resident memory by imported library, and of roles just started."""
+    rounds = 1 if quick else 2
+    results: dict = {"unit": "KiB resident"}
+    for role in slopes_states.IMPORTS:
+        found = [
+            processes.run_json(*CHILDREN, "imports", role) for _ in range(1 + rounds)
+        ]
+        # The first run may have compiled the modules.
+        results[role] = {
+            step: {
+                part: sorted(one[step][part] for one in found[1:])[rounds // 2]
+                for part in ("anonymous", "file")
+            }
+            for step in found[0]
+        }
+    results["started"] = asyncio.run(_measure_started(rounds))
+    return results
+
+
+async def _measure_started(rounds: int) -> dict:
+    found: dict[str, list] = {"control": [], "entry": []}
+    for _ in range(rounds):
+        async with slopes_entries.Stage(processes.ENTRY_ROLE) as stage:
+            found["entry"].append(stage.entry.memory())
+        found["control"].append(await _control_alone())
+    return {
+        role: {
+            "anonymous": sorted(m.anonymous for m in memories)[rounds // 2],
+            "file": sorted(m.file for m in memories)[rounds // 2],
+            "total_spread": [
+                min(m.total for m in memories),
+                max(m.total for m in memories),
+            ],
+        }
+        for role, memories in found.items()
+    }
+
+
+async def _control_alone() -> processes.Memory:
+    """Return the memory of a control process of a cluster of three, at rest."""
+    cluster = processes.Cluster(3, program=processes.CONTROL_ROLE)
+    try:
+        await cluster.start()
+        await asyncio.sleep(1.0)
+        return cluster.leading.memory()
+    finally:
+        await cluster.stop()
+
+
+@MEASUREMENTS.register("state")
+def measure_state(quick: bool) -> dict:
+    """Measure the memory of replicated state in control and in an entry."""
+    rounds = 1 if quick else 2
+    control = {kind: _state("control", kind, rounds) for kind in STATE_SIZES}
+    return {
+        "control": {
+            kind: _figure(kind, found, "kib") for kind, found in control.items()
+        },
+        "entry": {
+            kind: _figure(kind, _state("entry", kind, rounds), "kib")
+            for kind in ENTRY_KINDS
+        },
+        "full_view": {
+            kind: _figure(kind, control[kind], "view_bytes") for kind in ENTRY_KINDS
+        },
+    }
+
+
+def _state(role: str, kind: str, rounds: int) -> list[dict[int, dict]]:
+    words = (*CHILDREN, "state", role, kind)
+    return [
+        {size: processes.run_json(*words, str(size)) for size in STATE_SIZES[kind]}
+        for _ in range(rounds)
+    ]
+
+
+def _figure(kind: str, rounds: list[dict[int, dict]], name: str) -> dict:
+    unit = {"kib": "KiB resident", "view_bytes": "bytes"}[name]
+    values = [{size: one[size][name] for size in one} for one in rounds]
+    return fits.figure(unit, kind, values).data()
+
+
+@MEASUREMENTS.register("log")
+def measure_log(quick: bool) -> dict:
+    """Measure one append with its sync by the number of entries."""
+    rounds = 1 if quick else 3
+    sizes = ",".join(map(str, SYNC_ENTRIES))
+    found = []
+    for _ in range(rounds):
+        with tempfile.TemporaryDirectory(prefix="slopes-") as folder:
+            words = ("sync", folder, sizes, "40")
+            found.append(processes.run_json(*CHILDREN, *words))
+    return {
+        name: fits.figure(
+            "us",
+            "entries of 256 bytes",
+            [{int(size): value[name] for size, value in one.items()} for one in found],
+        ).data()
+        for name in ("p50", "p99")
+    }
+
+
+@MEASUREMENTS.register("restart")
+def measure_restart(quick: bool) -> dict:
+    """Measure the start from a data folder by the number of changes."""
+    rounds = 1 if quick else 2
+    results = {}
+    for mode in ("snapshots", "no_snapshots"):
+        found: list[dict] = []
+        for _ in range(rounds):
+            values = {}
+            for size in RESTART_CHANGES:
+                with tempfile.TemporaryDirectory(prefix="slopes-") as folder:
+                    words = (folder, str(size), mode)
+                    filled = processes.run_json(*CHILDREN, "fill", *words)
+                    started = processes.run_json(*CHILDREN, "restart", folder, mode)
+                if started.pop("revisions") != size:
+                    raise RuntimeError("changes are missing after the restart")
+                values[size] = {**filled, **started}
+            found.append(values)
+        units = {"bytes": "bytes", "opened_ms": "ms", "ready_ms": "ms", "kib": "KiB"}
+        results[mode] = {
+            name: fits.figure(
+                unit, "changes", [{s: v[name] for s, v in one.items()} for one in found]
+            ).data()
+            for name, unit in units.items()
+        }
+    return results
+
+
+def _asynchronous(measure) -> collections.abc.Callable[[bool], dict]:
+    return lambda quick: asyncio.run(measure(quick))
+
+
+MEASUREMENTS.register("rest")(_asynchronous(slopes_controls.measure_rest))
+MEASUREMENTS.register("work")(_asynchronous(slopes_controls.measure_work))
+MEASUREMENTS.register("force")(_asynchronous(slopes_feeds.measure_force))
+MEASUREMENTS.register("news")(_asynchronous(slopes_feeds.measure_news))
+MEASUREMENTS.register("entry_rest")(_asynchronous(slopes_entries.measure_entry_rest))
+MEASUREMENTS.register("calls")(_asynchronous(slopes_entries.measure_calls))
+MEASUREMENTS.register("latency")(_asynchronous(slopes_entries.measure_latency))
+MEASUREMENTS.register("connections")(_asynchronous(slopes_entries.measure_connections))
+
+
+def _text(value: object, indent: str = "") -> str:
+    """Return JSON with one line for each list of plain values."""
+    if isinstance(value, dict) and value:
+        inner = indent + " "
+        lines = (
+            f"{inner}{json.dumps(str(key))}: {_text(item, inner)}"
+            for key, item in value.items()
+        )
+        return "{\n" + ",\n".join(lines) + f"\n{indent}}}"
+    if isinstance(value, list) and any(isinstance(item, dict) for item in value):
+        lines = (f"{indent} {json.dumps(item)}" for item in value)
+        return "[\n" + ",\n".join(lines) + f"\n{indent}]"
+    return json.dumps(value)
+
+
+def main(args: list[str] | None = None) -> int:
+    """Run the measurements and write the results."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.slopes")
+    parser.add_argument("--only", action="append", choices=MEASUREMENTS.names())
+    parser.add_argument("--quick", action="store_true", help="one repetition each")
+    options = parser.parse_args(args)
+    results = json.loads(RESULTS.read_text()) if RESULTS.exists() else {}
+    for name in options.only or MEASUREMENTS.names():
+        began = time.monotonic()
+        results[name] = MEASUREMENTS[name](options.quick)
+        results[name]["quick"] = options.quick
+        RESULTS.write_text(_text(results) + "\n")
+        print(f"{name}: {time.monotonic() - began:.1f} s", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/benchmarks/slopes_controls.py
@@ -0,0 +1,181 @@
+"""Control under count: at rest, and by renewals, reports and changes."""
+
+import asyncio
+
+from benchmarks import slopes_feeds
+from benchmarks import slopes_fits as fits
+from benchmarks import slopes_processes as processes
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["measure_rest", "measure_work"]
+
+ROLES = ("leader", "follower")
+MEMBERS = (1, 3, 5, 7)
+REGULAR_MEMBERS = 3
+PERS = {
+    "renewals": "renewals/s",
+    "renew_messages": "messages/s",
+    "reports": "reports/s",
+    "changes": "changes/s",
+}
+WATCHERS = (0, 10, 50, 200)
+RENEWALS_PER_S = (0, 86, 430, 860)
+CHANGES_PER_S = (0, 10, 40)
+MESSAGES_PER_S = (0, 20, 80)
+REPORTS_PER_S = (0, 10, 40, 80)
+US_PER_S = 1e6
+MS_PER_S = 1000
+CPU_UNIT = "us of processor time per s"
+BYTES_UNIT = "bytes per s"
+
+
+def _figures(per: str, rounds: list[dict[float, dict]]) -> dict:
+    """Return the figures of processor time and bytes."""
+    units = {"cpu": CPU_UNIT, "bytes": BYTES_UNIT, "memory": "KiB resident"}
+    return {
+        name: fits.figure(
+            unit, per, [{size: v[name] for size, v in one.items()} for one in rounds]
+        ).data()
+        for name, unit in units.items()
+    }
+
+
+async def measure_rest(quick: bool) -> dict:
+    """Measure control without changes, by members and by watchers."""
+    seconds, rounds = (1.5, 1) if quick else (2.0, 2)
+    members: list[dict] = [{} for _ in range(rounds)]
+    watchers: list[dict] = []
+    for count in MEMBERS:
+        async with processes.running(count) as cluster:
+            await asyncio.sleep(1.0)
+            for one in members:
+                one[count] = await _observe_roles(cluster, seconds)
+            if count == REGULAR_MEMBERS:
+                watchers = [await _by_watchers(cluster, seconds) for _ in members]
+    return {
+        "members": {role: _roles("members", members, role) for role in ROLES},
+        "watchers": {role: _roles("watchers", watchers, role) for role in ROLES},
+    }
+
+
+async def _observe_roles(cluster, seconds: float) -> dict[str, dict]:
+    numbers = {"leader": cluster.leader, "follower": cluster.follower}
+    if len(cluster.processes) == 1:
+        del numbers["follower"]
+    found = await processes.observe(cluster, list(numbers.values()), seconds)
+    return {role: found[number] for role, number in numbers.items()}
+
+
+async def _by_watchers(cluster, seconds: float) -> dict[int, dict]:
+    """Measure with as many watchers at the leader as at one follower."""
+    values = {}
+    addresses = [cluster.addresses[n] for n in (cluster.leader, cluster.follower)]
+    for count in WATCHERS:
+        watchers = slopes_feeds.Watchers(addresses, count * len(addresses))
+        await watchers.start()
+        values[count] = await _observe_roles(cluster, seconds)
+        await watchers.stop()
+    return values
+
+
+def _roles(per: str, rounds: list[dict[float, dict]], role: str) -> dict:
+    """Return the figures of one role, at the sizes where it exists."""
+    return _figures(
+        per, [{s: v[role] for s, v in one.items() if role in v} for one in rounds]
+    )
+
+
+async def _repeat(action, rate: float, seconds: float) -> None:
+    """Run a coroutine function at an even rate."""
+    loop = asyncio.get_running_loop()
+    start = loop.time()
+    for turn in range(int(rate * seconds)):
+        await asyncio.sleep(max(0.0, start + turn / rate - loop.time()))
+        await action()
+
+
+async def _under_load(cluster, action, rate: float, seconds: float) -> dict:
+    load = asyncio.create_task(_repeat(action, rate, seconds + 0.5))
+    await asyncio.sleep(0.25)
+    found = await _observe_roles(cluster, seconds - 0.25)
+    await load
+    return found
+
+
+async def measure_work(quick: bool) -> dict:
+    """Measure control by renewals, reports, and changes."""
+    seconds, rounds = (1.5, 1) if quick else (1.75, 2)
+    found: dict[str, list] = {name: [] for name in PERS}
+    async with processes.running(3) as cluster:
+        for number in range(max(RENEWALS_PER_S)):
+            target = pb.Target(
+                target_id=f"t{number}", incarnation=1, address="127.0.0.1:1"
+            )
+            target.services.append(f"service-{number % 22}")
+            command = pb.TargetCommand(target=target)
+            await cluster.stub.Announce(pb.AnnounceRequest(command=command))
+        changes = slopes_feeds.Changes(cluster, "s")
+        for _ in range(rounds):
+            found["renewals"].append(await _renewals(cluster, seconds))
+            found["renew_messages"].append(await _renew_messages(cluster, seconds))
+            found["reports"].append(await _reports(cluster, seconds))
+            found["changes"].append(
+                {
+                    rate: await _under_load(cluster, changes.propose, rate, seconds)
+                    for rate in CHANGES_PER_S
+                }
+            )
+    return {
+        name: {role: _roles(PERS[name], rounds_, role) for role in ROLES}
+        for name, rounds_ in found.items()
+    }
+
+
+async def _renewals(cluster, seconds: float) -> dict:
+    """Renew in one message per second, as an entry does."""
+    values = {}
+    for count in RENEWALS_PER_S:
+        renewals = [
+            pb.Renewal(target_id=f"t{number}", incarnation=1) for number in range(count)
+        ]
+        request = pb.RenewRequest(renewals=renewals)
+
+        async def renew(request=request) -> None:
+            if request.renewals:
+                await cluster.stub.Renew(request)
+
+        values[count] = await _under_load(cluster, renew, 1.0, seconds)
+    return values
+
+
+async def _renew_messages(cluster, seconds: float) -> dict:
+    """Renew one target with each message, as many entries with few targets do."""
+    renewal = pb.Renewal(target_id="t1", incarnation=1)
+    request = pb.RenewRequest(renewals=[renewal])
+    return {
+        rate: await _under_load(
+            cluster, lambda: cluster.stub.Renew(request), rate, seconds
+        )
+        for rate in MESSAGES_PER_S
+    }
+
+
+async def _reports(cluster, seconds: float) -> dict:
+    """Report from ever changing entries, so that each report is passed on."""
+    values = {}
+    revision = 0
+
+    async def report() -> None:
+        nonlocal revision
+        revision += 1
+        instance = pb.Instance(
+            name=f"e{revision % 50}",
+            calls_address="127.0.0.1:1",
+            start_ms=1,
+            revision=revision,
+        )
+        await cluster.stub.Report(pb.ReportRequest(instance=instance))
+
+    for rate in REPORTS_PER_S:
+        values[rate] = await _under_load(cluster, report, rate, seconds)
+    return values
--- /dev/null
+++ b/benchmarks/slopes_feeds.py
@@ -0,0 +1,213 @@
+"""The feed under count: watchers, changes in force, and the reports after them."""
+
+import asyncio
+import json
+import random
+import statistics
+import time
+
+from benchmarks import slopes_fits as fits
+from benchmarks import slopes_processes as processes
+from coltsfootchute.control import links
+from coltsfootchute.proto import coltsfootchute_grpc as rpc
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = ["Changes", "Watchers", "measure_force", "measure_news"]
+
+WATCHERS = (10, 50, 200)
+ENTRIES = (10, 50, 100)
+INSTANCES_COMPLETE_S = 6.5
+NEWS_S = 2.5
+MS_PER_S = 1000
+IN_FORCE_LIMIT_S = 10.0
+
+
+class Watchers:
+    """Light watchers of the feed: they note when each revision arrived.
+
+    Parameters
+    ----------
+    addresses
+        Feeds to watch, by turns.
+    count
+        Number of watchers.
+    report
+        Coroutine function that takes a watcher's number and a new revision, and
+        reports it as an entry does; by default watchers do not report.
+    """
+
+    def __init__(self, addresses: list[str], count: int, report=None):
+        self._addresses = addresses
+        self._count = count
+        self._report = report
+        self._reporting: set[asyncio.Task] = set()
+        self._tasks: list[asyncio.Task] = []
+        self.revisions = [0] * count
+        self.arrived: list[dict[int, float]] = [{} for _ in range(count)]
+
+    async def start(self) -> None:
+        """Connect and wait for the first message of each."""
+        for number in range(self._count):
+            self._tasks.append(asyncio.create_task(self._watch(number)))
+            await asyncio.sleep(0.002)
+        await asyncio.sleep(1.0)
+
+    async def _watch(self, number: int) -> None:
+        address = self._addresses[number % len(self._addresses)]
+        channel = links.open_channel(address)
+        try:
+            async with rpc.FeedStub(channel).Watch.open() as stream:
+                request = pb.WatchRequest(watcher=f"w{number}")
+                await stream.send_message(request, end=True)
+                async for message in stream:
+                    news = message.revision > self.revisions[number]
+                    self.arrived[number][message.revision] = time.monotonic()
+                    self.revisions[number] = message.revision
+                    if news and self._report is not None:
+                        self._report_later(number)
+        finally:
+            channel.close()
+
+    def _report_later(self, number: int) -> None:
+        """Report within the second in which an entry does."""
+
+        async def report() -> None:
+            await asyncio.sleep(random.random())
+            await self._report(number, self.revisions[number])
+
+        task = asyncio.create_task(report())
+        self._reporting.add(task)
+        task.add_done_callback(self._reporting.discard)
+
+    async def stop(self) -> None:
+        """Disconnect all."""
+        tasks = [*self._tasks, *self._reporting]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _document(number: int) -> str:
+    rule = {
+        "name": "read",
+        "methods": ["GET"],
+        "path": "/**",
+        "repeatable": True,
+        "deadline_ms": 100 + number % 1000,
+    }
+    return json.dumps({"rules": [rule]})
+
+
+class Changes:
+    """Proposes one revision after the other."""
+
+    def __init__(self, cluster: processes.Cluster, section: str):
+        self._cluster = cluster
+        self._section = section
+        self._revision = 0
+
+    async def propose(self) -> int:
+        """Change the section; return the log index of the change."""
+        proposal = pb.Proposal(
+            section=self._section,
+            expected_revision=self._revision,
+            document=_document(self._revision),
+            team="t",
+            author="a",
+            request_id=f"{self._section}-{self._revision}",
+        )
+        reply = await self._cluster.stub.Propose(proposal)
+        if reply.outcome.status != pb.PROPOSAL_STATUS_ACCEPTED:
+            raise RuntimeError(f"the change was not accepted: {reply}")
+        self._revision += 1
+        return reply.outcome.index
+
+
+async def measure_force(quick: bool) -> dict:
+    """Measure the time from a proposal until every watcher has the change."""
+    count, rounds = (4, 1) if quick else (10, 2)
+    results = {}
+    async with processes.running(3) as cluster:
+        for number in WATCHERS:
+            watchers = Watchers(cluster.addresses, number)
+            await watchers.start()
+            p50, greatest = [], []
+            for turn in range(rounds):
+                changes = Changes(cluster, f"s-{number}-{turn}")
+                times = [await _time_change(changes, watchers) for _ in range(count)]
+                p50.append(statistics.median(t for one in times for t in one))
+                greatest.append(max(t for one in times for t in one))
+            await watchers.stop()
+            results[number] = {
+                "p50_ms": round(statistics.median(p50), 2),
+                "max_ms": round(max(greatest), 2),
+                "max_rounds_ms": [round(value, 2) for value in greatest],
+                "changes": count * rounds,
+            }
+    return {"unit": "ms from the proposal", "by_watchers": results}
+
+
+async def _time_change(changes: Changes, watchers: Watchers) -> list[float]:
+    began = time.monotonic()
+    index = await changes.propose()
+    while min(watchers.revisions) < index:
+        if time.monotonic() - began > IN_FORCE_LIMIT_S:
+            raise TimeoutError("a watcher missed a change")
+        await asyncio.sleep(0.002)
+    return [(seen[index] - began) * MS_PER_S for seen in watchers.arrived]
+
+
+async def measure_news(quick: bool) -> dict:
+    """Measure one change with the reports that entries send after it."""
+    count, rounds = (1, 1) if quick else (1, 2)
+    found = []
+    async with processes.running(3) as cluster:
+        await asyncio.sleep(INSTANCES_COMPLETE_S)
+        for turn in range(rounds):
+            changes = Changes(cluster, f"news-{turn}")
+            found.append({n: await _news(cluster, changes, n, count) for n in ENTRIES})
+    units = {"cpu": "ms of processor time", "bytes": "bytes"}
+    return {
+        role: {
+            name: fits.figure(
+                f"{unit} per change",
+                "entries",
+                [{s: v[role][name] for s, v in one.items()} for one in found],
+            ).data()
+            for name, unit in units.items()
+        }
+        for role in ("leader", "follower")
+    }
+
+
+async def _news(cluster, changes: Changes, entries: int, count: int) -> dict:
+    """Return what a change costs until all entries have reported it."""
+
+    async def report(number: int, revision: int) -> None:
+        instance = pb.Instance(
+            name=f"e{number}",
+            calls_address=f"127.0.0.1:{10_000 + number}",
+            api_address=f"127.0.0.1:{20_000 + number}",
+            peer_address=f"127.0.0.1:{30_000 + number}",
+            failure_domain=f"fd-{number % 4}",
+            start_ms=1,
+            revision=revision,
+        )
+        await cluster.stub.Report(pb.ReportRequest(instance=instance))
+
+    numbers = [cluster.leader, cluster.follower]
+    watchers = Watchers(cluster.addresses, entries, report)
+    await watchers.start()
+    await asyncio.sleep(NEWS_S)
+    rest = await processes.observe(cluster, numbers, NEWS_S)
+    used = {n: {"cpu": 0.0, "bytes": 0.0} for n in numbers}
+    for _ in range(count):
+        observing = asyncio.create_task(processes.observe(cluster, numbers, NEWS_S))
+        await asyncio.sleep(0.1)
+        await changes.propose()
+        for n, values in (await observing).items():
+            more_s = NEWS_S / count
+            used[n]["cpu"] += (values["cpu"] - rest[n]["cpu"]) * more_s / MS_PER_S
+            used[n]["bytes"] += (values["bytes"] - rest[n]["bytes"]) * more_s
+    await watchers.stop()
+    return {"leader": used[cluster.leader], "follower": used[cluster.follower]}
--- /dev/null
+++ b/benchmarks/slopes_processes.py
@@ -0,0 +1,303 @@
+"""Processes under measurement: start, what the kernel counts, and the end."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+from coltsfootchute.control import links
+from coltsfootchute.proto import coltsfootchute_grpc as rpc
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+__all__ = [
+    "CONTROL_ROLE",
+    "COUNTED_ENTRY",
+    "ENTRY_ROLE",
+    "Cluster",
+    "Memory",
+    "Process",
+    "free_address",
+    "observe",
+    "run_json",
+    "running",
+]
+
+STOP_LIMIT_S = 15.0
+READY_LIMIT_S = 20.0
+RUN_LIMIT_S = 120.0
+POLL_S = 0.05
+TRAFFIC_LIMIT_S = 5.0
+TRAFFIC_POLL_S = 0.005
+NS_PER_S = 1e9
+US_PER_S = 1e6
+TRAFFIC_SIGNAL = signal.SIGUSR1
+CONTROL_ROLE = ("-m", "coltsfootchute.control")
+# The same role, with a count of its traffic on request.
+COUNTED_ROLE = ("-m", "benchmarks.slopes_children", "control")
+ENTRY_ROLE = ("-m", "coltsfootchute.entry")
+COUNTED_ENTRY = ("-m", "benchmarks.slopes_children", "entry")
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+# Bytecode is cached, as in an installed package: compiling at start would add
+# memory that an installed process does not hold.
+_BYTECODE = pathlib.Path(tempfile.gettempdir()) / f"coltsfootchute-slopes-{os.getuid()}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Memory:
+    """Resident memory of a process in KiB.
+
+    Parameters
+    ----------
+    anonymous
+        Its own pages.
+    file
+        Pages of program files, shared between processes.
+    """
+
+    anonymous: float
+    file: float
+
+    @property
+    def total(self) -> float:
+        """Return the resident size."""
+        return self.anonymous + self.file
+
+
+def _environment() -> dict[str, str]:
+    environment = dict(os.environ)
+    environment.pop("PYTHONDONTWRITEBYTECODE", None)
+    environment["PYTHONPYCACHEPREFIX"] = str(_BYTECODE)
+    return environment
+
+
+def command(*words: str) -> list[str]:
+    """Return the command line of a module, or of options and a module."""
+    return [sys.executable, *words]
+
+
+def run_json(*words: str) -> dict:
+    """Run a Python program to its end and return the JSON that it prints."""
+    done = subprocess.run(
+        command(*words),
+        cwd=ROOT,
+        env=_environment(),
+        capture_output=True,
+        text=True,
+        timeout=RUN_LIMIT_S,
+        check=True,
+    )
+    return json.loads(done.stdout)
+
+
+class Process:
+    """A Python process that this one started.
+
+    Parameters
+    ----------
+    words
+        Arguments of the interpreter.
+    talks
+        Whether the process exchanges lines over its standard streams.
+    """
+
+    def __init__(self, *words: str, talks: bool = False):
+        pipe = subprocess.PIPE if talks else subprocess.DEVNULL
+        self._popen = subprocess.Popen(
+            command(*words),
+            cwd=ROOT,
+            env=_environment(),
+            stdin=pipe,
+            stdout=pipe,
+            stderr=subprocess.DEVNULL,
+            text=True,
+        )
+        self._proc = pathlib.Path("/proc") / str(self._popen.pid)
+
+    def ask(self, **request) -> dict:
+        """Send one line of JSON and return the line of the reply."""
+        self._popen.stdin.write(json.dumps(request) + "\n")
+        self._popen.stdin.flush()
+        return json.loads(self._popen.stdout.readline())
+
+    async def ask_async(self, **request) -> dict:
+        """Ask without blocking the event loop."""
+        return await asyncio.to_thread(self.ask, **request)
+
+    def cpu_s(self) -> float:
+        """Return the processor time used so far, of all threads."""
+        tasks = (self._proc / "task").iterdir()
+        return sum(
+            int((task / "schedstat").read_text().split()[0]) / NS_PER_S
+            for task in tasks
+        )
+
+    def memory(self) -> Memory:
+        """Return the resident memory."""
+        status = (self._proc / "status").read_text()
+        fields = dict(line.split(":", 1) for line in status.splitlines())
+        anonymous, file = (
+            int(fields[name].split()[0]) for name in ("RssAnon", "RssFile")
+        )
+        return Memory(anonymous, file)
+
+    def traffic(self, settings: pathlib.Path) -> int:
+        """Return the bytes over the TCP connections of a role that counts them.
+
+        Parameters
+        ----------
+        settings
+            The settings file of the role; the count is written beside it.
+        """
+        path = settings.with_name(f"{settings.name}.bytes")
+        path.unlink(missing_ok=True)
+        self._popen.send_signal(TRAFFIC_SIGNAL)
+        deadline_s = time.monotonic() + TRAFFIC_LIMIT_S
+        while time.monotonic() < deadline_s:
+            with contextlib.suppress(FileNotFoundError):
+                return int(path.read_text())
+            time.sleep(TRAFFIC_POLL_S)
+        raise TimeoutError("the process did not count its traffic")
+
+    def stop(self) -> None:
+        """End the process, first by SIGTERM."""
+        if self._popen.stdin is not None:
+            self._popen.stdin.close()
+        self._popen.terminate()
+        try:
+            self._popen.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._popen.kill()
+        self._popen.wait(STOP_LIMIT_S)
+
+
+def free_address() -> str:
+    """Return a loopback address that was free a moment ago."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+class Cluster:
+    """Control instances as processes of their own.
+
+    Parameters
+    ----------
+    members
+        Number of control instances.
+    program
+        Arguments of the interpreter before the settings file.
+    """
+
+    def __init__(self, members: int, program: tuple[str, ...] = COUNTED_ROLE):
+        self._folder = tempfile.TemporaryDirectory(prefix="slopes-")
+        self._program = program
+        self.addresses = [free_address() for _ in range(members)]
+        self.processes: list[Process] = []
+        self.channels = [links.open_channel(address) for address in self.addresses]
+        self.leader = 0
+
+    async def start(self) -> None:
+        """Start all instances and wait for a leader that every member knows."""
+        initial = [
+            {"name": f"c{n}", "address": address}
+            for n, address in enumerate(self.addresses)
+        ]
+        for number, address in enumerate(self.addresses):
+            path = self.path(number)
+            control = {"peer": address, "data": f"c{number}", "initial": initial}
+            instance = {"name": f"c{number}", "failure_domain": f"fd-{number}"}
+            document = {"instance": instance, "control": control}
+            document["log"] = {"level": "WARNING"}
+            path.write_text(json.dumps(document))
+            self.processes.append(Process(*self._program, str(path)))
+        await self._find_leader()
+
+    async def _find_leader(self) -> None:
+        deadline_s = time.monotonic() + READY_LIMIT_S
+        while time.monotonic() < deadline_s:
+            with contextlib.suppress(OSError, TimeoutError):
+                replies = [
+                    await rpc.ControlStub(channel).Status(
+                        pb.StatusRequest(), timeout=1.0
+                    )
+                    for channel in self.channels
+                ]
+                roles = [reply.role for reply in replies]
+                if roles.count("leader") == 1 and len({r.term for r in replies}) == 1:
+                    self.leader = roles.index("leader")
+                    return
+            await asyncio.sleep(POLL_S)
+        raise TimeoutError("no leader within the limit")
+
+    @property
+    def stub(self) -> rpc.ControlStub:
+        """Return the Control service of the leader."""
+        return rpc.ControlStub(self.channels[self.leader])
+
+    @property
+    def leading(self) -> Process:
+        """Return the leader's process."""
+        return self.processes[self.leader]
+
+    @property
+    def follower(self) -> int:
+        """Return the number of a follower."""
+        return (self.leader + 1) % len(self.processes)
+
+    def path(self, number: int) -> pathlib.Path:
+        """Return the settings file of an instance."""
+        return pathlib.Path(self._folder.name) / f"c{number}.json"
+
+    def traffic(self, number: int) -> int:
+        """Return the bytes that an instance sent and received so far, over TCP."""
+        return self.processes[number].traffic(self.path(number))
+
+    async def stop(self) -> None:
+        """End all instances and remove their data."""
+        for channel in self.channels:
+            channel.close()
+        for process in self.processes:
+            process.kill()
+        self._folder.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def running(members: int):
+    """Run control instances for the time of the context."""
+    cluster = Cluster(members)
+    try:
+        await cluster.start()
+        yield cluster
+    finally:
+        await cluster.stop()
+
+
+async def observe(
+    cluster: Cluster, numbers: list[int], seconds: float
+) -> dict[int, dict]:
+    """Return processor time (us/s), bytes per second and KiB of some instances."""
+    traffic = {n: await asyncio.to_thread(cluster.traffic, n) for n in numbers}
+    cpu = {n: cluster.processes[n].cpu_s() for n in numbers}
+    began = time.monotonic()
+    await asyncio.sleep(seconds)
+    elapsed_s = time.monotonic() - began
+    found = {
+        n: {"cpu": (cluster.processes[n].cpu_s() - cpu[n]) / elapsed_s * US_PER_S}
+        for n in numbers
+    }
+    for n in numbers:
+        sent = await asyncio.to_thread(cluster.traffic, n) - traffic[n]
+        found[n]["bytes"] = sent / elapsed_s
+        found[n]["memory"] = cluster.processes[n].memory().total
+    return found
--- /dev/null
+++ b/benchmarks/slopes_states.py
@@ -0,0 +1,340 @@
+"""Programs in a fresh interpreter: imports, replicated state, log, restart."""
+
+import importlib
+import json
+import os
+import pathlib
+import sys
+import time
+
+__all__ = ["IMPORTS", "run"]
+
+KIB = 1024
+NS_PER_S = 1e9
+SERVICES = 22
+COMMAND_BYTES = 256
+RETENTION_S = 3600
+# Import steps of each role; a step also loads what the later ones share with it.
+IMPORTS = {
+    "control": (
+        "asyncio",
+        "uvloop",
+        "google.protobuf.descriptor_pb2",
+        "grpclib.server",
+        "grpclib.client",
+        "msgspec",
+        "pyjson5",
+        "loguru",
+        "coltsfootchute.proto.coltsfootchute_grpc",
+        "coltsfootchute.control.daemons",
+    ),
+    "entry": (
+        "asyncio",
+        "uvloop",
+        "google.protobuf.descriptor_pb2",
+        "grpclib.server",
+        "grpclib.client",
+        "msgspec",
+        "pyjson5",
+        "loguru",
+        "aiohttp.web",
+        "aiomisc",
+        "prometheus_client",
+        "coltsfootchute.proto.coltsfootchute_grpc",
+        "coltsfootchute.entry.daemons",
+    ),
+}
+
+
+def _memory() -> tuple[float, float]:
+    """Return anonymous and file-backed resident KiB."""
+    text = pathlib.Path("/proc/self/status").read_text()
+    fields = dict(line.split(":", 1) for line in text.splitlines())
+    return tuple(float(fields[name].split()[0]) for name in ("RssAnon", "RssFile"))
+
+
+def _imports(role: str) -> dict:
+    before = _memory()
+    steps = {"interpreter": before}
+    for name in IMPORTS[role]:
+        importlib.import_module(name)
+        after = _memory()
+        steps[name] = (after[0] - before[0], after[1] - before[1])
+        before = after
+    return {name: {"anonymous": a, "file": f} for name, (a, f) in steps.items()}
+
+
+def _target(number: int):
+    from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+    return pb.Target(
+        target_id=f"target-{number:05d}",
+        incarnation=1,
+        address=f"127.0.{number >> 8}.{number & 255}:8080",
+        failure_domain=f"fd-{number % 4}",
+        services=[f"service-{number % SERVICES}"],
+        slots=4,
+    )
+
+
+def _section(number: int) -> str:
+    rules = [
+        {
+            "name": f"rule-{rule}",
+            "methods": ["GET"],
+            "path": f"/items-{number}-{rule}/*",
+            "repeatable": True,
+            "deadline_ms": 500,
+        }
+        for rule in range(8)
+    ]
+    return json.dumps({"rules": rules})
+
+
+def _commands(kind: str, size: int):
+    """Yield the commands that bring `size` pieces of one kind of state."""
+    from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+    now_ms = time.time_ns() // 1_000_000
+    for number in range(size):
+        command = pb.Command(time_ms=now_ms)
+        if kind == "targets":
+            command.target.target.CopyFrom(_target(number))
+        elif kind == "services":
+            command.proposal.CopyFrom(
+                pb.Proposal(
+                    section=f"service-{number}",
+                    document=_section(number),
+                    team="team-a",
+                    author="author",
+                    request_id=f"request-{number}",
+                )
+            )
+        else:
+            key = bytearray(now_ms.to_bytes(6, "big") + os.urandom(10))
+            key[6], key[8] = key[6] & 0x0F | 0x70, key[8] & 0x3F | 0x80
+            command.claim.CopyFrom(
+                pb.ClaimCommand(
+                    service="service-1",
+                    key=bytes(key),
+                    digest=os.urandom(32),
+                    entry="entry-1",
+                    attempt_id=os.urandom(16),
+                    retention_s=RETENTION_S,
+                )
+            )
+        yield command
+
+
+def _control_state(kind: str, size: int) -> dict:
+    """Apply commands to a machine, a feed and leases as control does."""
+    from coltsfootchute import state
+    from coltsfootchute.control import feeds, leases
+    from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+    machine, feed, held = state.Machine(), feeds.Feed("c"), leases.TargetLeases()
+    machine.apply(1, next(iter(_commands("targets", 1))))
+    before = sum(_memory())
+    for index, command in enumerate(_commands(kind, size), 2):
+        applied = machine.apply(index, command)
+        if applied.changes:
+            feed.publish(applied.changes, index)
+    held.take_over(machine.targets.all(), 1.0)
+    held.due(machine.targets.all(), 1.0)
+    kib = sum(_memory()) - before
+    view = pb.FeedMessage(changes=machine.view())
+    return {"kib": kib, "view_bytes": view.ByteSize()}
+
+
+def _entry_state(kind: str, size: int) -> dict:
+    """Feed changes to a view and its pools as an entry does."""
+    import asyncio
+
+    from coltsfootchute import state
+    from coltsfootchute.control import feeds
+    from coltsfootchute.entry import pools, watches
+    from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+    def messages(number: int):
+        """Return the messages of the feed, as an entry parses them."""
+        machine = state.Machine()
+        kinds = [("services", SERVICES)] if kind == "targets" else []
+        for part, count in [*kinds, (kind, number)]:
+            message = pb.FeedMessage(cluster_id="c")
+            for index, command in enumerate(_commands(part, count), machine.index + 1):
+                message.changes.extend(machine.apply(index, command).changes)
+            message.revision = machine.index
+            yield message.SerializeToString()
+
+    async def measure() -> dict:
+        feed = feeds.Feed("c")
+        view = watches.View(lambda message, touched: services.refresh(touched))
+        services = pools.Services(view, "fd-0")
+
+        def take(data: bytes) -> None:
+            message = pb.FeedMessage.FromString(data)
+            view.take(message, 1.0)
+            feed.publish(list(message.changes), message.revision)
+            for service in services.by_name.values():
+                for target in service.pool.all_views:
+                    service.endpoint(target.target.address)
+
+        *earlier, last = messages(size)
+        for data in [*earlier, *messages(1)][: len(earlier) or None]:
+            take(data)
+        before = sum(_memory())
+        take(last)
+        return {"kib": sum(_memory()) - before}
+
+    return asyncio.run(measure())
+
+
+def _replica(store, snapshots: bool):
+    import random
+
+    from coltsfootchute import agreement
+    from coltsfootchute.agreement import formations
+
+    identity = agreement.Identity(
+        member_id=store.member_id,
+        name="a",
+        address="127.0.0.1:1",
+        failure_domain="fd-a",
+    )
+    entries = agreement.Timing().snapshot_entries if snapshots else 1 << 40
+    size = agreement.Timing().snapshot_bytes if snapshots else 1 << 40
+    timing = agreement.Timing(snapshot_entries=entries, snapshot_bytes=size)
+    if not store.saved.formed:
+        from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+        member = identity.member()
+        member.voter = True
+        membership = pb.Membership(cluster_id="c", members=[member])
+        saved = formations.first_state(membership, pb.HardState())
+        store.append(saved.hard_state, saved.entries, saved.snapshot)
+        store.saved = saved
+    return agreement.Replica(identity, store.saved, random.Random(0), timing)
+
+
+def _execute(replica, store, machine, actions) -> None:
+    from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+    if actions.must_sync:
+        store.append(actions.hard_state, actions.entries, actions.snapshot)
+    for entry in actions.committed:
+        if entry.kind == pb.ENTRY_KIND_COMMAND:
+            machine.apply(entry.index, pb.Command.FromString(entry.payload))
+    if replica.wants_snapshot:
+        store.save_snapshot(replica.compact(replica.applied_index, machine.dump()))
+
+
+def _elect(replica, store, machine) -> float:
+    now = 100.0
+    while not replica.can_read(now):
+        now += 1.0
+        _execute(replica, store, machine, replica.tick(now))
+    return now
+
+
+def _fill(folder: str, size: int, snapshots: bool) -> dict:
+    """Write a data folder with changes of 22 sections by turns."""
+    from coltsfootchute import agreement, state
+    from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+    store = agreement.FileStore(folder, "a")
+    replica, machine = _replica(store, snapshots), state.Machine()
+    now = _elect(replica, store, machine)
+    now_ms = time.time_ns() // 1_000_000
+    for start in range(0, size, 50):
+        payloads = []
+        for number in range(start, min(start + 50, size)):
+            proposal = pb.Proposal(
+                section=f"service-{number % SERVICES}",
+                expected_revision=number // SERVICES,
+                document=_section(number),
+                team="team-a",
+                author="author",
+                request_id=f"request-{number}",
+            )
+            command = pb.Command(time_ms=now_ms, proposal=proposal)
+            payloads.append(command.SerializeToString())
+        _execute(replica, store, machine, replica.propose(payloads, now).actions)
+    store.close()
+    files = pathlib.Path(folder).iterdir()
+    return {"bytes": sum(file.stat().st_size for file in files if file.is_file())}
+
+
+def _restart(folder: str, snapshots: bool) -> dict:
+    """Open a data folder and apply its log up to the last entry."""
+    from coltsfootchute import agreement, state
+
+    before = sum(_memory())
+    began = time.perf_counter()
+    store = agreement.FileStore(folder, "a")
+    machine = state.Machine()
+    snapshot = store.saved.snapshot
+    if snapshot is not None and snapshot.data:
+        machine.load(bytes(snapshot.data))
+    replica = _replica(store, snapshots)
+    store.saved = None
+    opened_s = time.perf_counter() - began
+    _elect(replica, store, machine)
+    whole_s = time.perf_counter() - began
+    revisions = sum(
+        machine.sections.in_force(name).revision for name in machine.sections.names()
+    )
+    return {
+        "opened_ms": opened_s * 1000,
+        "ready_ms": whole_s * 1000,
+        "kib": sum(_memory()) - before,
+        "revisions": revisions,
+    }
+
+
+def _sync(folder: str, sizes: str, count: str) -> dict:
+    """Append batches of entries, one sync for each; return the median times in us."""
+    import statistics
+
+    from coltsfootchute import agreement
+    from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+    store = agreement.FileStore(folder, "a")
+    times: dict[int, list[float]] = {}
+    index = 0
+    for _ in range(int(count)):
+        for size in map(int, sizes.split(",")):
+            entries = [
+                pb.LogEntry(index=index + n, term=1, payload=os.urandom(COMMAND_BYTES))
+                for n in range(1, size + 1)
+            ]
+            index += size
+            began = time.perf_counter()
+            store.append(None, entries)
+            times.setdefault(size, []).append((time.perf_counter() - began) * 1e6)
+    store.close()
+    return {
+        str(size): {
+            "p50": statistics.median(values),
+            "p99": sorted(values)[int(0.99 * len(values))],
+        }
+        for size, values in times.items()
+    }
+
+
+def run(args: list[str]) -> int:
+    """Run one program and print its result as JSON."""
+    name, *rest = args
+    if name == "imports":
+        result = _imports(rest[0])
+    elif name == "state":
+        measure = {"control": _control_state, "entry": _entry_state}[rest[0]]
+        result = measure(rest[1], int(rest[2]))
+    elif name == "fill":
+        result = _fill(rest[0], int(rest[1]), rest[2] == "snapshots")
+    elif name == "restart":
+        result = _restart(rest[0], rest[1] == "snapshots")
+    else:
+        result = _sync(*rest)
+    print(json.dumps(result))
+    sys.stdout.flush()
+    return 0
