control: leave revisions out of the feed's list of entries

Ruled out: sending the list less often, which would delay the news of a stopping entry; a list of differences, which needs a new message.

Change: `InstanceTable.listed` gives the feed the instances without their revisions. `Control.Status` reports the revisions as before; entries use them for nothing else.

Conclusion: what remains per change are the reports themselves, one call each, relayed to all members.

--- a/coltsfootchute/control/duties.py
+++ b/coltsfootchute/control/duties.py
@@ -105,7 +105,7 @@
     def publish_instances(self, now: float) -> None:
         """Pass the list of instances to the feed, once it is complete."""
         if now >= self.instances_from_s:
-            self._core.feed.set_instances(self.instances.all())
+            self._core.feed.set_instances(self.instances.listed())
 
     def probe_budgets_us(self, target_ids: list[str]) -> dict[str, int]:
         """Return the probe time of registered targets for one probe lease.
--- a/coltsfootchute/control/instances.py
+++ b/coltsfootchute/control/instances.py
@@ -18,6 +18,7 @@
 @dataclasses.dataclass(slots=True)
 class _Report:
     instance: pb.Instance
+    listed: pb.Instance
     time_s: float
     relayed_s: float
 
@@ -53,7 +54,9 @@
             return False
         due = known is None or known.instance != instance
         if due or now - known.relayed_s >= RELAY_INTERVAL_S:
-            self._reports[instance.name] = _Report(instance, now, now)
+            self._reports[instance.name] = _Report(
+                instance, _listed(instance), now, now
+            )
             return True
         known.time_s = now
         return False
@@ -70,6 +73,24 @@
         """Return the known instances, ordered by name."""
         return [self._reports[name].instance for name in sorted(self._reports)]
 
+    def listed(self) -> list[pb.Instance]:
+        """Return the known instances as the feed lists them, ordered by name.
+
+        Notes
+        -----
+        The feed sends the whole list whenever it differs. Entries report each new
+        revision, so with revisions in the list one change cost 100 entries more
+        than 10 MB at each control instance.
+        """
+        return [self._reports[name].listed for name in sorted(self._reports)]
+
+
+def _listed(instance: pb.Instance) -> pb.Instance:
+    listed = pb.Instance()
+    listed.CopyFrom(instance)
+    listed.ClearField("revision")
+    return listed
+
 
 def _is_older(new: pb.Instance, known: pb.Instance) -> bool:
     if new.start_ms != known.start_ms:
--- a/coltsfootchute/control/tests/test_instances.py
+++ b/coltsfootchute/control/tests/test_instances.py
@@ -26,3 +26,23 @@
     assert table.all()
     table.expire(5.0 + instances.REPORT_TIMEOUT_S)
     assert not table.all()
+
+
+def test_list_of_the_feed_is_the_same_after_a_change():
+    # Guards against a list that all watchers get anew with each report of a revision.
+    table = instances.InstanceTable()
+    report = pb.Instance(name="e", start_ms=1, revision=3, calls_address="127.0.0.1:1")
+    table.report(report, 0.0)
+    before = table.listed()
+    newer = pb.Instance()
+    newer.CopyFrom(report)
+    newer.revision = 4
+    assert table.report(newer, 1.0)
+    assert table.listed() == before
+    assert [i.revision for i in table.all()] == [4]
+    stale = pb.Instance()
+    stale.CopyFrom(newer)
+    stale.stale = True
+    table.report(stale, 2.0)
+    assert table.listed() != before
+    assert table.listed()[0].calls_address == "127.0.0.1:1"
