tests: run fault scenarios in a small language through history checkers

Cause: the parts were tested apart; no test took the real core, entry and state machine together through faults.

--- /dev/null
+++ b/tests/scenario_language/clocks.py
@@ -0,0 +1,129 @@
+"""Virtual time, and processes that can be frozen and killed, on one event loop."""
+
+import asyncio
+import contextlib
+import contextvars
+import selectors
+import types
+
+from coltsfootchute.control import cores, feeds
+from coltsfootchute.entry import calls, crashes, daemons, pools, watches
+
+EPOCH_S = 1_800_000_000.0
+START_S = 1000.0
+_PROCESS: contextvars.ContextVar["Process | None"] = contextvars.ContextVar(
+    "process", default=None
+)
+
+
+class Process:
+    """What runs in one context: a killed process runs no more, a frozen one later."""
+
+    def __init__(self, loop, name):
+        self.loop, self.name = loop, name
+        self.is_dead = self.is_frozen = False
+        self.parked = []
+        self.tasks = set()
+        self.context = contextvars.copy_context()
+        self.context.run(_PROCESS.set, self)
+
+    def run(self, function, *args):
+        """Call a function as this process."""
+        return self.context.run(function, *args)
+
+    def spawn(self, coroutine):
+        """Start a task of this process."""
+        task = self.loop.create_task(coroutine, context=self.context)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def thaw(self):
+        """Run what was due while the process was frozen, in order."""
+        self.is_frozen = False
+        parked, self.parked = self.parked, []
+        for cell, callback, args, context in parked:
+            if not cell[0].cancelled():
+                self.loop.call_soon(callback, *args, context=context)
+
+
+def current():
+    """Return the process that runs now, or None."""
+    return _PROCESS.get()
+
+
+class _Selector(selectors.SelectSelector):
+    loop = None
+
+    def select(self, timeout=None):
+        assert timeout is not None, "nothing left to wait for"
+        self.loop.now += max(timeout, 0)
+        return []
+
+
+class Loop(asyncio.SelectorEventLoop):
+    """An event loop whose time passes only while nothing is due."""
+
+    def __init__(self):
+        self.now = START_S
+        selector = _Selector()
+        selector.loop = self
+        super().__init__(selector)
+        self.failures = []
+        self.is_ending = False
+        self.set_exception_handler(self._note_failure)
+
+    def _note_failure(self, _, details):
+        # Tasks of killed processes stay pending; that is no failure.
+        if "Task was destroyed" not in details["message"]:
+            self.failures.append(details)
+
+    def time(self):
+        return self.now
+
+    def call_soon(self, callback, *args, context=None):
+        cell = []
+        handle = super().call_soon(self._guard, cell, callback, args, context=context)
+        cell.append(handle)
+        return handle
+
+    def call_at(self, when, callback, *args, context=None):
+        cell = []
+        handle = super().call_at(
+            when, self._guard, cell, callback, args, context=context
+        )
+        cell.append(handle)
+        return handle
+
+    def _guard(self, cell, callback, args):
+        process = _PROCESS.get()
+        if process is None or self.is_ending:
+            callback(*args)
+        elif process.is_dead:
+            return
+        elif process.is_frozen:
+            context = contextvars.copy_context()
+            process.parked.append((cell, callback, args, context))
+        else:
+            callback(*args)
+
+
+@contextlib.contextmanager
+def virtual_time(loop):
+    """Let the modules under test read the time of a loop."""
+    fake = types.SimpleNamespace(
+        monotonic=loop.time,
+        time=lambda: EPOCH_S + loop.now,
+        time_ns=lambda: int((EPOCH_S + loop.now) * 1e9),
+        clock_gettime=lambda _: loop.now,
+        CLOCK_BOOTTIME=7,
+    )
+    modules = (cores, feeds, calls, crashes, daemons, pools, watches)
+    before = [module.time for module in modules]
+    for module in modules:
+        module.time = fake
+    try:
+        yield
+    finally:
+        for module, known in zip(modules, before, strict=True):
+            module.time = known
--- /dev/null
+++ b/tests/scenario_language/controls.py
@@ -0,0 +1,175 @@
+"""Control instances: the real core, duties and services on fake disks and links."""
+
+import asyncio
+import random
+
+from coltsfootchute import agreement, errors
+from coltsfootchute.agreement import formations
+from coltsfootchute.control import cores, daemons, duties, services
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+from tests import checkers
+from tests.scenario_language import clocks
+
+TIMING = agreement.Timing(snapshot_entries=60, kept_entries=20, chunk_bytes=2048)
+
+
+class Links:
+    """Sends messages of agreement over the fake network."""
+
+    dropped = 0
+
+    def __init__(self, control):
+        self.control = control
+
+    def update(self, membership):
+        pass
+
+    def address(self, member_id):
+        host = self.control.world.by_member.get(member_id)
+        return host.name if host else ""
+
+    def send(self, message):
+        control, world = self.control, self.control.world
+        world.history.unsynced_sends += control.disk.has_unsynced()
+        self._note_vote(world.history, message)
+        other = world.by_member.get(message.receiver)
+        # An instance that was replaced takes no messages any more.
+        if other is not None and world.controls[other.name] is other:
+            network = world.network
+            receive = other.receive
+            network.datagram(control.name, other.name, receive, message)
+
+    @staticmethod
+    def _note_vote(history, message):
+        request, reply = message.vote_request, message.vote_reply
+        if message.HasField("vote_request") and not request.pre_vote:
+            voted = (message.sender, message.term, message.sender)
+            history.votes.append(checkers.Vote(*voted))
+        if reply.granted and not reply.pre_vote:
+            voted = (message.sender, message.term, message.receiver)
+            history.votes.append(checkers.Vote(*voted))
+
+    def relay(self, instance):
+        world, request = self.control.world, pb.ReportRequest(instance=instance)
+        for other in world.controls.values():
+            if other is not self.control and not other.process.is_dead:
+                sent = world.network.call(
+                    self.control.name, other.name, other.method("Report"), request, True
+                )
+                self.control.process.spawn(_within_a_second(sent))
+
+    async def flush(self):
+        pass
+
+    async def stop(self):
+        pass
+
+
+async def _within_a_second(sent):
+    try:
+        async with asyncio.timeout(1.0):
+            await sent
+    except (OSError, TimeoutError):
+        return
+
+
+class Core(cores.Core):
+    """A core that records what it applies and when it leads."""
+
+    def __init__(self, control, *args):
+        self._control = control
+        super().__init__(*args)
+        self.links = Links(control)
+
+    def _apply(self, entry):
+        history = self._control.world.history
+        payload = entry.SerializeToString(deterministic=True)
+        known = history.committed.setdefault(entry.index, payload)
+        if known != payload:
+            history.changed_entries.append((entry.index, self.identity.name))
+        super()._apply(entry)
+
+    def _note_role(self):
+        super()._note_role()
+        if self.replica.is_leader:
+            term, member_id = self.replica.term, self.identity.member_id
+            known = self._control.world.history.leaders.setdefault(term, member_id)
+            if known != member_id:
+                self._control.world.history.second_leaders.append(term)
+
+
+class Control(daemons.Daemon):
+    """One control instance; a restart makes a new one on the same disk."""
+
+    def __init__(self, world, name, disk, timing=TIMING):
+        super().__init__(None, None, timing, random.Random(world.rng.random()))
+        self.world, self.name, self.disk = world, name, disk
+        self.process = clocks.Process(world.loop, name)
+        self.open_replies, self.open_streams = set(), set()
+        self.store = agreement.FileStore(name, name, disk)
+        self.identity = agreement.Identity(
+            self.store.member_id, name, name, f"fd-{name}"
+        )
+        world.by_member[self.identity.member_id] = self
+
+    def begin(self):
+        """Start like a daemon does after it opened its folder."""
+        self.process.run(self._begin)
+
+    def _begin(self):
+        self.failed = asyncio.get_running_loop().create_future()
+        self.core = Core(
+            self, self.identity, self.store, self._rng, self._timing, self._fail
+        )
+        self.duties = duties.Duties(self.core, self.world.loop.now)
+        self.control = services.ControlService(self.core, self.duties)
+        self.core.start()
+        self._tasks = [self.process.spawn(self._run_duties())]
+
+    def _fail(self, exc):
+        self.world.crashes.append((self.name, exc))
+        self.world.kill(self.name)
+
+    def form(self, membership):
+        """Write the first state of a new cluster."""
+        saved = formations.first_state(membership, pb.HardState())
+        self.process.run(self.core.form, saved)
+        self.duties.instances_from_s = self.world.loop.now
+
+    def hello(self):
+        replica = self.core.replica
+        return pb.HelloReply(
+            member=self.identity.member(),
+            formed=replica.membership is not None,
+            membership=replica.committed_membership,
+        )
+
+    def receive(self, message):
+        """Take a message of another member."""
+        self.core.receive(message)
+
+    def method(self, name):
+        """Return a handler of the Control service."""
+        return getattr(self.control, name)
+
+    @property
+    def feed(self):
+        return self.core.feed
+
+    @property
+    def is_leader(self):
+        return not (self.process.is_dead or self.process.is_frozen) and (
+            self.core.is_leader
+        )
+
+    def admit(self, newcomer):
+        """Add an instance as a learner, as the Join service does."""
+        member = newcomer.identity.member()
+        add = self.core.replica.add_learner
+        try:
+            self.process.run(self.core.change, lambda now: add(member, now))
+        except errors.AgreementError:
+            return
+
+    async def _close(self):
+        self.core.close()
--- /dev/null
+++ b/tests/scenario_language/entries.py
@@ -0,0 +1,179 @@
+"""Entries: the real daemon with fake listeners, links and targets."""
+
+import asyncio
+import contextlib
+import json
+import types
+
+from coltsfootchute import errors, settings
+from coltsfootchute.entry import daemons, forwards
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+from tests import checkers
+from tests.scenario_language import clocks, targets
+
+PROBE_S = 0.006
+
+
+class _Listener:
+    """Stands for listeners that are closed in order."""
+
+    def close(self):
+        pass
+
+    def pre_shutdown(self):
+        pass
+
+    async def shutdown(self, _):
+        pass
+
+
+class _Stub:
+    """A stub of the Control service of one instance."""
+
+    def __init__(self, entry, name):
+        self._entry, self._name = entry, name
+
+    def __getattr__(self, method):
+        async def call(request, timeout):
+            world = self._entry.world
+            handler = world.controls[self._name].method(method)
+            copied = type(request).FromString(request.SerializeToString())
+            async with asyncio.timeout(timeout):
+                return await world.network.call(
+                    self._entry.name, self._name, handler, copied
+                )
+
+        return call
+
+
+class Entry(daemons.Daemon):
+    """One entry; a restart makes a new one."""
+
+    def __init__(self, world, name):
+        self.world, self.name = world, name
+        self.process = clocks.Process(world.loop, name)
+        self.open_replies, self.open_streams = set(), set()
+        self.requests = {}  # Callers' requests in progress, with their futures.
+        controls = [f"{c}:1" for c in world.control_names]
+        address = "127.0.0.1:0"
+        parts = {"calls": address, "api": address, "peer": address}
+        instance = {"name": name, "failure_domain": f"fd-{name}"}
+        document = {
+            "instance": instance,
+            "entry": {**parts, "control": ["127.0.0.1:1"], "keep_s": 5},
+        }
+        super().__init__(settings.parse(json.dumps(document)))
+        self.client._addresses = world.control_names
+        self.client._leader = world.control_names[0]
+        self.client._connect = self._connect
+        self._watcher._control = controls
+        self._watcher._watch = self._watch
+
+    def begin(self):
+        self.process.spawn(self._begin())
+
+    async def _begin(self):
+        await self.start()
+        self._calls._forwarder = targets.Forwarder(self)
+
+    async def _start_peer(self, address):
+        return f"{self.name}:3"
+
+    async def _start_api(self, address):
+        return f"{self.name}:2"
+
+    async def _start_calls(self, address):
+        self._listener = self._calls_server = _Listener()
+        return f"{self.name}:1"
+
+    async def _connect(self, address):
+        await self.world.network.connect(self.name, address)
+        return _Stub(self, address)
+
+    async def _watch(self, address):
+        name = address.partition(":")[0]
+        source = self.world.network.hosts[name]
+        stream = await self.world.network.stream(
+            self.name, name, source.feed, self._watcher._request()
+        )
+        try:
+            await self._watcher._receive(address, stream)
+        finally:
+            await stream.cancel()
+
+    def _learn(self, message, touched):
+        super()._learn(message, touched)
+        history = self.world.history
+        history.seen.append(
+            checkers.Seen(
+                f"{self.name}/{id(self)}",
+                self.world.loop.now,
+                self.view.revision,
+                {n: s.revision for n, s in self.view.sections.items()},
+            )
+        )
+
+    async def serve(self, request):
+        """Answer a caller's request; the future of it is set at the end."""
+        done = self.requests[request]
+        await self._calls.handle(request)
+        if self.requests.pop(request, None) is not None and not done.done():
+            done.set_result(None)
+
+    async def ask(self, method, message):
+        """Call control; return the reply, or the error."""
+        try:
+            return await self.client.call(method, message, 3.0, repeatable=True)
+        except errors.ColtsfootchuteError as exc:
+            return exc
+
+    async def probe(self, service):
+        """Measure as much as the leased shares allow."""
+        while True:
+            await asyncio.sleep(0.05)
+            pool = self.services.by_name.get(service)
+            if pool is not None:
+                await self._lease_probes(pool.pool)
+                for view in pool.pool.all_views:
+                    self._probe_once(pool.pool, view.target.target_id)
+
+    async def _lease_probes(self, pool):
+        now = self.world.loop.now
+        if now < getattr(self, "_lease_at", 0.0):
+            return
+        self._lease_at = now + 1.0
+        names = [view.target.target_id for view in pool.all_views]
+        request = pb.LeaseProbesRequest(entry=self.name, target_ids=names)
+        with contextlib.suppress(errors.ColtsfootchuteError):
+            reply = await self.client.call("LeaseProbes", request, 1.0)
+            for share in reply.shares:
+                time_s = share.probe_time_us / 1e6
+                length_s = share.lease_ms / 1e3
+                pool.probes.granted(share.target_id, time_s, length_s, now)
+
+    def _probe_once(self, pool, target_id):
+        now = self.world.loop.now
+        permit = pool.probe(target_id, now)
+        if permit is None:
+            return
+        # A straggler uses up the permit; the probe is aborted at its limit.
+        slow = self.world.targets[target_id].latency_s > PROBE_S
+        spent_s = permit.limit_s if slow else min(PROBE_S, permit.limit_s)
+        self.world.history.probes.append(checkers.Probe(target_id, now, spent_s))
+        pool.probed(permit, spent_s, not slow, now)
+
+
+@contextlib.contextmanager
+def fake_connections():
+    """Let entries prepare addresses without sockets."""
+    known = forwards.Endpoint, forwards.Forwarder
+    forwards.Endpoint = targets.Endpoint
+    forwards.Forwarder = lambda: types.SimpleNamespace(close=_nothing)
+    try:
+        yield
+    finally:
+        forwards.Endpoint, forwards.Forwarder = known
+
+
+async def _nothing():
+    pass
--- /dev/null
+++ b/tests/scenario_language/links.py
@@ -0,0 +1,156 @@
+"""Links between processes: cut, slow, and for agreement also lossy."""
+
+import asyncio
+import contextlib
+import types
+
+from coltsfootchute.control import members
+from tests.scenario_language import clocks
+
+STEP_S = 0.0005
+
+
+class Network:
+    """Messages, calls and streams between named processes.
+
+    Calls and streams go over TCP: they are never duplicated or reordered, and a
+    stream that lost a message carries no later one.
+    """
+
+    def __init__(self, loop, rng):
+        self.loop, self.rng = loop, rng
+        self.hosts = {}  # By name: objects with a process.
+        self.cuts = set()  # Sender and receiver, one way.
+        self.loss = self.duplication = 0.0
+        self.delay_s = 0.001
+        self.seen = set()  # Faults that had an effect.
+
+    def is_cut(self, sender, receiver):
+        if (sender, receiver) in self.cuts:
+            self.seen.add("cut")
+            return True
+        return False
+
+    def _delay(self):
+        return self.rng.uniform(STEP_S / 2, self.delay_s)
+
+    def _up(self, name):
+        host = self.hosts.get(name)
+        return host if host is not None and not host.process.is_dead else None
+
+    def datagram(self, sender, receiver, function, message):
+        """Deliver a message of agreement: perhaps late, twice or never."""
+        if self.is_cut(sender, receiver) or self.rng.random() < self.loss:
+            return
+        copies = 1 + (self.rng.random() < self.duplication)
+        if copies > 1:
+            self.seen.add("duplicate")
+        for _ in range(copies):
+            self._later(self._delay(), receiver, function, message, sender)
+
+    def _later(self, delay_s, receiver, function, message, sender):
+        host = self._up(receiver)
+        if host is None:
+            return
+
+        def deliver():
+            if not self.is_cut(sender, receiver):
+                function(message)
+
+        self.loop.call_later(delay_s, deliver, context=host.process.context.copy())
+
+    async def connect(self, sender, receiver):
+        """Open a connection; raise as a socket would."""
+        if self.loop.is_ending:
+            raise ConnectionRefusedError(receiver)
+        if self.is_cut(sender, receiver) or self.is_cut(receiver, sender):
+            await asyncio.sleep(0.5)
+            raise TimeoutError
+        await asyncio.sleep(STEP_S)
+        if self._up(receiver) is None:
+            raise ConnectionRefusedError(receiver)
+
+    async def call(self, sender, receiver, handler, request, relayed=False):
+        """Call a handler of a process that was connected to; return its reply."""
+        host = self._up(receiver)
+        if host is None or self.loop.is_ending:
+            raise ConnectionResetError(receiver)
+        reply = self.loop.create_future()
+        host.open_replies.add(reply)
+
+        async def answer(message):
+            if not self.is_cut(receiver, sender) and not reply.done():
+                self.loop.call_later(self._delay(), _resolve, reply, message)
+
+        async def receive():
+            return request
+
+        async def serve():
+            metadata = {members.RELAYED_HEADER: "1"} if relayed else {}
+            stream = types.SimpleNamespace(
+                recv_message=receive, send_message=answer, metadata=metadata
+            )
+            await handler(stream)
+
+        if not self.is_cut(sender, receiver):
+            host.process.spawn(serve())
+        try:
+            return await reply
+        finally:
+            host.open_replies.discard(reply)
+
+    async def stream(self, sender, receiver, feed, request):
+        """Watch a feed of another process; return the watcher's side."""
+        await self.connect(sender, receiver)
+        return Stream(self, sender, receiver, feed, request)
+
+
+def _resolve(future, result):
+    if not future.done():
+        future.set_result(result)
+
+
+class Stream:
+    """One stream of feed messages."""
+
+    def __init__(self, network, sender, receiver, feed, request):
+        self._queue = asyncio.Queue()
+        self._network, self._ends = network, (receiver, sender)
+        self._stalled = False
+        self._last_s = 0.0
+        self._reader = clocks.current()
+        host = network.hosts[receiver]
+        host.open_streams.add(self)
+        self._host = host
+        self._task = host.process.spawn(self._serve(feed, request))
+
+    async def _serve(self, feed, request):
+        await feed.watch(request, self._send)
+        self._deliver(None)
+
+    async def _send(self, message):
+        self._stalled = self._stalled or self._network.is_cut(*self._ends)
+        if not self._stalled:
+            self._deliver(message)
+
+    def _deliver(self, message):
+        loop = self._network.loop
+        self._last_s = max(self._last_s + 1e-6, loop.now + self._network._delay())
+        loop.call_at(
+            self._last_s,
+            self._queue.put_nowait,
+            message,
+            context=self._reader.context.copy(),
+        )
+
+    async def recv_message(self):
+        return await self._queue.get()
+
+    def reset(self):
+        """End the stream, because its source was killed."""
+        self._deliver(None)
+
+    async def cancel(self):
+        self._host.open_streams.discard(self)
+        with contextlib.suppress(RuntimeError):
+            self._task.cancel()
--- /dev/null
+++ b/tests/scenario_language/users.py
@@ -0,0 +1,119 @@
+"""Operators and callers, and the record of what they got."""
+
+import json
+import uuid
+
+from coltsfootchute import verdicts
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+from tests import checkers
+from tests.scenario_language import clocks, targets
+
+SERVICE = "shop"
+
+
+class Users:
+    """The part of a world that submits changes and sends requests."""
+
+    # Operators.
+
+    def document(self, text):
+        found = {**self.section, "entries_per_caller": 2 + len(text) % 7}
+        return json.dumps(found) + f" // {text}"
+
+    async def propose(self, request_id, section, expected, author, *, via=None):
+        """Submit a change, or resend the one with a request id."""
+        operation = self.operations.get(request_id)
+        if operation is None:
+            operation = checkers.Operation("change", section, self.loop.now)
+            operation.expected = expected
+            operation.document = self.document(request_id)
+            self.operations[request_id] = operation
+            self.history.operations.append(operation)
+        request = pb.Proposal(
+            section=section,
+            expected_revision=operation.expected,
+            document=operation.document,
+            team="team",
+            author=author,
+            request_id=request_id,
+        )
+        entry = self.entries[via] if via else self._helper()
+        reply = await entry.process.spawn(entry.ask("Propose", request))
+        outcome = "unknown"
+        if isinstance(reply, pb.ProposeReply):
+            outcome = self._note_outcome(request_id, operation, reply.outcome)
+        self.outcomes[request_id] = outcome
+        return outcome
+
+    def _note_outcome(self, request_id, operation, found):
+        accepted = found.status == pb.PROPOSAL_STATUS_ACCEPTED
+        result = found.revision if accepted else -1 - found.revision
+        if operation.result is not None:
+            self.history.repeated.append((request_id, operation.result, result))
+        else:
+            operation.result, operation.returned = result, self.loop.now
+            if accepted:
+                known = (self.loop.now, operation.section, found.revision)
+                self.history.accepted.append(known)
+        name = pb.ProposalStatus.Name(found.status)
+        return name.removeprefix("PROPOSAL_STATUS_").lower()
+
+    async def read(self, section=SERVICE, via=None):
+        """Read a section under the leader's lease."""
+        operation = checkers.Operation("read", section, self.loop.now)
+        entry = self.entries[via] if via else self._helper()
+        request = pb.ReadSectionsRequest(name=section)
+        reply = await entry.process.spawn(entry.ask("ReadSections", request))
+        if not isinstance(reply, pb.ReadSectionsReply):
+            return None
+        last = reply.sections[0].history[-1]
+        operation.result = (last.revision, last.document)
+        operation.returned = self.loop.now
+        self.history.operations.append(operation)
+        return last.revision
+
+    # Callers.
+
+    def key(self, name, age_s=0.0):
+        """Return the key of a request that is not repeatable; made once."""
+        if name not in self.keys:
+            stamp = int((clocks.EPOCH_S + self.loop.now - age_s) * 1000)
+            tail = self.rng.randbytes(10)
+            raw = bytearray(stamp.to_bytes(6, "big") + tail)
+            raw[6], raw[8] = raw[6] & 0x0F | 0x70, raw[8] & 0x3F | 0x80
+            self.keys[name] = str(uuid.UUID(bytes=bytes(raw)))
+            self.history.once.add(self.keys[name])
+        return self.keys[name]
+
+    async def call(self, name, via, path, key=None):
+        """Send one request and record what its caller got."""
+        method = "POST" if key else "GET"
+        request = targets.Request(name, method, f"/{SERVICE}{path}", key)
+        entry = self.entries[via]
+        start = self.loop.now
+        if not entry.process.is_dead:
+            done = entry.requests[request] = self.loop.create_future()
+            entry.process.spawn(entry.serve(request))
+            try:
+                await done
+            except ConnectionError:
+                request.is_cut = True
+        headers = request.answer_headers
+        replayed = verdicts.REPLAYED_HEADER in headers
+        verdict = "" if replayed else headers.get(verdicts.VERDICT_HEADER, "")
+        answer = checkers.Answer(
+            name=name,
+            request=key or name,
+            verdict=verdict,
+            reason=headers.get(verdicts.REASON_HEADER, ""),
+            status=request.status,
+            body=request.body.decode(),
+            is_whole=request.is_whole and not request.is_cut,
+            invoked=start,
+            returned=self.loop.now,
+            entry=via,
+            is_replayed=replayed,
+        )
+        self.history.answers.append(answer)
+        self.answers[name] = answer
+        return answer
