tests: add fast failures, hedges and the reached states of random faults

Change: a replayed callback checks its handle; random runs assert which dangerous states they reached; scenarios for fast failures and hedges. Conclusion: fakes of frozen processes keep to the order of an event loop.

--- a/tests/scenario_language/clocks.py
+++ b/tests/scenario_language/clocks.py
@@ -59,8 +59,12 @@
         for cell, callback, args, context in sorted(
             parked, key=lambda item: ranks.index(item[0][1])
         ):
-            if not cell[0].cancelled():
-                self.loop.call_soon(callback, *args, context=context)
+            self.loop.call_soon(_run_late, cell[0], callback, args, context=context)
+
+
+def _run_late(handle, callback, args):
+    if not handle.cancelled():
+        callback(*args)
 
 
 def current():
--- a/tests/scenario_language/facts.py
+++ b/tests/scenario_language/facts.py
@@ -121,6 +121,12 @@
     return sum(s.value for s in found if s.name.endswith("_total"))
 
 
+@facts.register("hedges")
+def hedges(world, entry):
+    """Return the number of hedges that an entry sent."""
+    return int(world.entries[entry].metrics.meter(users.SERVICE).hedges._value.get())
+
+
 @facts.register("quarantines")
 def quarantines(world, entry):
     """Return the number of active quarantines at an entry."""
@@ -184,6 +190,12 @@
     return sum(not a.is_whole for a in world.history.answers)
 
 
+@facts.register("failures")
+def failures(world):
+    """Return the number of errors that targets answered."""
+    return sum(a.status == 500 for a in world.history.answers)
+
+
 @facts.register("slow")
 def slow(world):
     """Return the number of callers that waited for over a second."""
--- a/tests/scenario_language/interpreter.py
+++ b/tests/scenario_language/interpreter.py
@@ -233,6 +233,10 @@
         for name in self.all(whos):
             self.world.targets[name].is_shedding = True
 
+    async def do_fail(self, *whos):
+        for name in self.all(whos):
+            self.world.targets[name].is_failing = True
+
     async def do_truncate(self, who):
         self.world.targets[self.who(who)].truncates = True
 
--- a/tests/scenario_language/targets.py
+++ b/tests/scenario_language/targets.py
@@ -23,6 +23,7 @@
         self.incarnation = 1
         self.latency_s = 0.005
         self.is_draining = self.is_shedding = self.truncates = False
+        self.is_failing = self.is_silent = False
         self.ran = 0
 
     async def run(self, name, caller, line, reply):
@@ -33,6 +34,9 @@
             return
         self.ran += 1
         world.history.runs.append(checkers.Run(name, self.name, world.loop.now, caller))
+        if self.is_failing:
+            reply(500, {}, b"")
+            return
         if world.poison and world.poison in line:
             world.crashes.append((self.name, line))
             world.kill(self.name)
--- a/tests/scenario_language/users.py
+++ b/tests/scenario_language/users.py
@@ -14,6 +14,27 @@
 class Users:
     """The part of a world that submits changes and sends requests."""
 
+    async def ask(self, via, method, request):
+        """Ask control through an entry; return the reply, or the error."""
+        entry = self.entries[via] if via else self._helper()
+        if entry is None or entry.process.is_dead:
+            return ConnectionRefusedError(via)
+        reply = self.loop.create_future()
+        entry.open_replies.add(reply)
+
+        async def asking():
+            found = await entry.ask(method, request)
+            if not reply.done():
+                reply.set_result(found)
+
+        entry.process.spawn(asking())
+        try:
+            return await reply
+        except ConnectionError as exc:
+            return exc
+        finally:
+            entry.open_replies.discard(reply)
+
     # Operators.
 
     def document(self, text):
@@ -37,8 +58,7 @@
             author=author,
             request_id=request_id,
         )
-        entry = self.entries[via] if via else self._helper()
-        reply = await entry.process.spawn(entry.ask("Propose", request))
+        reply = await self.ask(via, "Propose", request)
         outcome = "unknown"
         if isinstance(reply, pb.ProposeReply):
             outcome = self._note_outcome(request_id, operation, reply.outcome)
@@ -61,9 +81,8 @@
     async def read(self, section=SERVICE, via=None):
         """Read a section under the leader's lease."""
         operation = checkers.Operation("read", section, self.loop.now)
-        entry = self.entries[via] if via else self._helper()
         request = pb.ReadSectionsRequest(name=section)
-        reply = await entry.process.spawn(entry.ask("ReadSections", request))
+        reply = await self.ask(via, "ReadSections", request)
         if not isinstance(reply, pb.ReadSectionsReply):
             return None
         last = reply.sections[0].history[-1]
--- a/tests/scenario_language/worlds.py
+++ b/tests/scenario_language/worlds.py
@@ -17,6 +17,14 @@
         "repeatable": True,
         "deadline_ms": 3000,
     },
+    {
+        "name": "hedged",
+        "methods": ["GET"],
+        "path": "/hedged/**",
+        "repeatable": True,
+        "hedge": True,
+        "deadline_ms": 3000,
+    },
     {
         "name": "order",
         "methods": ["POST"],
@@ -248,11 +256,10 @@
         )
         return await self._command(pb.TargetCommand.KIND_ANNOUNCE, found)
 
-    async def _command(self, kind, target, via=None):
-        entry = self.entries[via] if via else self._helper()
+    async def _command(self, kind, target):
         command = pb.TargetCommand(kind=kind, target=target)
         request = pb.AnnounceRequest(command=command)
-        return await entry.process.spawn(entry.ask("Announce", request))
+        return await self.ask(None, "Announce", request)
 
     async def drain(self, name, silently=False):
         """Drain a target; silently, it tells only callers of itself."""
@@ -265,12 +272,12 @@
     async def _renew(self, name):
         while True:
             await asyncio.sleep(RENEW_S)
-            target, entry = self.targets[name], self._helper()
-            silent = target.process.is_dead or getattr(target, "is_silent", False)
-            if not silent and entry is not None:
+            target = self.targets[name]
+            silent = target.process.is_dead or target.is_silent
+            if not silent:
                 renewal = pb.Renewal(target_id=name, incarnation=target.incarnation)
                 request = pb.RenewRequest(renewals=[renewal])
-                entry.process.spawn(entry.ask("Renew", request))
+                self.task(self.ask(None, "Renew", request))
 
     # The end.
 
--- a/tests/test_broken_rules.py
+++ b/tests/test_broken_rules.py
@@ -10,7 +10,7 @@
 from coltsfootchute import errors, verdicts
 from coltsfootchute.agreement import elections, memberships, replicas, replication
 from coltsfootchute.agreement.tests import fakes
-from coltsfootchute.balancing import policies, probes, views
+from coltsfootchute.balancing import ejections, policies, probes, views
 from coltsfootchute.control import feeds, leases
 from coltsfootchute.entry import calls, daemons, keys, watches
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
@@ -276,6 +276,16 @@
     patch.setitem(policies.POLICIES._items, "expected_wait", known)
 
 
+@breaks("targets_that_fail_fast", "ran is")
+def no_ejection(patch):
+    patch.setattr(ejections, "may_eject", lambda in_use, now: False)
+
+
+@breaks("late_answers", "slow is|hedges is")
+def no_hedges(patch):
+    patch.setattr(calls.Calls, "_hedge", lambda found, call: None)
+
+
 @breaks("shed_load", "answered is|retries is|not_run and ran")
 def shed_requests_not_retried(patch):
     known = calls.Calls._retry
--- a/tests/test_random_faults.py
+++ b/tests/test_random_faults.py
@@ -1,5 +1,6 @@
 """Random faults against the whole: guards against orders nobody thought of."""
 
+import collections
 import os
 import random
 
@@ -15,6 +16,7 @@
 NAMES = st.sampled_from([*CONTROLS, *ENTRIES])
 ENTRY, TARGET = st.sampled_from(ENTRIES), st.sampled_from(TARGETS)
 SECONDS = st.sampled_from([0.001, 0.01, 0.1, 0.7, 1.3, 2.5, 5.0, 12.0])
+REACHED = collections.Counter()  # Dangerous states, over all examples.
 KEYS = st.integers(0, 5)
 
 
@@ -56,6 +58,15 @@
     def run(self, seconds):
         self.play(self.world.run(seconds))
 
+    @stateful.rule(seconds=SECONDS)
+    def lose_the_leader(self, seconds):
+        leader = self.world.leader
+        if leader is not None:
+            self.act(self.world.kill, leader.name)
+            self.play(self.world.run(seconds))
+            self.play(self.world.restart(leader.name))
+            self.play(self.world.run(3.0))
+
     @stateful.rule(via=ENTRY, expected=st.integers(0, 2), resend=st.booleans())
     def propose(self, via, expected, resend):
         self.count += not resend
@@ -148,7 +159,14 @@
     @stateful.rule(name=ENTRY)
     def stop(self, name):
         if not self.world.process(name).is_dead:
-            self.tasks.append(self.act(self.world.stop, name))
+            self.act(self.world.stop, name)
+
+    def note_reached(self, world):
+        sent = [a.request for a in world.history.answers if a.request != a.name]
+        REACHED.update(world.network.seen)
+        REACHED["leader changes"] += len(world.history.leaders) - 1
+        REACHED["lost disks"] += len(world.history.lost_ids)
+        REACHED["resent keys"] += len(sent) - len(set(sent))
 
     def teardown(self):
         """All faults end: every history holds, and all entries agree."""
@@ -157,6 +175,7 @@
         world = self.world
         # Entries that were cut off or whose sources were dead may be late.
         world.history.unreachable.append(("", 0.0, float("inf")))
+        self.note_reached(world)
         try:
             found = self.play(world.finish(self.tasks))
             assert found == []
@@ -173,7 +192,14 @@
             self.loop.close()
 
 
-FaultsTest = pytest.mark.fuzz(Faults.TestCase)
+@pytest.mark.fuzz
+class FaultsTest(Faults.TestCase):
+    def runTest(self):  # noqa: N802
+        super().runTest()
+        wanted = ("leader changes", "lost disks", "cut", "duplicate", "resent keys")
+        assert [name for name in wanted if not REACHED[name]] == []
+
+
 FaultsTest.settings = hypothesis.settings(
     max_examples=EXAMPLES,
     stateful_step_count=40,
