--- a/tests/checkers.py
+++ b/tests/checkers.py
@@ -75,6 +75,7 @@
     returned: float
     entry: str
     is_replayed: bool = False
+    is_target_cut: bool = False
 
 
 @dataclasses.dataclass
@@ -277,6 +278,7 @@
         for a in answers
         if a.entry == name
         and start <= a.returned <= end
+        and not a.is_target_cut
         and (not a.is_whole or a.reason == "stopping")
     ]
 
--- a/tests/scenario_language/worlds.py
+++ b/tests/scenario_language/worlds.py
@@ -58,6 +58,7 @@
         self.by_member = {}
         self.crashes = []  # Processes that ended by themselves.
         self.poison = ""
+        self.truncated = set()  # Callers whose response a target cut short.
         self.keys = {}
         self.answers = {}
         self.outcomes = {}
