entry: wake queued requests when a target takes work again

Cause: the entry's timer followed only the expiry of queued requests, not Pool.next_wake, so a request that waited for the end of a pause or an ejection started only when some other attempt ended, or was refused as queue_full (test_pools of the entry: refused after the whole queue wait). Ruled out: a shorter queue wait, which refuses more. Change: the timer follows next_wake. While a target has room but the policy waits for a faster one, next_wake is 5 ms ahead, because only time lowers the estimate of an idle target.

--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -21,6 +21,9 @@
 
 __all__ = ["Pool", "PoolSettings"]
 
+# How often a request that waits for a faster target is looked at again.
+SLOW_WAIT_S = 0.005
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolSettings:
@@ -309,7 +312,9 @@
         """Return when `grants` and `admission.expired` are due without an event.
 
         That is when a queued request expires, or when a target's ejection or
-        pause ends; None while nothing waits.
+        pause ends; None while nothing waits. While a target has room and the
+        policy waits for a faster one, it is soon, because only the passing of
+        time lowers the estimate of an idle target.
         """
         expiry_s = self.admission.next_expiry()
         if expiry_s is None:
@@ -320,6 +325,8 @@
         opening_s = min(
             (time_s for time_s in times_s if time_s > now), default=expiry_s
         )
+        if self._eligible(now, ()):
+            opening_s = min(opening_s, now + SLOW_WAIT_S)
         return min(expiry_s, opening_s)
 
     def hedge_delay(self, now: float) -> float | None:
--- a/coltsfootchute/balancing/tests/test_pools.py
+++ b/coltsfootchute/balancing/tests/test_pools.py
@@ -246,6 +246,17 @@
     assert [grant.ticket for grant in pool.grants(1.001)] == [ticket]
 
 
+def test_a_request_that_waits_for_a_fast_target_is_looked_at_again():
+    """Only time lowers the estimate of an idle target, and no event tells."""
+    pool = make(2, share=0.125)
+    for view in pool.all_views:
+        view.measured(0.01, 0.0)
+    pool.started(pool.all_views[1], 0.0)
+    ticket = pool.admission.offer(1, 9.0, 0.0, 0.01, 0.01)
+    assert pool.next_wake(0.0) == pools.SLOW_WAIT_S
+    assert [grant.ticket for grant in pool.grants(pools.SLOW_WAIT_S)] == [ticket]
+
+
 def test_a_target_that_sheds_gets_a_pause():
     """With the limit at 1, an entry would send the next request at once."""
     pool = make(1)
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -133,17 +133,21 @@
         self._refuse_expired()
 
     def _refuse_expired(self) -> None:
-        loop = asyncio.get_running_loop()
         for ticket, refusal in self.pool.admission.expired(time.monotonic()):
             fut = self._waiting.pop(ticket, None)
             if fut is not None and not fut.done():
                 fut.set_result(refusal)
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        """Wake up when a request expires, or a target takes work again."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        expiry = self.pool.admission.next_expiry()
-        if expiry is not None:
-            self._timer = loop.call_at(expiry, self.wake)
+        due_s = self.pool.next_wake(time.monotonic())
+        if due_s is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(due_s, self.wake)
 
 
 class RefusedError(Exception):
