entry: leave another entry that has no fresh proof at once

Cause: two entries that had lost control watched each other for 2 s, the time that a control instance gets to find its leader.

Change: another entry whose proof of currency is older than 2 s is left with its first message. Stand-ins take ports from a part for each test process, as one start in 66 still failed to bind.

--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -281,13 +281,13 @@
     async def _watch_safely(self, address: str, limit_s: float | None) -> None:
         try:
             async with asyncio.timeout(limit_s):
-                await self._watch(address)
+                await self._watch(address, is_peer=limit_s is not None)
         except (OSError, TimeoutError, grpclib.exceptions.GRPCError) as exc:
             loguru.logger.debug("feed: {} ended: {!r}", address, exc)
         except grpclib.exceptions.StreamTerminatedError as exc:
             loguru.logger.debug("feed: {} ended: {!r}", address, exc)
 
-    async def _watch(self, address: str) -> None:
+    async def _watch(self, address: str, is_peer: bool) -> None:
         host, _, port = address.rpartition(":")
         channel = grpclib.client.Channel(host.strip("[]"), int(port))
         try:
@@ -296,7 +296,10 @@
             stub = coltsfootchute_grpc.FeedStub(channel)
             async with stub.Watch.open() as stream:
                 await stream.send_message(self._request(), end=True)
-                await self._receive(address, stream)
+                # Two entries without control would watch each other for as long
+                # as a control instance may take to find its leader.
+                waits_from = float("-inf") if is_peer else clock()
+                await self._receive(address, stream, waits_from)
         finally:
             channel.close()
 
@@ -308,9 +311,11 @@
         )
 
     async def _receive(
-        self, address: str, stream: grpclib.client.Stream[typing.Any, typing.Any]
+        self,
+        address: str,
+        stream: grpclib.client.Stream[typing.Any, typing.Any],
+        waits_from: float,
     ) -> None:
-        opened_at = clock()
         freezes = self._freezes
         patience_s = FIRST_MESSAGE_S
         while True:
@@ -329,7 +334,7 @@
                 self._log_foreign(address, message.cluster_id)
                 await stream.cancel()
                 return
-            proven_at = max(self._view.proof_at, opened_at)
+            proven_at = max(self._view.proof_at, waits_from)
             if now - proven_at > PROOF_PATIENCE_S:
                 await stream.cancel()
                 return
--- a/coltsfootchute/standins/fleets.py
+++ b/coltsfootchute/standins/fleets.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
 import random
 import signal
@@ -22,6 +23,7 @@
 SECOND_SIGNAL_S = 0.5
 STOP_TIMEOUT_S = 5.0
 PORTS = range(10_000, 32_000)
+PORTS_PER_PROCESS = 1000
 
 
 class StartError(errors.ColtsfootchuteError):
@@ -192,14 +194,18 @@
     -----
     They are below the range that the kernel gives to outgoing connections: of
     that range, a connection of another process sometimes took a port before the
-    process that it was meant for was up.
+    process that it was meant for was up. Test processes that run side by side take
+    them from different parts.
     """
+    parts = len(PORTS) // PORTS_PER_PROCESS
+    first = PORTS[os.getpid() % parts * PORTS_PER_PROCESS]
+    part = range(first, first + PORTS_PER_PROCESS)
     found: list[int] = []
     with contextlib.ExitStack() as stack:
         while len(found) < count:
             sock = stack.enter_context(socket.socket())
             with contextlib.suppress(OSError):
-                sock.bind(("127.0.0.1", random.choice(PORTS)))
+                sock.bind(("127.0.0.1", random.choice(part)))
                 found.append(sock.getsockname()[1])
     return found
 
