tests: send to watchers of a fake feed in a fixed order

Cause: a random run with a broken rule could not be repeated: a feed wakes its watchers in the order of their addresses in memory. Change: fakes give each feed an ordered set of watchers. Before / after: hypothesis reported unreliable results for the rule claim_granted_twice; now it reports the failure itself. Conclusion: a seed alone decides a run.

--- a/tests/scenario_language/controls.py
+++ b/tests/scenario_language/controls.py
@@ -8,7 +8,7 @@
 from coltsfootchute.control import cores, daemons, duties, services
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 from tests import checkers
-from tests.scenario_language import clocks
+from tests.scenario_language import clocks, links
 
 TIMING = agreement.Timing(snapshot_entries=60, kept_entries=20, chunk_bytes=2048)
 
@@ -80,6 +80,7 @@
         self._control = control
         super().__init__(*args)
         self.links = Links(control)
+        self.feed._watchers = links.OrderedSet()
 
     def _apply(self, entry):
         history = self._control.world.history
--- a/tests/scenario_language/entries.py
+++ b/tests/scenario_language/entries.py
@@ -9,7 +9,7 @@
 from coltsfootchute.entry import daemons, forwards
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 from tests import checkers
-from tests.scenario_language import clocks, targets
+from tests.scenario_language import clocks, links, targets
 
 PROBE_S = 0.006
 
@@ -63,6 +63,7 @@
             "entry": {**parts, "control": ["127.0.0.1:1"], "keep_s": 5},
         }
         super().__init__(settings.parse(json.dumps(document)))
+        self.feed._watchers = links.OrderedSet()
         self.client._addresses = world.control_names
         self.client._leader = world.control_names[0]
         self.client._connect = self._connect
--- a/tests/scenario_language/links.py
+++ b/tests/scenario_language/links.py
@@ -10,6 +10,16 @@
 STEP_S = 0.0005
 
 
+class OrderedSet(dict):
+    """A set in the order of insertion, so that a seed decides the order of sends."""
+
+    def add(self, item):
+        self[item] = None
+
+    def discard(self, item):
+        self.pop(item, None)
+
+
 class Network:
     """Messages, calls and streams between named processes.
 
