--- a/benchmarks/capacity_control_tables.py
+++ b/benchmarks/capacity_control_tables.py
@@ -52,7 +52,8 @@
         )
     )
     text = tables.table(
-        "imports.started, state, rest, work, news, calls, connections, entry_rest",
+        "imports.started, state, restart.snapshots.kib, rest, work, news, calls, "
+        "connections, entry_rest",
         ("role", "% of a core", "MiB resident", "bytes/s"),
         rows,
     )
@@ -96,7 +97,9 @@
         rows.append((name, *verdicts))
     head = ("process", "1.1 % of a core", "32 MiB", "4 KiB/s")
     return tables.table(
-        "entry_rest, state, rest, work, news, imports.started", head, rows
+        "entry_rest, state, rest, work, news, imports.started, restart.snapshots.kib",
+        head,
+        rows,
     )
 
 
--- a/benchmarks/capacity_models.py
+++ b/benchmarks/capacity_models.py
@@ -183,11 +183,14 @@
         return found.times(1000) if name == "cpu" else found
 
     def control_kib(self, size: Size, entries: float) -> Estimate:
-        """Return the resident memory of a control instance without claims."""
+        """Return the resident memory of a control instance without claims.
+
+        A day's changes count with sections, outcomes, log and snapshot.
+        """
         return (
             self.started_kib("control")
             + self.growth("state.control.targets", size.targets)
-            + self.growth("state.control.services", size.services)
+            + self.at("restart.snapshots.kib", size.changes_per_day)
             + self.growth("rest.watchers.leader.memory", entries / size.members)
         )
 
