entry: let a service use a subset of the entries

Cause: with many entries each one sees little of a target's load, and its limit for a target can't go below 1: docs/CAPACITY.md works out 112 requests allowed in flight at a target with 4 slots. Ruled out: fewer entries for all services, which bounds the whole system; a random subset per caller, which spreads over all entries again. Change: the section field entries; rendezvous hashing over service and entry, spread over failure domains; the slots of a target are shared among these entries. Conclusion: kept as an option, off by default, because a subset also bounds the calls that a service can take.

--- a/coltsfootchute/entry/addresses.py
+++ b/coltsfootchute/entry/addresses.py
@@ -1,11 +1,12 @@
 """Which entries a caller is told to use."""
 
 import collections
+import hashlib
 import itertools
 
 from coltsfootchute.proto import coltsfootchute_pb2
 
-__all__ = ["choose_addresses"]
+__all__ = ["choose_addresses", "entries_of"]
 
 
 def choose_addresses(
@@ -49,6 +50,59 @@
     return list(itertools.islice(flat, count))
 
 
+def entries_of(
+    service: str,
+    instances: list[coltsfootchute_pb2.Instance],
+    count: int | None,
+) -> list[coltsfootchute_pb2.Instance]:
+    """Return the entries whose addresses the callers of a service get.
+
+    Parameters
+    ----------
+    service
+        The service.
+    instances
+        All known entries.
+    count
+        How many entries the service uses; all of them if None.
+
+    Returns
+    -------
+    list of Instance
+        At most `count` entries that are not stopping, of as many failure
+        domains as possible.
+
+    Notes
+    -----
+    With fewer entries, each one sees more of the load of a target. Every entry
+    computes the same choice by rendezvous hashing, O(n log n), and when an
+    entry comes or goes, at most one entry of a service is exchanged as long as
+    the failure domains stay the same.
+
+    References
+    ----------
+    Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
+    IEEE/ACM Transactions on Networking, 1998.
+    """
+    serving = _usable(instances)
+    if count is None or count >= len(serving):
+        return serving
+    domains: dict[str, list[coltsfootchute_pb2.Instance]] = collections.defaultdict(
+        list
+    )
+    for instance in sorted(serving, key=lambda i: _weight(service, i.name)):
+        domains[instance.failure_domain].append(instance)
+    names = sorted(domains, key=lambda name: _weight(service, name))
+    rows = itertools.zip_longest(*(domains[name] for name in names))
+    flat = (i for row in rows for i in row if i is not None)
+    return list(itertools.islice(flat, count))
+
+
+def _weight(service: str, name: str) -> bytes:
+    text = f"{service}\0{name}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
 def _usable(
     instances: list[coltsfootchute_pb2.Instance],
 ) -> list[coltsfootchute_pb2.Instance]:
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -148,8 +148,10 @@
         own = self._own()
         others = [i for i in self._view.instances.values() if i.name != own.name]
         self._turn += 1
+        section = table.section
+        used = addresses.entries_of(service, [own, *others], section.entries)
         chosen = addresses.choose_addresses(
-            [own, *others], table.section.entries_per_caller, self._turn
+            used, section.entries_per_caller, self._turn
         )
         body = {
             "service": service,
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -200,7 +200,15 @@
             return
         self._entries = entries
         for service in self.by_name.values():
-            service.pool.update_share(1 / entries)
+            service.pool.update_share(self._share(service.section))
+
+    def _share(self, section: sections.Section) -> float:
+        """Return the share of the targets' slots that an entry may use.
+
+        An entry outside of the service's own still gets calls from callers with
+        an older address response, and uses the same share for them.
+        """
+        return 1 / min(self._entries, section.entries or self._entries)
 
     def learn_quarantine(self, quarantine: coltsfootchute_pb2.Quarantine) -> None:
         """Apply a quarantine record of the log."""
@@ -222,6 +230,7 @@
         elif service.table is not table:
             service.table = table
             service.pool.update_settings(_pool_settings(table.section))
+            service.pool.update_share(self._share(table.section))
         now = time.monotonic()
         targets = [_target(t, now) for t in self._view.targets_of(name)]
         service.pool.update_targets(targets, now)
@@ -235,7 +244,7 @@
             ids.ServiceName(name),
             _pool_settings(table.section),
             self._failure_domain,
-            1 / self._entries,
+            self._share(table.section),
             self._rng,
         )
 
--- a/coltsfootchute/entry/tests/test_pools.py
+++ b/coltsfootchute/entry/tests/test_pools.py
@@ -1,12 +1,14 @@
-"""Guards against a queued request that nothing wakes."""
+"""Guards against a queued request that nothing wakes, and wrong shares of slots."""
 
 import asyncio
 import json
 import random
 import time
+import types
 
 from coltsfootchute import balancing, sections
 from coltsfootchute.entry import pools
+from coltsfootchute.entry.tests import stands
 
 SECTION = {
     "rules": [
@@ -23,7 +25,7 @@
 WAIT_S = 30.0
 
 
-def make_service():
+def make_service(**fields):
     pool = balancing.Pool(
         "s",
         balancing.PoolSettings("two_choices", 10, 64, WAIT_S),
@@ -32,7 +34,7 @@
         random.Random(1),
     )
     pool.update_targets([balancing.Target("t1", "127.0.0.1:1", "fd-a", 4)], 0.0)
-    table = sections.RuleTable(sections.parse(json.dumps(SECTION)))
+    table = sections.RuleTable(sections.parse(json.dumps(SECTION | fields)))
     return pools.Service("s", table, pool)
 
 
@@ -48,3 +50,13 @@
     service = make_service()
     token = asyncio.run(admitted_after_pause(service))
     assert token.view.target.target_id == "t1"
+
+
+def test_slots_are_shared_among_the_entries_of_the_service():
+    # Shared among all entries, each of the few in use could fill only a part.
+    instances = {name: stands.pb.Instance(name=name) for name in "abcdefgh"}
+    services = pools.Services(types.SimpleNamespace(instances=instances), "fd-a")
+    services.by_name = {"s": make_service(entries=2), "t": make_service()}
+    services.refresh_share()
+    limits = {n: s.pool.all_views[0].limit.share for n, s in services.by_name.items()}
+    assert limits == {"s": 3, "t": 1}
--- a/coltsfootchute/sections/schemas.py
+++ b/coltsfootchute/sections/schemas.py
@@ -90,6 +90,8 @@
         Retries and hedges over requests.
     queue
         Bounds of the queue.
+    entries
+        How many entries serve the callers of the service; all if None.
     entries_per_caller
         Addresses in an address response.
     key_retention_s
@@ -106,6 +108,7 @@
     measuring_budget_ms_per_s: typing.Annotated[float, msgspec.Meta(ge=0, le=100)] = 0
     retry_budget_percent: Percent = 10
     queue: Queue = Queue()
+    entries: typing.Annotated[int, msgspec.Meta(ge=2, le=1000)] | None = None
     entries_per_caller: typing.Annotated[int, msgspec.Meta(ge=2, le=8)] = 3
     key_retention_s: typing.Annotated[int, msgspec.Meta(ge=60, le=604_800)] = 3600
     when_stale: typing.Literal["serve", "refuse"] = "serve"
