--- a/benchmarks/capacity_models.py
+++ b/benchmarks/capacity_models.py
@@ -44,6 +44,7 @@
     address_queries_per_s: float = 2000
     slots: int = 4
     renew_s: float = 10.0
+    renew_batch_s: float = 5.0
     report_s: float = 5.0
     retention_s: float = 3600
     keep_s: float = 5.0
@@ -53,6 +54,13 @@
         """Return the mean rate of changes."""
         return self.changes_per_day / 86_400
 
+    def renew_messages_per_s(self, entries: float) -> float:
+        """Return how many messages with renewals the leader gets.
+
+        An entry sends at most one in `renew_batch_s`.
+        """
+        return min(self.targets / self.renew_s, entries / self.renew_batch_s)
+
 
 SIZE = Size()
 
@@ -173,7 +181,7 @@
             self.news(role, name, entries).times(size.changes_per_s),
         ]
         if role == "leader":
-            messages = size.targets / size.renew_s
+            messages = size.renew_messages_per_s(entries)
             parts.append(self.growth(f"work.renew_messages.{role}.{name}", messages))
         return sum(parts, Estimate(0.0))
 
@@ -183,11 +191,14 @@
         return found.times(1000) if name == "cpu" else found
 
     def control_kib(self, size: Size, entries: float) -> Estimate:
-        """Return the resident memory of a control instance without claims."""
+        """Return the resident memory of a control instance without claims.
+
+        A day's changes count with sections, outcomes, log and snapshot.
+        """
         return (
             self.started_kib("control")
             + self.growth("state.control.targets", size.targets)
-            + self.growth("state.control.services", size.services)
+            + self.at("restart.snapshots.kib", size.changes_per_day)
             + self.growth("rest.watchers.leader.memory", entries / size.members)
         )
 
