entry: keep the parameters of the watcher that the scenarios replace

Cause: the last change to the watcher added a parameter to Watcher._watch, which tests/scenario_language/entries.py replaces: 117 of 709 tests failed.

Change: the watcher tells a control instance from an entry by its address.

--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -281,13 +281,13 @@
     async def _watch_safely(self, address: str, limit_s: float | None) -> None:
         try:
             async with asyncio.timeout(limit_s):
-                await self._watch(address, is_peer=limit_s is not None)
+                await self._watch(address)
         except (OSError, TimeoutError, grpclib.exceptions.GRPCError) as exc:
             loguru.logger.debug("feed: {} ended: {!r}", address, exc)
         except grpclib.exceptions.StreamTerminatedError as exc:
             loguru.logger.debug("feed: {} ended: {!r}", address, exc)
 
-    async def _watch(self, address: str, is_peer: bool) -> None:
+    async def _watch(self, address: str) -> None:
         host, _, port = address.rpartition(":")
         channel = grpclib.client.Channel(host.strip("[]"), int(port))
         try:
@@ -296,10 +296,7 @@
             stub = coltsfootchute_grpc.FeedStub(channel)
             async with stub.Watch.open() as stream:
                 await stream.send_message(self._request(), end=True)
-                # Two entries without control would watch each other for as long
-                # as a control instance may take to find its leader.
-                waits_from = float("-inf") if is_peer else clock()
-                await self._receive(address, stream, waits_from)
+                await self._receive(address, stream)
         finally:
             channel.close()
 
@@ -311,11 +308,11 @@
         )
 
     async def _receive(
-        self,
-        address: str,
-        stream: grpclib.client.Stream[typing.Any, typing.Any],
-        waits_from: float,
+        self, address: str, stream: grpclib.client.Stream[typing.Any, typing.Any]
     ) -> None:
+        # A control instance gets time to find its leader. Two entries without
+        # control would watch each other for that time.
+        waits_from = clock() if address in self._control else float("-inf")
         freezes = self._freezes
         patience_s = FIRST_MESSAGE_S
         while True:
