bench: measure the whole system by policy and fault

Cause: nothing measured the policies in real processes.

Change: add make bench with open-loop callers, faults of the stand-in targets, tables and aims. Clusters of the stand-ins take a section, services and options of their targets; a process that ended is replaced in place when it starts again.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	COLTSFOOTCHUTE_FUZZ_EXAMPLES=$(N) $(PY) -m pytest -q -n $(JOBS) -m fuzz --hypothesis-seed=$(SEED)
 
 bench: $(STAMP)
-	$(PY) -m benchmarks.bench
+	$(PY) -m benchmarks.bench --write
 
 slopes: $(STAMP)
 	$(PY) -m benchmarks.slopes
--- /dev/null
+++ b/benchmarks/tests/test_bench_reports.py
@@ -0,0 +1,109 @@
+"""Guards against a bench that hides a miss or counts a run wrongly."""
+
+import pytest
+
+from benchmarks import bench_callers, bench_clusters, bench_reports
+
+
+def row(policy, times_ms, **more):
+    histogram = bench_callers.new_histogram()
+    for time_ms in times_ms:
+        histogram.record_value(int(time_ms * 1000))
+    fields = {
+        "deployment": "A",
+        "case": "straggler",
+        "policy": policy,
+        "round": 0,
+        "calls": len(times_ms),
+        "latency": histogram.encode().decode(),
+        "outcomes": {"ok": len(times_ms)},
+        "refusals": {},
+        "retries": {},
+        "hedges": 0,
+        "sent": len(times_ms),
+        "runs": len(times_ms),
+        "duplicates": 0,
+        "false_verdicts": 0,
+        "probe_runs": 0,
+        "cores": {},
+        "entry_us": 0.0,
+        "late_us": 0,
+        "resent": 0,
+    }
+    return bench_clusters.Row(**{**fields, **more})
+
+
+def lines_of(*rows):
+    return bench_reports.aims(bench_reports.Results(rows=list(rows), added=[]))
+
+
+def test_rounds_are_merged_before_quantiles_are_taken():
+    fast, slow = row("random", [10] * 100), row("random", [90] * 100, round=1)
+    (figures,) = bench_reports.summarize([fast, slow])
+    assert figures.calls == 200
+    assert (figures.p50, figures.p99) == pytest.approx((10, 90), rel=0.01)
+
+
+def test_a_tail_above_half_of_the_reference_is_a_miss():
+    reference = row("two_choices", [100] * 10)
+    good = lines_of(reference, row("expected_wait", [40] * 10))
+    bad = lines_of(reference, row("expected_wait", [60] * 10))
+    assert good[0].startswith("met: A straggler")
+    assert bad[0].startswith("MISSED: A straggler")
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"duplicates": 1},
+        {"false_verdicts": 1},
+        {"outcomes": {"ok": 9, "lost": 1}},
+        {"outcomes": {"ok": 9, "wrong": 1}},
+        {"retries": {"target_shed": 1}},
+        {"hedges": 1},
+        {"probe_runs": 1},
+    ],
+)
+def test_each_fault_is_a_miss(fault):
+    assert all(line.startswith("met") for line in lines_of(row("random", [1] * 10)))
+    lines = lines_of(row("random", [1] * 10, **fault))
+    assert sum(line.startswith("MISSED") for line in lines) == 1
+
+
+def test_counters_are_read_by_reason():
+    text = (
+        'coltsfootchute_retries_total{reason="target_shed"} 3.0\n'
+        'coltsfootchute_hedges_total{service="a"} 2.0\n'
+        'coltsfootchute_hedges_total{service="b"} 1.0\n'
+    )
+    found = bench_clusters.counted(text)
+    assert found["coltsfootchute_retries_total", "target_shed"] == 3
+    assert found["coltsfootchute_hedges_total", ""] == 3
+
+
+def test_arrivals_follow_the_rate_the_burst_and_the_seed():
+    plan = bench_callers.Plan(
+        service="s",
+        prefix="p",
+        apis=(),
+        start_s=0.0,
+        warm_s=1.0,
+        measured_s=9.0,
+        rate=100.0,
+        burst=(4.0, 5.0, 5.0),
+    )
+    times = list(bench_callers.arrivals(plan))
+    in_burst = [at for at in times if 5.0 <= at < 6.0]
+    assert times == sorted(times) == list(bench_callers.arrivals(plan))
+    assert len(in_burst) == pytest.approx(500, rel=0.2)
+    assert len(times) - len(in_burst) == pytest.approx(900, rel=0.2)
+
+
+def test_only_the_part_between_the_markers_is_replaced():
+    page = f"a\n{bench_reports.BEGIN}\nold\n{bench_reports.END}\nb"
+    replaced = bench_reports.replace_between(page, "new")
+    assert "old" not in replaced
+    assert replaced.startswith("a\n")
+    assert replaced.endswith(f"new\n\n{bench_reports.END}\nb")
+    with pytest.raises(ValueError, match="substring"):
+        bench_reports.replace_between("no markers", "new")
--- a/coltsfootchute/standins/clusters.py
+++ b/coltsfootchute/standins/clusters.py
@@ -1,6 +1,7 @@
 """A cluster on loopback: control, entry and target processes with one service."""
 
 import pathlib
+import types
 import typing
 
 import msgspec
@@ -50,6 +51,16 @@
         Starts and ends the processes.
     control, entries, count
         Numbers of control, entry and target processes.
+    section
+        Section of the service.
+    services
+        Services that the targets announce.
+    domains
+        Failure domains, used in turn.
+    target_options
+        More command line options of the targets.
+    keep_s
+        Time for which callers keep addresses, in s.
 
     Attributes
     ----------
@@ -59,8 +70,25 @@
         Addresses of the targets, in the order of their names.
     """
 
-    def __init__(self, fleet: fleets.Fleet, control: int, entries: int, count: int):
+    def __init__(
+        self,
+        fleet: fleets.Fleet,
+        control: int,
+        entries: int,
+        count: int,
+        *,
+        section: dict[str, typing.Any] = SECTION,
+        services: tuple[str, ...] = (SERVICE,),
+        domains: tuple[str, ...] = DOMAINS,
+        target_options: typing.Mapping[str, str] = types.MappingProxyType({}),
+        keep_s: float = 5.0,
+    ):
         self.fleet = fleet
+        self._section = section
+        self._services = services
+        self._domains = domains
+        self._target_options = target_options
+        self._keep_s = keep_s
         self.apis: list[str] = []
         self.target_addresses: list[str] = []
         self._control = control
@@ -77,9 +105,9 @@
         """
         self._start_roles()
         await self._until(self._has_leader, "a leader and all entries")
-        await self._propose()
+        await self.propose(SERVICE, self._section)
         self._start_targets()
-        await self._until(self._is_ready, "targets and entries known to each entry")
+        await self._until(self.is_ready, "targets and entries known to each entry")
 
     async def _until(
         self, condition: typing.Callable[[], typing.Awaitable[bool]], what: str
@@ -105,29 +133,41 @@
                 for listener in ("calls", "api", "peer")
             }
             self.apis.append(entry["api"])
+            entry["keep_s"] = self._keep_s
             entry["control"] = [member["address"] for member in members]
             self._start_role(f"e{number + 1}", number, {"entry": entry})
 
     def _start_role(self, name: str, number: int, cfg: dict[str, typing.Any]) -> None:
         (role,) = cfg
-        instance = {"name": name, "failure_domain": _domain(number)}
+        instance = {"name": name, "failure_domain": self._domain(number)}
         self.fleet.start_role(name, role, {"instance": instance, **cfg})
 
+    def _domain(self, number: int) -> str:
+        return self._domains[number % len(self._domains)]
+
     def _start_targets(self) -> None:
         for number, port in enumerate(fleets.free_ports(self._count)):
-            name, address = f"t{number + 1}", f"127.0.0.1:{port}"
-            self.target_addresses.append(address)
-            options = {
-                "--id": name,
-                "--listen": address,
-                "--failure-domain": _domain(number),
-                "--services": SERVICE,
-                "--runs": str(self.runs_path(name)),
-                "--seed": str(number),
-            }
-            args = [part for pair in options.items() for part in pair]
-            args += [part for api in self.apis for part in ("--api", api)]
-            self.fleet.start(name, "target", targets.__name__, *args)
+            self.target_addresses.append(f"127.0.0.1:{port}")
+            self.start_target(number)
+
+    def start_target(
+        self, number: int, more: typing.Mapping[str, str] = types.MappingProxyType({})
+    ) -> fleets.Process:
+        """Start a target at its address, with more options than the others."""
+        name = f"t{number + 1}"
+        options = {
+            "--id": name,
+            "--listen": self.target_addresses[number],
+            "--failure-domain": self._domain(number),
+            "--runs": str(self.runs_path(name)),
+            "--seed": str(number),
+            **self._target_options,
+            **more,
+        }
+        args = [part for pair in options.items() for part in pair]
+        args += [part for api in self.apis for part in ("--api", api)]
+        args += [part for name in self._services for part in ("--services", name)]
+        return self.fleet.start(name, "target", targets.__name__, *args)
 
     def runs_path(self, name: str) -> pathlib.Path:
         """Return the file with the record of a target."""
@@ -158,20 +198,27 @@
         known = len(found.get("instances", ())) >= self._entries
         return known and bool(statuses.leader_name(found))
 
-    async def _propose(self) -> None:
+    async def propose(self, service: str, section: dict[str, typing.Any]) -> None:
+        """Create the section of a service.
+
+        Raises
+        ------
+        coltsfootchute.standins.fleets.StartError
+            If it is refused.
+        """
         body = {
             "expected_revision": 0,
-            "document": msgspec.json.encode(SECTION).decode(),
+            "document": msgspec.json.encode(section).decode(),
             "author": "demo",
-            "request_id": "demo-1",
+            "request_id": f"create-{service}",
         }
-        path = f"/v1/sections/{SERVICE}"
+        path = f"/v1/sections/{service}"
         headers = {documents.TEAM_HEADER: TEAM}
         reply = await apis.send_change(self.apis, path, body, headers)
         if reply.status != apis.HTTP_OK:
             raise fleets.StartError(f"section refused: {apis.reason(reply)}")
 
-    async def _is_ready(self) -> bool:
+    async def is_ready(self) -> bool:
         """Tell whether each entry has the targets and knows the other entries."""
         found = await self.read("/v1/targets")
         if len(found.get("targets", ())) < self._count:
@@ -182,10 +229,5 @@
             return False
         path = f"/v1/services/{SERVICE}/addresses"
         replies = [await self.read(path, [api]) for api in self.apis]
-        return all(
-            len(reply.get("addresses", ())) == self._entries for reply in replies
-        )
-
-
-def _domain(number: int) -> str:
-    return DOMAINS[number % len(DOMAINS)]
+        expected = min(self._entries, self._section.get("entries_per_caller", 3))
+        return all(len(reply.get("addresses", ())) == expected for reply in replies)
--- a/coltsfootchute/standins/fleets.py
+++ b/coltsfootchute/standins/fleets.py
@@ -49,6 +49,11 @@
         self.log = log
         self._popen = popen
 
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
     @property
     def exit_code(self) -> int | None:
         """Return the exit code, or None while the process runs."""
@@ -98,9 +103,12 @@
         await self.stop()
 
     def start(self, name: str, role: str, module: str, *args: str) -> Process:
-        """Start a module of this package as a process."""
+        """Start a module of this package as a process.
+
+        It takes the place of a process of the same name that has ended.
+        """
         log = self.folder / f"{name}.log"
-        with log.open("wb") as output:
+        with log.open("ab") as output:
             popen = subprocess.Popen(
                 [sys.executable, "-m", module, *args],
                 stdin=subprocess.DEVNULL,
@@ -109,7 +117,9 @@
                 start_new_session=True,
             )
         process = Process(name, role, popen, log)
-        self.processes.append(process)
+        names = [other.name for other in self.processes]
+        place = names.index(name) if name in names else len(names)
+        self.processes[place : place + 1] = [process]
         return process
 
     def start_role(self, name: str, role: str, cfg: dict[str, typing.Any]) -> Process:
@@ -118,6 +128,12 @@
         path.write_bytes(msgspec.json.encode(cfg))
         return self.start(name, role, "coltsfootchute.commands.main", role, str(path))
 
+    def restart(self, process: Process) -> Process:
+        """Start a role that has ended again, with the same settings."""
+        path = self.folder / f"{process.name}.jsonc"
+        module, role = "coltsfootchute.commands.main", process.role
+        return self.start(process.name, role, module, role, str(path))
+
     def of_role(self, role: str) -> list[Process]:
         """Return the processes of a role in the order of their start."""
         return [process for process in self.processes if process.role == role]
--- a/coltsfootchute/standins/targets.py
+++ b/coltsfootchute/standins/targets.py
@@ -5,6 +5,8 @@
 =====================  ====================================================
 ``POST /-/drain``      announce the drain and mark all later responses
 ``POST /-/straggle``   ``{"factor", "for_s"}``: slow down for a time
+``POST /-/noise``      pauses of all work; see `faults.Noise`
+``POST /-/fail``       ``{"for_s"}``: answer 500 at once for a time
 ``GET /-/runs``        the record of the runs
 ``GET /-/health``      ``serving`` or ``draining``, as it was ``lag_s`` ago
 ``GET /-/load``        requests in flight, as reported
@@ -29,7 +31,7 @@
 import uvloop
 
 from coltsfootchute import verdicts
-from coltsfootchute.standins import announcers, loads, records
+from coltsfootchute.standins import announcers, faults, loads, records
 
 __all__ = [
     "CRASH_HEADER",
@@ -49,6 +51,12 @@
 RATE_WINDOW_S = 1.0
 STOP_TIMEOUT_S = 10.0
 
+_FAULTS = {
+    "straggle": faults.Straggle,
+    "noise": faults.Noise,
+    "fail": faults.FailFast,
+}
+
 
 @dataclasses.dataclass(frozen=True)
 class Options:
@@ -125,13 +133,6 @@
     padding: str = ""
 
 
-class Straggle(msgspec.Struct, frozen=True):
-    """Body of ``POST /-/straggle``."""
-
-    factor: float
-    for_s: float
-
-
 class Target:
     """The server of a stand-in target.
 
@@ -152,15 +153,15 @@
         self._reporter = loads.LoadReporter(options.lag_s, options.load_factor)
         self._started = time.monotonic()
         self._drained_at = float("inf")
-        self._straggle = Straggle(factor=1.0, for_s=0.0)
-        self._straggle_end = 0.0
+        self._faults = faults.Faults(self._rng)
         self._completed: list[float] = []
 
     def app(self) -> aiohttp.web.Application:
         """Return the web application."""
         app = aiohttp.web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_post("/-/drain", self._handle_drain)
-        app.router.add_post("/-/straggle", self._handle_straggle)
+        for name, fault in _FAULTS.items():
+            app.router.add_post(f"/-/{name}", self._fault_handler(fault))
         app.router.add_get("/-/runs", self._handle_runs)
         app.router.add_get("/-/health", self._handle_health)
         app.router.add_get("/-/load", self._handle_load)
@@ -175,17 +176,18 @@
         return await self.announcer.drain() if self.announcer else True
 
     def service_time_s(self, now: float) -> float:
-        """Return a lognormal service time in s, longer when cold or straggling."""
+        """Return a lognormal service time in s, longer when cold."""
         opts = self.options
         spent_s = opts.service_ms / 1000 * self._rng.lognormvariate(0.0, opts.sigma)
         cold = 0.0
         if opts.cold_s > 0:
             cold = max(0.0, 1 - (now - self._started) / opts.cold_s)
-        spent_s *= 1 + (opts.cold_factor - 1) * cold
-        return spent_s * (self._straggle.factor if now < self._straggle_end else 1.0)
+        return spent_s * (1 + (opts.cold_factor - 1) * cold)
 
     async def _handle_work(self, req: aiohttp.web.Request) -> aiohttp.web.Response:
         opts = self.options
+        if self._faults.fails(time.monotonic()):
+            return _json_response({"detail": "fails"}, status=500)
         if self._in_flight >= opts.slots + opts.queue:
             return self._shed("all slots are taken")
         deadline_s = _deadline_s(req)
@@ -219,7 +221,9 @@
         if CRASH_HEADER in req.headers:
             os._exit(CRASH_EXIT_CODE)
         try:
-            await asyncio.sleep(self.service_time_s(time.monotonic()))
+            now = time.monotonic()
+            end = self._faults.end_of(self.service_time_s(now), now)
+            await asyncio.sleep(end - now)
         finally:
             self.log.finish(run)
         self._completed.append(time.monotonic())
@@ -264,13 +268,16 @@
         accepted = await self.drain()
         return _json_response({"accepted": accepted}, status=200 if accepted else 503)
 
-    async def _handle_straggle(self, req: aiohttp.web.Request) -> aiohttp.web.Response:
-        try:
-            self._straggle = msgspec.json.decode(await req.read(), type=Straggle)
-        except msgspec.DecodeError as exc:
-            return _json_response({"detail": str(exc)}, status=400)
-        self._straggle_end = time.monotonic() + self._straggle.for_s
-        return _json_response({})
+    def _fault_handler(self, kind: type) -> typing.Callable:
+        async def handle(req: aiohttp.web.Request) -> aiohttp.web.Response:
+            try:
+                fault = msgspec.json.decode(await req.read(), type=kind)
+            except msgspec.DecodeError as exc:
+                return _json_response({"detail": str(exc)}, status=400)
+            self._faults.apply(fault, time.monotonic())
+            return _json_response({})
+
+        return handle
 
     async def _handle_runs(self, req: aiohttp.web.Request) -> aiohttp.web.Response:
         return _json_response(self.log.runs)
--- a/coltsfootchute/standins/tests/test_targets.py
+++ b/coltsfootchute/standins/tests/test_targets.py
@@ -13,7 +13,15 @@
 import pytest
 
 from coltsfootchute import verdicts
-from coltsfootchute.standins import announcers, fleets, keys, loads, records, targets
+from coltsfootchute.standins import (
+    announcers,
+    faults,
+    fleets,
+    keys,
+    loads,
+    records,
+    targets,
+)
 
 
 @contextlib.asynccontextmanager
@@ -172,3 +180,23 @@
     assert len(set(found)) == 100
     assert all(key.int >> 80 == 1_700_000_000_000 for key in found)
     assert all(key.version == 7 for key in found)
+
+
+def test_faults_delay_work_pause_it_and_fail_it_without_a_run():
+    now = 100.0
+    found = faults.Faults(random.Random(1))
+    found.apply(faults.Straggle(factor=10, for_s=1), now)
+    assert found.end_of(0.1, now) == pytest.approx(now + 1)
+    assert found.end_of(0.1, now + 2) == pytest.approx(now + 2.1)
+    found.apply(faults.Noise(gap_s=0.01, shortest_s=1, longest_s=2, for_s=1), now + 3)
+    assert now + 5 < found.end_of(1.0, now + 3) < now + 7
+    assert found.end_of(0.1, now + 30) == pytest.approx(now + 30.1)
+
+    async def use(target, session, url):
+        async with session.post(f"{url}/-/fail", json={"for_s": 60}) as resp:
+            assert resp.status == 200
+        async with session.get(f"{url}/a") as resp:
+            assert resp.status == 500
+        assert target.log.runs == []
+
+    with_target(targets.Options(), use)
