entry: retry failed connections without the budget

Cause: after a target was killed, callers got connection_failed (502, not run) although other targets were free or about to be. Hedges had taken the tokens, or the other targets were at their limits; retries don't queue.

Ruled out: a larger budget, since it also allows more hedges.

Change: a retry after a failed connection takes no token, up to three for a call, and waits in the queue if no target has room. A target that sheds has spent work, so that retry still takes a token.

Failed connections cost entries at most four connects for a call when most targets are down.

--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -25,6 +25,9 @@
 
 __all__ = ["Calls"]
 
+# Bounds the connections that one call tries while many targets are down.
+MAX_FREE_RETRIES = 3
+
 _OUTCOMES = {
     verdicts.Reason.CONNECTION_FAILED: balancing.Outcome.CONNECTION_FAILED,
     verdicts.Reason.CONNECTION_LOST: balancing.Outcome.CONNECTION_LOST,
@@ -169,7 +172,7 @@
             try:
                 return await self._race(call, token)
             except attempts.AttemptError as exc:
-                token = self._retry(call, exc)
+                token = await self._retry(call, exc)
 
     async def _race(self, call: requests.Call, token: balancing.Token) -> races.Won:
         delay_s = None
@@ -203,10 +206,9 @@
         self._meters.meter(call.service.name).hedges.inc()
         return pool.started(view, now)
 
-    def _retry(
+    async def _retry(
         self, call: requests.Call, error: attempts.AttemptError
     ) -> balancing.Token:
-        pool = call.service.pool
         now = time.monotonic()
         refusal = verdicts.Refusal(error.verdict, error.reason, error.detail)
         allowed = (
@@ -218,11 +220,30 @@
         if not allowed:
             raise pools.RefusedError(refusal)
         self._check_quarantine(call)
-        view = pool.select(now, call.tried, balancing.AttemptKind.RETRY)
-        if view is None or not pool.may_retry():
+        token = await self._next(call, error, now)
+        if token is None:
             raise pools.RefusedError(refusal)
         self._meters.retries.labels(error.reason.value).inc()
-        return pool.started(view, now)
+        return token
+
+    async def _next(
+        self, call: requests.Call, error: attempts.AttemptError, now: float
+    ) -> balancing.Token | None:
+        """Return the attempt that follows a failed one; None for none."""
+        pool = call.service.pool
+        # No target has seen a request whose connection failed, so another attempt
+        # adds no load and takes no token; it may wait for a target like the first.
+        is_free = error.reason is verdicts.Reason.CONNECTION_FAILED
+        is_free = is_free and len(call.tried) <= MAX_FREE_RETRIES
+        view = pool.select(now, call.tried, balancing.AttemptKind.RETRY)
+        if view is not None and (is_free or pool.may_retry()):
+            return pool.started(view, now)
+        if view is not None or not is_free:
+            return None
+        try:
+            return await call.service.readmit(call.rule.priority, call.deadline)
+        except pools.RefusedError:
+            return None
 
     async def _attempt(self, call: requests.Call, token: balancing.Token) -> races.Won:
         target = token.view.target
--- a/coltsfootchute/entry/tests/test_calls.py
+++ b/coltsfootchute/entry/tests/test_calls.py
@@ -9,6 +9,7 @@
 from coltsfootchute.entry.tests import stands
 
 HALF = b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"
+_LONG_QUEUE = {"length": 64, "wait_ms": 5000}
 SHED = "Coltsfootchute-Verdict: not_run\r\n"
 
 
@@ -86,6 +87,49 @@
     stands.run(play, stands.respond())
 
 
+def test_retries_after_failed_connections_need_no_budget():
+    """A killed target must not turn into refusals once hedges took the budget."""
+
+    async def play(stage):
+        for name in ("dead1", "dead2"):
+            dead = stands.Target(name, None)
+            await dead.start()
+            await dead.stop()
+            stage.control.target(dead, slots=100)
+        await stands.until(lambda: "dead2" in stage.entry.view.targets)
+        for _ in range(6):
+            assert (await stage.send("GET", "/shop/items/1")).status == 200
+
+    stands.run(play, stands.respond(), section={"retry_budget_percent": 0})
+
+
+def test_a_retry_after_a_failed_connection_waits_for_a_busy_target():
+    release = asyncio.Event()
+
+    async def play(stage):
+        busy = asyncio.ensure_future(stage.send("GET", "/shop/items/1"))
+        await stands.until(lambda: stage.targets[0].heads)
+        dead = stands.Target("dead", None)
+        await dead.start()
+        await dead.stop()
+        stage.control.target(dead, slots=100)
+        await stands.until(lambda: "dead" in stage.entry.view.targets)
+        (view,) = [
+            view
+            for view in stage.entry.services.by_name["shop"].pool.all_views
+            if view.target.target_id != "dead"
+        ]
+        view.limit.rebound(1)
+        waiting = asyncio.ensure_future(stage.send("GET", "/shop/items/2"))
+        admission = stage.entry.services.by_name["shop"].pool.admission
+        await stands.until(lambda: len(admission) or waiting.done())
+        assert not waiting.done()
+        release.set()
+        assert (await busy).status == (await waiting).status == 200
+
+    stands.run(play, stands.respond(before=release), section={"queue": _LONG_QUEUE})
+
+
 def _written_twice(stage):
     return sum(len(target.heads) for target in stage.targets) > 1
 
