--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -3,6 +3,7 @@
 import argparse
 import dataclasses
 import itertools
+import operator
 import pathlib
 import sys
 import time
@@ -20,6 +21,13 @@
 QUICK_CASES = ("straggler", "noise")
 QUICK_POLICIES = ("two_choices", "expected_wait")
 QUICK_S = 2.0
+# Calls that start later than this show that the machine stalled; such a run is
+# repeated, and the one with the least delay counts. The choice doesn't look at
+# the latency of the calls.
+LATE_US = 40_000
+MAX_REPEATS = 2
+# No run is repeated after this time, so that the whole set takes under 8 minutes.
+REPEAT_UNTIL_S = 330.0
 
 
 def parse(argv: list[str] | None = None) -> argparse.Namespace:
@@ -57,6 +65,7 @@
 
 
 async def _measure(args: argparse.Namespace) -> bench_reports.Results:
+    began = time.monotonic()
     results = bench_reports.Results(rows=[], added=[])
     names = args.deployment or (["A"] if args.quick else ["A", "B"])
     for name in names:
@@ -71,13 +80,26 @@
         async with bench_clusters.opened(deployment, services) as world:
             # Meanwhile the targets leave their slow start.
             results.added += await world.added_latency()
+            await world.warm_up(runs[0])
             for case, plan, policy, number in runs:
-                row = await world.run(case, plan, policy, number)
-                results.rows.append(row)
-                _show(row)
+                tries = [await world.run(case, plan, policy, number)]
+                while _may_repeat(tries, plan, began):
+                    tries.append(await world.run(case, plan, policy, number))
+                tries.sort(key=operator.attrgetter("late_us"))
+                results.rows.append(tries[0])
+                results.disturbed += tries[1:]
+                _show(tries[0])
     return results
 
 
+def _may_repeat(
+    tries: list[bench_clusters.Row], plan: bench_cases.CasePlan, began: float
+) -> bool:
+    is_late = all(row.late_us > LATE_US for row in tries)
+    in_time = time.monotonic() < began + (0 if plan.is_long else REPEAT_UNTIL_S)
+    return is_late and in_time and len(tries) <= MAX_REPEATS
+
+
 def _show(row: bench_clusters.Row) -> None:
     (f,) = bench_reports.summarize([row])
     print(
--- a/benchmarks/bench_clusters.py
+++ b/benchmarks/bench_clusters.py
@@ -190,6 +190,11 @@
         await asyncio.sleep(SETTLE_S)
         return row
 
+    async def warm_up(self, run: tuple[str, bench_cases.CasePlan, str, int]) -> None:
+        """Run the load of a case once without its fault, and drop the figures."""
+        _, plan, policy, number = run
+        await self.run("steady_70", plan, policy, number)
+
     async def added_latency(self) -> list[AddedLatency]:
         """Compare calls through entries with direct calls at a low rate."""
         address = (await self.cluster.read("/v1/targets"))["targets"]
--- a/benchmarks/bench_reports.py
+++ b/benchmarks/bench_reports.py
@@ -33,10 +33,23 @@
 
 
 class Results(msgspec.Struct, kw_only=True):
-    """Everything that a session measured."""
+    """Everything that a session measured.
+
+    Parameters
+    ----------
+    rows
+        The runs that count.
+    added
+        Comparison with direct calls.
+    disturbed
+        Runs that were repeated because the generators were late.
+    seconds
+        Length of the session.
+    """
 
     rows: list[bench_clusters.Row]
     added: list[bench_clusters.AddedLatency]
+    disturbed: list[bench_clusters.Row] = []
     seconds: float = 0.0
 
 
@@ -64,6 +77,7 @@
     probe_ms: float
     entry_us: float
     cores: float
+    late_ms: float
 
 
 def summarize(
@@ -112,6 +126,7 @@
         wrong=outcomes["wrong"],
         probe_ms=probe_ms,
         entry_us=round(sum(row.entry_us for row in group) / len(group), 1),
+        late_ms=max(row.late_us for row in group) / 1000,
         cores=round(sum(sum(row.cores.values()) for row in group) / len(group), 2),
     )
 
@@ -222,7 +237,7 @@
 def _table(figures: list[Figures]) -> list[str]:
     headings = ["policy", "calls", "p50 ms", "p99 ms", "p99.9 ms", "goodput"]
     headings += ["refused", "errors", "unknown", "retries", "hedges", "extra"]
-    headings += ["dupl.", "lost", "probe ms", "entry µs/call", "cores"]
+    headings += ["dupl.", "lost", "probe ms", "entry µs/call", "cores", "late ms"]
     lines = [_line(headings), _line(["---"] * len(headings))]
     return lines + [
         _line(
@@ -244,6 +259,7 @@
                 f"{f.probe_ms:.0f}",
                 f"{f.entry_us:.0f}",
                 f.cores,
+                f"{f.late_ms:.0f}",
             ]
         )
         for f in figures
