--- a/benchmarks/bench.py
+++ b/benchmarks/bench.py
@@ -1,17 +1,19 @@
 """Measure the whole system on loopback, policy by policy and fault by fault."""
 
 import argparse
+import asyncio
 import dataclasses
 import itertools
 import operator
 import pathlib
+import signal
 import sys
 import time
 
 import msgspec
 import uvloop
 
-from benchmarks import bench_cases, bench_clusters, bench_reports
+from benchmarks import bench_cases, bench_clusters, bench_reports, bench_rows
 from coltsfootchute.balancing import policies
 
 __all__ = ["chosen", "main"]
@@ -21,13 +23,14 @@
 QUICK_CASES = ("straggler", "noise")
 QUICK_POLICIES = ("two_choices", "expected_wait")
 QUICK_S = 2.0
+INTERRUPTED = 130
 # Calls that start later than this show that the machine stalled; such a run is
 # repeated, and the one with the least delay counts. The choice doesn't look at
 # the latency of the calls.
 LATE_US = 40_000
 MAX_REPEATS = 2
 # No run is repeated after this time, so that the whole set takes under 8 minutes.
-REPEAT_UNTIL_S = 330.0
+REPEAT_UNTIL_S = 200.0
 
 
 def parse(argv: list[str] | None = None) -> argparse.Namespace:
@@ -64,6 +67,15 @@
     return runs
 
 
+async def _measured_or_interrupted(args: argparse.Namespace) -> bench_reports.Results:
+    """Measure; a signal ends all started processes before this one."""
+    loop = asyncio.get_running_loop()
+    task = asyncio.current_task()
+    for signum in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(signum, task.cancel)
+    return await _measure(args)
+
+
 async def _measure(args: argparse.Namespace) -> bench_reports.Results:
     began = time.monotonic()
     results = bench_reports.Results(rows=[], added=[])
@@ -93,14 +105,14 @@
 
 
 def _may_repeat(
-    tries: list[bench_clusters.Row], plan: bench_cases.CasePlan, began: float
+    tries: list[bench_rows.Row], plan: bench_cases.CasePlan, began: float
 ) -> bool:
     is_late = all(row.late_us > LATE_US for row in tries)
     in_time = time.monotonic() < began + (0 if plan.is_long else REPEAT_UNTIL_S)
     return is_late and in_time and len(tries) <= MAX_REPEATS
 
 
-def _show(row: bench_clusters.Row) -> None:
+def _show(row: bench_rows.Row) -> None:
     (f,) = bench_reports.summarize([row])
     print(
         f"{f.deployment} {f.case:13} {f.policy:16} p50 {f.p50:6} p99 {f.p99:6} "
@@ -126,7 +138,11 @@
     """Run the chosen cases and print the figures and aims."""
     args = parse(argv)
     began = time.monotonic()
-    results = uvloop.run(_measure(args))
+    try:
+        results = uvloop.run(_measured_or_interrupted(args))
+    except asyncio.CancelledError:
+        print("interrupted", file=sys.stderr)
+        return INTERRUPTED
     results.seconds = round(time.monotonic() - began, 1)
     print(*bench_reports.aims(results), sep="\n")
     print(f"{results.seconds} s")
--- a/benchmarks/bench_clusters.py
+++ b/benchmarks/bench_clusters.py
@@ -15,13 +15,12 @@
 
 import aiohttp
 import msgspec
-import prometheus_client.parser
 
-from benchmarks import bench_callers, bench_cases
+from benchmarks import bench_callers, bench_cases, bench_rows
 from coltsfootchute.commands import apis
 from coltsfootchute.standins import clusters, fleets, records, targets
 
-__all__ = ["AddedLatency", "Row", "World", "counted", "opened"]
+__all__ = ["World", "opened", "service_name"]
 
 GENERATORS = 3
 ORDERS = 0.02
@@ -33,95 +32,10 @@
 KEEP_S = 1.0
 ECHO = "echo"
 ECHO_RATE = 100.0
-ECHO_S = 4.0
-COUNTERS = {
-    "coltsfootchute_refusals_total": "reason",
-    "coltsfootchute_retries_total": "reason",
-    "coltsfootchute_hedges_total": "",
-}
+ECHO_S = 8.0
 NS_PER_S = 1e9
 
 
-class Row(msgspec.Struct, kw_only=True):
-    """Figures of one run.
-
-    Parameters
-    ----------
-    deployment, case, policy, round
-        What ran.
-    calls
-        Calls in the counted part.
-    latency
-        Encoded HdrHistogram of the calls that were answered, in µs.
-    outcomes
-        Calls in the counted part by outcome.
-    refusals, retries
-        By reason, from the entries' counters, for the whole run.
-    hedges
-        From the entries' counters, for the whole run.
-    sent
-        Calls of the whole run, warm-up included.
-    runs
-        Runs at the targets.
-    duplicates
-        Keys that ran more than once.
-    false_verdicts
-        Keys that ran although refused as not run, or the reverse.
-    probe_runs
-        Runs at the targets that belong to no call.
-    cores
-        Processor time over the time of the run, by role.
-    entry_us
-        Processor time of the entries for each call in µs.
-    late_us
-        Worst delay of the generators in µs.
-    resent
-        Sendings of callers to another entry.
-    """
-
-    deployment: str
-    case: str
-    policy: str
-    round: int
-    calls: int
-    latency: str
-    outcomes: dict[str, int]
-    refusals: dict[str, int]
-    retries: dict[str, int]
-    hedges: int
-    sent: int
-    runs: int
-    duplicates: int
-    false_verdicts: int
-    probe_runs: int
-    cores: dict[str, float]
-    entry_us: float
-    late_us: int
-    resent: int
-
-
-class AddedLatency(msgspec.Struct, kw_only=True):
-    """Latency of calls through entries and of direct calls to the same target.
-
-    Parameters
-    ----------
-    deployment
-        Where it was measured.
-    kind
-        ``direct`` or ``entry``.
-    p50_ms, p99_ms
-        Of the responses.
-    calls
-        Responses.
-    """
-
-    deployment: str
-    kind: str
-    p50_ms: float
-    p99_ms: float
-    calls: int
-
-
 @dataclasses.dataclass
 class Snapshot:
     """Counters at one time."""
@@ -162,7 +76,7 @@
 
     async def run(
         self, case: str, plan: bench_cases.CasePlan, policy: str, number: int
-    ) -> Row:
+    ) -> bench_rows.Row:
         """Run a case once under a policy."""
         rate = self.deployment.capacity * plan.utilization
         seed = random.Random(f"{case}-{number}").randrange(1 << 30)
@@ -194,32 +108,32 @@
         _, plan, policy, number = run
         await self.run("steady_70", plan, policy, number)
 
-    async def added_latency(self) -> list[AddedLatency]:
+    async def added_latency(self) -> list[bench_rows.AddedLatency]:
         """Compare calls through entries with direct calls at a low rate."""
         address = (await self.cluster.read("/v1/targets"))["targets"]
         (echo,) = (t["address"] for t in address if ECHO in t["services"])
-        found = []
-        for kind, direct in (("direct", (echo,)), ("entry", ())) * 2:
-            load = bench_callers.Plan(
-                service=ECHO,
-                prefix=ECHO,
-                apis=tuple(self.cluster.apis),
-                start_s=time.monotonic() + LEAD_S,
-                warm_s=WARM_S,
-                measured_s=ECHO_S / 2,
-                rate=ECHO_RATE,
-                direct=direct,
-            )
-            (result,) = await self._generate(load, workers=1)
-            found.append((kind, result))
+        load = bench_callers.Plan(
+            service=ECHO,
+            prefix=ECHO,
+            apis=tuple(self.cluster.apis),
+            start_s=time.monotonic() + LEAD_S,
+            warm_s=WARM_S,
+            measured_s=ECHO_S,
+            rate=ECHO_RATE,
+        )
+        # Both at the same time, so that a stall of the machine meets both.
+        direct = msgspec.structs.replace(load, direct=(echo,), seed=1)
+        (through,), (straight,) = await asyncio.gather(
+            self._generate(load, workers=1), self._generate(direct, workers=1)
+        )
         self._new_runs()
-        return [self._added(kind, found) for kind in ("direct", "entry")]
+        return [self._added("direct", straight), self._added("entry", through)]
 
     def _added(
-        self, kind: str, found: list[tuple[str, bench_callers.Result]]
-    ) -> AddedLatency:
-        total = merged([result.latency for other, result in found if other == kind])
-        return AddedLatency(
+        self, kind: str, result: bench_callers.Result
+    ) -> bench_rows.AddedLatency:
+        total = bench_rows.merged([result.latency])
+        return bench_rows.AddedLatency(
             deployment=self.deployment.name,
             kind=kind,
             p50_ms=total.get_value_at_percentile(50) / 1000,
@@ -262,7 +176,7 @@
         for process in self.cluster.fleet.processes:
             cpu_s[process.role] += cpu_of(process.pid)
         texts = await asyncio.gather(*(self._metrics(api) for api in self.cluster.apis))
-        values = sum(map(counted, texts), collections.Counter())
+        values = sum(map(bench_rows.counted, texts), collections.Counter())
         return Snapshot(time.monotonic(), dict(cpu_s), values)
 
     async def _metrics(self, api: str) -> str:
@@ -291,7 +205,7 @@
         before: Snapshot,
         after: Snapshot,
         measured_s: float,
-    ) -> Row:
+    ) -> bench_rows.Row:
         outcomes = sum(
             (collections.Counter(r.outcomes) for r in results), collections.Counter()
         )
@@ -308,13 +222,13 @@
         }
         cores["generator"] = sum(r.cpu_s for r in results) / spent_s
         sent = len({run.request_id for run in runs if run.request_id})
-        return Row(
+        return bench_rows.Row(
             deployment=self.deployment.name,
             case="",
             policy="",
             round=0,
             calls=sum(outcomes.values()),
-            latency=merged([r.latency for r in results]).encode().decode(),
+            latency=bench_rows.merged([r.latency for r in results]).encode().decode(),
             outcomes=dict(outcomes),
             refusals=_by_label(change, "coltsfootchute_refusals_total"),
             retries=_by_label(change, "coltsfootchute_retries_total"),
@@ -331,25 +245,6 @@
         )
 
 
-def merged(encoded: typing.Iterable[bytes]) -> typing.Any:
-    """Return the sum of encoded histograms."""
-    total = bench_callers.new_histogram()
-    for one in encoded:
-        total.decode_and_add(one)
-    return total
-
-
-def counted(text: str) -> collections.Counter[tuple[str, str]]:
-    """Return the counters of a text exposition by name and label."""
-    found: collections.Counter[tuple[str, str]] = collections.Counter()
-    for family in prometheus_client.parser.text_string_to_metric_families(text):
-        for sample in family.samples:
-            if sample.name in COUNTERS:
-                label = sample.labels.get(COUNTERS[sample.name], "")
-                found[sample.name, label] += int(sample.value)
-    return found
-
-
 def cpu_of(pid: int) -> float:
     """Return the processor time of a process in s; 0 if it has ended.
 
--- a/benchmarks/bench_reports.py
+++ b/benchmarks/bench_reports.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from benchmarks import bench_cases, bench_clusters
+from benchmarks import bench_cases, bench_rows
 
 __all__ = [
     "BEGIN",
@@ -47,9 +47,9 @@
         Length of the session.
     """
 
-    rows: list[bench_clusters.Row]
-    added: list[bench_clusters.AddedLatency]
-    disturbed: list[bench_clusters.Row] = []
+    rows: list[bench_rows.Row]
+    added: list[bench_rows.AddedLatency]
+    disturbed: list[bench_rows.Row] = []
     seconds: float = 0.0
 
 
@@ -81,25 +81,28 @@
 
 
 def summarize(
-    rows: collections.abc.Iterable[bench_clusters.Row],
+    rows: collections.abc.Iterable[bench_rows.Row],
 ) -> list[Figures]:
     """Merge the rounds of each deployment, case and policy."""
-    groups: dict[tuple[str, str, str], list[bench_clusters.Row]] = (
-        collections.defaultdict(list)
+    groups: dict[tuple[str, str, str], list[bench_rows.Row]] = collections.defaultdict(
+        list
     )
     for row in rows:
         groups[row.deployment, row.case, row.policy].append(row)
     return [_figures(group) for group in groups.values()]
 
 
-def _figures(group: list[bench_clusters.Row]) -> Figures:
+def _figures(group: list[bench_rows.Row]) -> Figures:
     first = group[0]
-    total = bench_clusters.merged([row.latency.encode() for row in group])
+    total = bench_rows.merged([row.latency.encode() for row in group])
     outcomes = _sum(row.outcomes for row in group)
     retries = _sum(row.retries for row in group)
     calls = sum(row.calls for row in group)
     sent = sum(row.sent for row in group)
     hedges = sum(row.hedges for row in group)
+    # A killed or restarted entry loses its counters, the targets keep their records.
+    counted = (sum(retries.values()) + hedges) / max(1, sent)
+    runs = sum(row.runs - row.probe_runs for row in group)
     probe_ms = PROBE_MS * sum(row.probe_runs for row in group)
     p50, p99, p999 = (
         round(total.get_value_at_percentile(percent) / 1000, 1)
@@ -119,7 +122,7 @@
         errors=outcomes["error"],
         retries=dict(retries),
         hedges=hedges,
-        extra=(sum(retries.values()) + hedges) / max(1, sent),
+        extra=max(counted, runs / max(1, sent) - 1),
         duplicates=sum(row.duplicates for row in group),
         lost=outcomes["lost"],
         false_verdicts=sum(row.false_verdicts for row in group),
@@ -155,7 +158,8 @@
         word = "met" if probes == 0 else "MISSED"
         lines.append(
             f"{word}: {probes:.0f} ms of probes at all targets, aim at most "
-            f"1/{MIN_PROBE_RATIO:.0f} of {PROBE_MS:.0f} ms for each entry and second"
+            f"1/{MIN_PROBE_RATIO:.0f} of {PROBE_MS:.0f} ms for each entry and second "
+            "(entries send no probes so far, whatever the budget)"
         )
     return lines
 
@@ -204,9 +208,9 @@
         yield f"{word}: {name}: {found}"
 
 
-def _added(added: list[bench_clusters.AddedLatency]) -> list[str]:
-    by_place: dict[str, dict[str, bench_clusters.AddedLatency]] = (
-        collections.defaultdict(dict)
+def _added(added: list[bench_rows.AddedLatency]) -> list[str]:
+    by_place: dict[str, dict[str, bench_rows.AddedLatency]] = collections.defaultdict(
+        dict
     )
     for one in added:
         by_place[one.deployment][one.kind] = one
@@ -214,7 +218,10 @@
     for place, kinds in by_place.items():
         direct, entry = kinds["direct"], kinds["entry"]
         gap = entry.p99_ms - direct.p99_ms
-        word = "met" if gap <= ADDED_P99_MS else "MISSED"
+        # A noisy p99 alone must not pass: what an entry adds to the median is a
+        # part of what it adds to each call.
+        worst = max(gap, entry.p50_ms - direct.p50_ms)
+        word = "met" if worst <= ADDED_P99_MS else "MISSED"
         lines.append(
             f"{word}: {place}: an entry adds {entry.p50_ms - direct.p50_ms:.2f} ms at "
             f"p50 and {gap:.2f} ms at p99 to direct calls of {direct.p50_ms:.2f} and "
--- a/benchmarks/tests/test_bench_reports.py
+++ b/benchmarks/tests/test_bench_reports.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from benchmarks import bench_callers, bench_clusters, bench_reports
+from benchmarks import bench_callers, bench_reports, bench_rows
 
 
 def row(policy, times_ms, **more):
@@ -30,7 +30,7 @@
         "late_us": 0,
         "resent": 0,
     }
-    return bench_clusters.Row(**{**fields, **more})
+    return bench_rows.Row(**{**fields, **more})
 
 
 def lines_of(*rows):
@@ -70,13 +70,29 @@
     assert sum(line.startswith("MISSED") for line in lines) == 1
 
 
+@pytest.mark.parametrize(
+    ("p50_ms", "p99_ms", "word"),
+    [(1.5, 3.5, "met"), (3.0, 2.0, "MISSED"), (1.5, 4.0, "MISSED")],
+)
+def test_a_lucky_p99_does_not_hide_what_an_entry_adds(p50_ms, p99_ms, word):
+    added = [
+        bench_rows.AddedLatency(
+            deployment="A", kind=kind, p50_ms=p50, p99_ms=p99, calls=10
+        )
+        for kind, p50, p99 in (("direct", 1.0, 3.0), ("entry", p50_ms, p99_ms))
+    ]
+    lines = bench_reports.aims(bench_reports.Results(rows=[], added=added))
+    (line,) = [one for one in lines if "an entry adds" in one]
+    assert line.startswith(word)
+
+
 def test_counters_are_read_by_reason():
     text = (
         'coltsfootchute_retries_total{reason="target_shed"} 3.0\n'
         'coltsfootchute_hedges_total{service="a"} 2.0\n'
         'coltsfootchute_hedges_total{service="b"} 1.0\n'
     )
-    found = bench_clusters.counted(text)
+    found = bench_rows.counted(text)
     assert found["coltsfootchute_retries_total", "target_shed"] == 3
     assert found["coltsfootchute_hedges_total", ""] == 3
 
