--- a/coltsfootchute/standins/fleets.py
+++ b/coltsfootchute/standins/fleets.py
@@ -61,6 +61,11 @@
         self.command = command
         self._popen = popen
 
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
     @property
     def exit_code(self) -> int | None:
         """Return the exit code, or None while the process runs."""
@@ -110,9 +115,14 @@
         await self.stop()
 
     def start(self, name: str, role: str, module: str, *args: str) -> Process:
-        """Start a module of this package as a process."""
+        """Start a module of this package as a process.
+
+        It takes the place of a process of the same name that has ended.
+        """
         process = self._start(name, role, (module, *args))
-        self.processes.append(process)
+        names = [other.name for other in self.processes]
+        place = names.index(name) if name in names else len(names)
+        self.processes[place : place + 1] = [process]
         return process
 
     def _start(self, name: str, role: str, command: tuple[str, ...]) -> Process:
