entry: end the process of a stop test that fails

Cause: test_sigterm_ends_the_process_with_status_0_and_a_second_one_at_once left its process running after a failure on a busy machine (seen once in pytest -n 4).

Change: the process is killed in any case.

--- a/coltsfootchute/entry/tests/test_daemons.py
+++ b/coltsfootchute/entry/tests/test_daemons.py
@@ -59,19 +59,24 @@
         path.write_text(json.dumps({"instance": instance, "entry": entry}))
         command = [sys.executable, "-m", "coltsfootchute.entry", str(path)]
         process = await asyncio.create_subprocess_exec(*command)
-        names = lambda: {r.name for r in stage.control.reports}  # noqa: E731
-        await stands.until(lambda: "e9" in names())
-        os.kill(process.pid, signal.SIGTERM)
-        stopping = pb.INSTANCE_STATE_STOPPING
-        await stands.until(
-            lambda: any(
-                r.state == stopping for r in stage.control.reports if r.name == "e9"
-            )
-        )
-        if signals == 2:
-            assert process.returncode is None
+        try:
+            names = lambda: {r.name for r in stage.control.reports}  # noqa: E731
+            await stands.until(lambda: "e9" in names())
             os.kill(process.pid, signal.SIGTERM)
-        async with asyncio.timeout(20):
-            assert await process.wait() == (0 if signals == 1 else 1)
+            stopping = pb.INSTANCE_STATE_STOPPING
+            await stands.until(
+                lambda: any(
+                    r.state == stopping for r in stage.control.reports if r.name == "e9"
+                )
+            )
+            if signals == 2:
+                assert process.returncode is None
+                os.kill(process.pid, signal.SIGTERM)
+            async with asyncio.timeout(20):
+                assert await process.wait() == (0 if signals == 1 else 1)
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
 
     stands.run(play)
