--- a/benchmarks/bench_cases.py
+++ b/benchmarks/bench_cases.py
@@ -143,7 +143,7 @@
 
     def process(self, name: str) -> fleets.Process:
         """Return a process by name."""
-        return next(p for p in self.cluster.fleet.processes if p.name == name)
+        return self.cluster.fleet.named(name)
 
     async def settle(self) -> None:
         """Wait until all entries know all targets and each other."""
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -76,6 +76,7 @@
     coltsfootchute_pb2.ANNOUNCEMENT_STATUS_OLD_INCARNATION: (409, "old_incarnation"),
     coltsfootchute_pb2.ANNOUNCEMENT_STATUS_UNKNOWN_TARGET: (404, "unknown_target"),
 }
+_UNANNOUNCED = "the target must announce itself"
 _KINDS = {
     "drain": coltsfootchute_pb2.TargetCommand.KIND_DRAIN,
     "withdraw": coltsfootchute_pb2.TargetCommand.KIND_WITHDRAW,
@@ -148,8 +149,10 @@
         own = self._own()
         others = [i for i in self._view.instances.values() if i.name != own.name]
         self._turn += 1
+        section = table.section
+        used = addresses.entries_of(service, [own, *others], section.entries)
         chosen = addresses.choose_addresses(
-            [own, *others], table.section.entries_per_caller, self._turn
+            used, section.entries_per_caller, self._turn
         )
         body = {
             "service": service,
@@ -248,23 +251,38 @@
         outcome = reply.outcome
         if outcome.status in _ANNOUNCEMENT_ERRORS:
             status, name = _ANNOUNCEMENT_ERRORS[outcome.status]
-            return _error(status, name, f"incarnation {outcome.incarnation} is known")
+            detail = f"incarnation {outcome.incarnation} is known"
+            return _error(status, name, _UNANNOUNCED if status == 404 else detail)
         if outcome.status != coltsfootchute_pb2.ANNOUNCEMENT_STATUS_ACCEPTED:
             return _error(504, "unknown", "the outcome is not known; send it again")
         times = msgspec.to_builtins(TargetLeaseTimes())
         return _json({"incarnation": outcome.incarnation, **times})
 
     async def renew(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
-        """Renew the lease of a target with the next batch."""
+        """Renew the lease of a target with the next batch.
+
+        An entry that is current answers from its own view. One that is stale,
+        or whose last renewals did not arrive, asks the leader, so that a target
+        is refused here and turns to another entry.
+        """
         body = _INCARNATION.decode(await request.read())
         target_id = request.match_info["id"]
+        if self._is_registered(target_id, body.incarnation):
+            self._client.renew_in_background(target_id, body.incarnation)
+            return _json(msgspec.to_builtins(TargetLeaseTimes()))
         if await self._client.renew(target_id, body.incarnation):
             return _json(msgspec.to_builtins(TargetLeaseTimes()))
         known = self._view.targets.get(target_id)
         if known is not None and known.incarnation > body.incarnation:
             detail = f"incarnation {known.incarnation} is known"
             return _error(409, "old_incarnation", detail)
-        return _error(404, "unknown_target", "the target must announce itself")
+        return _error(404, "unknown_target", _UNANNOUNCED)
+
+    def _is_registered(self, target_id: str, incarnation: int) -> bool:
+        known = self._view.targets.get(target_id)
+        if known is None or known.incarnation != incarnation:
+            return False
+        return self._client.renewals_arrive and not self._own().stale
 
     async def targets(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return the register with the leases, as the leader knows them."""
--- a/coltsfootchute/entry/tests/test_apis.py
+++ b/coltsfootchute/entry/tests/test_apis.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from coltsfootchute.entry import clients
 from coltsfootchute.entry.tests import stands
 
 pb = stands.pb
@@ -106,6 +107,31 @@
     stands.run(play)
 
 
+def test_a_known_target_is_renewed_without_waiting_for_the_leader(monkeypatch):
+    monkeypatch.setattr(clients, "BACKGROUND_RENEW_PERIOD_S", 0.05)
+
+    async def play(stage):
+        known = pb.Target(target_id="t8", incarnation=3)
+        stage.control.publish(target=known)
+        await stands.until(lambda: "t8" in stage.entry.view.targets)
+        one = {"incarnation": 3}
+
+        async def renew():
+            return (await ask(stage, "POST", "/v1/targets/t8/renew", one))[0]
+
+        client = stage.entry.client
+        stage.control.hang.clear()
+        assert await renew() == 200
+        await stands.until(lambda: not client.renewals_arrive)
+        # An entry that can't pass renewals on must not confirm them.
+        assert await renew() >= 500
+        stage.control.hang.set()
+        assert await renew() == 200
+        assert client.renewals_arrive
+
+    stands.run(play)
+
+
 @pytest.mark.parametrize(
     ("body", "path"),
     [
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -1,6 +1,7 @@
 """The entry's view of the replicated state, and the client that keeps it current."""
 
 import asyncio
+import collections.abc
 import contextlib
 import enum
 import time
@@ -19,6 +20,9 @@
 # Three times the longest interval at which a source proves that it is current.
 SILENCE_S = 1.5
 CONNECT_TIMEOUT_S = 0.5
+# A source sends its first message at once. With SILENCE_S for each source, a cut
+# from three control instances took up to 4.5 s until another entry was asked.
+FIRST_MESSAGE_S = 0.5
 RETRY_PAUSE_S = 0.1
 # An entry that watches another entry returns to control after this time.
 PEER_WATCH_S = 5.0
@@ -28,6 +32,8 @@
 # A loop that did not run for this long was frozen: messages that waited in the
 # socket meanwhile state too young a proof.
 FREEZE_S = 1.0
+# A new source needs a few milliseconds to tell what happened during a freeze.
+CATCH_UP_S = 0.5
 
 Listener = typing.Callable[[coltsfootchute_pb2.FeedMessage, set[str]], None]
 
@@ -70,6 +76,10 @@
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
         self.instances: dict[str, coltsfootchute_pb2.Instance] = {}
         self.proof_at = float("-inf")
+        # When the loop ran last, and when it went on after a freeze.
+        self.alive_at = clock()
+        self.thawed_at = float("-inf")
+        self._news = asyncio.Event()
         self.listener = listener
 
     def is_stale(self, now: float) -> bool:
@@ -86,6 +96,25 @@
         """Become stale until a source proves again that it is current."""
         self.proof_at = float("-inf")
 
+    async def catch_up(self) -> None:
+        """Wait for the news after a freeze, for a short time.
+
+        Notes
+        -----
+        The requests that waited in the sockets of a frozen process are read
+        before the feed is. Without the wait, they went to targets that had
+        drained meanwhile.
+        """
+        if not self._is_catching_up(clock()):
+            return
+        self._news.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._news.wait(), CATCH_UP_S)
+
+    def _is_catching_up(self, now: float) -> bool:
+        has_stood = now - self.alive_at > FREEZE_S
+        return self.is_stale(now) and (has_stood or now - self.thawed_at < CATCH_UP_S)
+
     def targets_of(self, service: str) -> list[coltsfootchute_pb2.Target]:
         """Return the targets that announced a service."""
         return [t for t in self.targets.values() if service in t.services]
@@ -117,6 +146,8 @@
         if message.has_proof:
             proof_at = now - message.proof_age_ms / 1000
             self.proof_at = max(self.proof_at, proof_at)
+        if not self.is_stale(now):
+            self._news.set()
         if self.listener is not None:
             self.listener(message, touched)
         return Taken.APPLIED
@@ -196,13 +227,13 @@
         self._name = name
         self._control = control
         self._next = 0
-        self._alive_at = clock()
+        self._next_peer = 0
         self._freezes = 0
         self._foreign: set[str] = set()
 
     async def run(self) -> None:
         """Watch one source after the other until cancelled."""
-        self._alive_at = clock()
+        self._view.alive_at = clock()
         freezes = asyncio.ensure_future(self._watch_freezes())
         try:
             while True:
@@ -214,12 +245,34 @@
                 await freezes
 
     async def _watch_round(self) -> None:
+        for address, limit_s in self._sources():
+            await self._watch_safely(address, limit_s)
+
+    def _sources(self) -> collections.abc.Iterator[tuple[str, float | None]]:
+        """Return the sources with the time for which each may be watched.
+
+        Notes
+        -----
+        A single lost control instance is followed by another one. After that,
+        other entries come in turn with control, so that the news of an entry
+        that is cut off from all control instances waits for two of them at most.
+        """
         self._next += 1
         split = self._next % max(len(self._control), 1)
-        for address in self._control[split:] + self._control[:split]:
-            await self._watch_safely(address, None)
-        for address in self._peers():
-            await self._watch_safely(address, PEER_WATCH_S)
+        control = self._control[split:] + self._control[:split]
+        yield from ((address, None) for address in control[:1])
+        if len(control) < 2:
+            yield from self._peer_in_turn()
+        for address in control[1:]:
+            yield address, None
+            yield from self._peer_in_turn()
+
+    def _peer_in_turn(self) -> collections.abc.Iterator[tuple[str, float | None]]:
+        # Asked late: the source before may have been watched for days.
+        peers = self._peers()
+        if peers:
+            self._next_peer += 1
+            yield peers[self._next_peer % len(peers)], PEER_WATCH_S
 
     def _peers(self) -> list[str]:
         known = self._view.instances.values()
@@ -259,9 +312,11 @@
     ) -> None:
         opened_at = clock()
         freezes = self._freezes
+        patience_s = FIRST_MESSAGE_S
         while True:
-            async with asyncio.timeout(SILENCE_S):
+            async with asyncio.timeout(patience_s):
                 message = await stream.recv_message()
+            patience_s = SILENCE_S
             if message is None:
                 return
             now = clock()
@@ -291,13 +346,13 @@
             await asyncio.sleep(TICK_S)
             now = clock()
             self._check_freeze(now)
-            self._alive_at = now
+            self._view.alive_at = now
 
     def _check_freeze(self, now: float) -> None:
-        stood_s = now - self._alive_at
+        stood_s = now - self._view.alive_at
         if stood_s <= FREEZE_S:
             return
         loguru.logger.warning("entry: the process did not run for {:.1f} s", stood_s)
-        self._alive_at = now
+        self._view.alive_at = self._view.thawed_at = now
         self._freezes += 1
         self._view.forget_proof()
--- a/coltsfootchute/standins/fleets.py
+++ b/coltsfootchute/standins/fleets.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +21,7 @@
 # An entry ends at once on the second SIGTERM.
 SECOND_SIGNAL_S = 0.5
 STOP_TIMEOUT_S = 5.0
+PORTS = range(10_000, 32_000)
 
 
 class StartError(errors.ColtsfootchuteError):
@@ -39,14 +41,22 @@
         The process.
     log
         File with its output.
+    command
+        Module and arguments.
     """
 
     def __init__(
-        self, name: str, role: str, popen: subprocess.Popen, log: pathlib.Path
+        self,
+        name: str,
+        role: str,
+        popen: subprocess.Popen,
+        log: pathlib.Path,
+        command: tuple[str, ...],
     ):
         self.name = name
         self.role = role
         self.log = log
+        self.command = command
         self._popen = popen
 
     @property
@@ -107,20 +117,51 @@
 
         It takes the place of a process of the same name that has ended.
         """
+        process = self._start(name, role, (module, *args))
+        names = [other.name for other in self.processes]
+        place = names.index(name) if name in names else len(names)
+        self.processes[place : place + 1] = [process]
+        return process
+
+    def _start(self, name: str, role: str, command: tuple[str, ...]) -> Process:
         log = self.folder / f"{name}.log"
         with log.open("ab") as output:
             popen = subprocess.Popen(
-                [sys.executable, "-m", module, *args],
+                [sys.executable, "-m", *command],
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
                 start_new_session=True,
             )
-        process = Process(name, role, popen, log)
-        names = [other.name for other in self.processes]
-        place = names.index(name) if name in names else len(names)
-        self.processes[place : place + 1] = [process]
-        return process
+        return Process(name, role, popen, log, command)
+
+    def restart(self, process: Process) -> Process:
+        """Start a process that has ended again, in its place in the list.
+
+        Raises
+        ------
+        StartError
+            If it still runs.
+        """
+        if process.exit_code is None:
+            raise StartError(f"{process.name} still runs")
+        place = self.processes.index(process)
+        started = self._start(process.name, process.role, process.command)
+        self.processes[place] = started
+        return started
+
+    def named(self, name: str) -> Process:
+        """Return the process with a name.
+
+        Raises
+        ------
+        KeyError
+            If there is none.
+        """
+        for process in self.processes:
+            if process.name == name:
+                return process
+        raise KeyError(name)
 
     def start_role(self, name: str, role: str, cfg: dict[str, typing.Any]) -> Process:
         """Write settings and start a role with them."""
@@ -128,12 +169,6 @@
         path.write_bytes(msgspec.json.encode(cfg))
         return self.start(name, role, "coltsfootchute.commands.main", role, str(path))
 
-    def restart(self, process: Process) -> Process:
-        """Start a role that has ended again, with the same settings."""
-        path = self.folder / f"{process.name}.jsonc"
-        module, role = "coltsfootchute.commands.main", process.role
-        return self.start(process.name, role, module, role, str(path))
-
     def of_role(self, role: str) -> list[Process]:
         """Return the processes of a role in the order of their start."""
         return [process for process in self.processes if process.role == role]
@@ -144,6 +179,9 @@
 
     async def stop(self) -> None:
         """End all processes: SIGTERM, once more, then SIGKILL."""
+        for process in self.processes:
+            # A stopped process handles no other signal but SIGKILL.
+            process.signal(signal.SIGCONT)
         for signum, timeout_s in (
             (signal.SIGTERM, SECOND_SIGNAL_S),
             (signal.SIGTERM, STOP_TIMEOUT_S),
@@ -158,12 +196,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of 127.0.0.1 that were free a moment ago."""
+    """Return ports of 127.0.0.1 that were free a moment ago.
+
+    Notes
+    -----
+    They are below the range that the kernel gives to outgoing connections: of
+    that range, a connection of another process sometimes took a port before the
+    process that it was meant for was up.
+    """
+    found: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
+        while len(found) < count:
+            sock = stack.enter_context(socket.socket())
+            with contextlib.suppress(OSError):
+                sock.bind(("127.0.0.1", random.choice(PORTS)))
+                found.append(sock.getsockname()[1])
+    return found
 
 
 async def until(
