--- a/coltsfootchute/standins/clusters.py
+++ b/coltsfootchute/standins/clusters.py
@@ -68,7 +68,7 @@
     target_options
         More command line options of the targets.
     keep_s
-        Seconds for which callers keep an address response.
+        Time for which callers keep addresses, in s.
     route
         Takes the name of an entry and the addresses of the control instances;
         returns the addresses that the entry uses, such as those of links.
