state: refuse keys from before the first command of a cluster

Cause: after the loss of all control disks a new cluster knows no claims, so a resend of a key that ran under the old one would run again (docs/operations.md named this; found by reading). Ruled out: keeping claims at entries, which forget them at a restart; a margin for clocks that run ahead, which would refuse every request of a fresh cluster for that time. Change: the time of the first command is the floor of all services; keys from before it are refused as key_expired, verdict may_have_run. Before / after: the new test of test_machines gets GRANTED before and KEY_EXPIRED after, also after a dump and load. The model now starts in a cluster that is older than its oldest key, as before the change. Conclusion: at most once holds over the loss of all disks, up to the clock error of the callers.

--- a/coltsfootchute/state/claims.py
+++ b/coltsfootchute/state/claims.py
@@ -12,6 +12,7 @@
 ANSWER_KEPT_BYTES = 16 * 1024
 KEY_BYTES = 16
 BUCKET_MS = 1000
+ALL_SERVICES = ""
 # Keeps the time of expiry within the 64 bits of its field.
 RETENTION_LIMIT_S = 365 * 24 * 3600
 
@@ -53,6 +54,9 @@
     Dropping raises the floor of the service to the key time. An unknown key at or
     under the floor is refused: without this, raising the retention of a service
     would allow keys to run again whose claims were dropped under the old one.
+
+    A new cluster knows no claims of the one before it, whose disks may all be
+    lost. Keys from before its first command are under the floor of all services.
     """
 
     def __init__(self):
@@ -94,10 +98,16 @@
         if key_ms is None or key_ms > clock_ms + FUTURE_LIMIT_MS:
             return pb.CLAIM_STATUS_KEY_IN_FUTURE
         expired = self._expires_ms(command, key_ms) <= clock_ms
-        if expired or key_ms <= self._floors.get(command.service, -1):
+        names = (command.service, ALL_SERVICES)
+        floor_ms = max(self._floors.get(name, -1) for name in names)
+        if expired or key_ms <= floor_ms:
             return pb.CLAIM_STATUS_KEY_EXPIRED
         return pb.CLAIM_STATUS_GRANTED
 
+    def refuse_before(self, time_ms: int) -> None:
+        """Refuse unknown keys of all services from before a time."""
+        self._floors[ALL_SERVICES] = time_ms - 1
+
     @staticmethod
     def _expires_ms(command: pb.ClaimCommand, key_ms: int) -> int:
         return key_ms + min(command.retention_s, RETENTION_LIMIT_S) * 1000
--- a/coltsfootchute/state/machines.py
+++ b/coltsfootchute/state/machines.py
@@ -56,6 +56,8 @@
         if index <= self.index:
             return outcomes.Applied()
         self.index = index
+        if not self.clock_ms:
+            self.claims.refuse_before(command.time_ms)
         self.clock_ms = max(self.clock_ms, command.time_ms)
         ended = self._drop_expired()
         kind = command.WhichOneof("body")
--- a/coltsfootchute/state/tests/test_machines.py
+++ b/coltsfootchute/state/tests/test_machines.py
@@ -77,7 +77,9 @@
     def __init__(self):
         super().__init__()
         self.machine = self.make()
-        self.index = 0
+        # The cluster is older than the oldest key; a new one refuses such keys.
+        self.machine.apply(1, pb.Command(time_ms=START_MS - max(AGES_MS)))
+        self.index = 1
         self.clock_ms = START_MS
         self.serial = 0
         self.sections = {}  # name -> (owner, [(document, author)])
@@ -336,6 +338,22 @@
     assert machine.targets.get("t").incarnation == 5
 
 
+def test_a_new_cluster_refuses_keys_from_before_its_first_command():
+    # The claims of a cluster whose disks were all lost are unknown to the next.
+    machine = machines.Machine()
+    machine.apply(1, pb.Command(time_ms=START_MS))
+    statuses = []
+    for key_ms in (START_MS - 1, START_MS):
+        claim = pb.ClaimCommand(
+            service="s", key=make_key(key_ms, 1), attempt_id=b"a", retention_s=60
+        )
+        reloaded = machines.Machine()
+        reloaded.load(machine.dump())
+        command = pb.Command(time_ms=START_MS + 5, claim=claim)
+        statuses.append(reloaded.apply(2, command).reply.status)
+    assert statuses == [pb.CLAIM_STATUS_KEY_EXPIRED, pb.CLAIM_STATUS_GRANTED]
+
+
 def crash(target_id, seen, **more):
     return {
         "crash": pb.CrashCommand(
