entry: group entries by failure domain in one place

Cause: a read-through of the whole change found that choose_addresses and entries_of group instances by failure domain and take them in turn with the same lines. Ruled out: one function for both; their orders differ (rotation by answer against rendezvous hashing), only the grouping and the turns are shared. Change: _by_domain and _in_turn serve both; behaviour is the same.

--- a/coltsfootchute/entry/addresses.py
+++ b/coltsfootchute/entry/addresses.py
@@ -36,18 +36,12 @@
     callers spread over all entries.
     """
     serving = _usable(instances)
-    domains: dict[str, list[coltsfootchute_pb2.Instance]] = collections.defaultdict(
-        list
-    )
-    for instance in sorted(serving, key=lambda i: i.name):
-        domains[instance.failure_domain].append(instance)
+    domains = _by_domain(sorted(serving, key=lambda i: i.name))
     if not domains:
         return []
     names = _rotate(sorted(domains), turn)
     within = turn // len(names)
-    rows = itertools.zip_longest(*(_rotate(domains[n], within) for n in names))
-    flat = (i for row in rows for i in row if i is not None)
-    return list(itertools.islice(flat, count))
+    return _in_turn([_rotate(domains[name], within) for name in names], count)
 
 
 def entries_of(
@@ -87,13 +81,26 @@
     serving = _usable(instances)
     if count is None or count >= len(serving):
         return serving
-    domains: dict[str, list[coltsfootchute_pb2.Instance]] = collections.defaultdict(
-        list
-    )
-    for instance in sorted(serving, key=lambda i: _weight(service, i.name)):
-        domains[instance.failure_domain].append(instance)
+    domains = _by_domain(sorted(serving, key=lambda i: _weight(service, i.name)))
     names = sorted(domains, key=lambda name: _weight(service, name))
-    rows = itertools.zip_longest(*(domains[name] for name in names))
+    return _in_turn([domains[name] for name in names], count)
+
+
+def _by_domain(
+    instances: list[coltsfootchute_pb2.Instance],
+) -> dict[str, list[coltsfootchute_pb2.Instance]]:
+    """Group instances by failure domain and keep their order."""
+    domains = collections.defaultdict(list)
+    for instance in instances:
+        domains[instance.failure_domain].append(instance)
+    return domains
+
+
+def _in_turn(
+    groups: list[list[coltsfootchute_pb2.Instance]], count: int
+) -> list[coltsfootchute_pb2.Instance]:
+    """Return at most `count` instances, one of each group in turn."""
+    rows = itertools.zip_longest(*groups)
     flat = (i for row in rows for i in row if i is not None)
     return list(itertools.islice(flat, count))
 
