state: replicate complete declarations under the operator's version

Cause: sections change by compare-and-swap one at a time; an operator that sends one complete document with a version of its own had no command. Ruled out: a translation into many section changes, which entries could see half done. Change: Declaration as one command of the log, the highest version wins; a schema with routes by host and longest prefix and weighted shares. Targets that were withdrawn stay so against late reports, and of two targets at one address the later start counts. The feed names the control instances, the length of a target's lease is a setting, and only the first start of the whole system may form a cluster.

--- a/coltsfootchute/control/cores.py
+++ b/coltsfootchute/control/cores.py
@@ -77,7 +77,13 @@
         if saved.snapshot is not None:
             self._load(saved.snapshot)
         self.replica = agreement.Replica(self.identity, saved, self._rng, self._timing)
-        self.links.update(self.replica.membership)
+        self._follow_membership()
+
+    def _follow_membership(self) -> None:
+        membership = self.replica.membership
+        self.links.update(membership)
+        if membership is not None:
+            self.feed.set_control_addresses([m.address for m in membership.members])
 
     # Events.
 
@@ -174,7 +180,7 @@
         if actions.must_sync:
             self.counters["syncs"] += 1
             self.store.append(actions.hard_state, actions.entries, actions.snapshot)
-        self.links.update(self.replica.membership)
+        self._follow_membership()
         for message in actions.messages:
             self.links.send(message)
         if actions.snapshot is not None:
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -90,8 +90,8 @@
             failure_domain=cfg.instance.failure_domain,
         )
         self.core = cores.Core(identity, store, self._rng, self._timing, self._fail)
-        self.duties = duties.Duties(self.core, feeds.clock())
-        self.joiner = joins.Joiner(self.core, cfg.control.initial)
+        self.duties = duties.Duties(self.core, feeds.clock(), cfg.control.lease_s)
+        self.joiner = joins.Joiner(self.core, cfg.control.initial, cfg.control.may_form)
         self.control = services.ControlService(self.core, self.duties)
         handlers = [
             services.PeerService(self.core, self.joiner),
--- a/coltsfootchute/control/duties.py
+++ b/coltsfootchute/control/duties.py
@@ -24,16 +24,20 @@
         The replicated state.
     now
         Time at which the instance started.
+    lease_s
+        Seconds from a renewal to the end of a target's lease.
     """
 
-    def __init__(self, core: cores.Core, now: float):
+    def __init__(
+        self, core: cores.Core, now: float, lease_s: float = leases.TARGET_LEASE_S
+    ):
         self._core = core
         self._leading: int | None = None
         self._ran_s = now
         self._budgets: dict[tuple[str, int], int] = {}
         self.instances = instances.InstanceTable()
         self.instances_from_s = now + INSTANCES_COMPLETE_S
-        self.targets = leases.TargetLeases()
+        self.targets = leases.TargetLeases(lease_s)
         self.probes = leases.ProbeLeases(now)
         core.on_applied.append(self._applied)
 
--- a/coltsfootchute/control/feeds.py
+++ b/coltsfootchute/control/feeds.py
@@ -27,6 +27,8 @@
     kind = change.WhichOneof("body")
     if kind == "section":
         return "section", change.section.name
+    if kind == "declaration":
+        return ("declaration",)
     if kind == "quarantine":
         return "quarantine", change.quarantine.service, change.quarantine.digest
     if kind == "target":
@@ -60,6 +62,7 @@
         self.cluster_id = request.cluster_id
         self.revision = request.revision
         self.instances_version = -1
+        self.control_addresses: list[str] = []
         self.changed = asyncio.Event()
 
 
@@ -92,6 +95,7 @@
         self._proven_s: float | None = None
         self._instances: list[pb.Instance] | None = None
         self._instances_version = 0
+        self._control_addresses: list[str] = []
         # In the order of their start, so that seeded runs send in the same order.
         self._watchers: dict[Watcher, None] = {}
         self._closed = False
@@ -171,6 +175,13 @@
         self._instances_version += 1
         self._wake()
 
+    def set_control_addresses(self, addresses: list[str]) -> None:
+        """Replace the peer addresses of the control instances."""
+        if addresses == self._control_addresses:
+            return
+        self._control_addresses = addresses
+        self._wake()
+
     def message(self, watcher: Watcher, now: float) -> pb.FeedMessage | None:
         """Return what a watcher has to be told, and count it as told.
 
@@ -201,6 +212,9 @@
             watcher.instances_version = self._instances_version
             message.has_instances = True
             message.instances.extend(self._instances)
+        if watcher.control_addresses != self._control_addresses:
+            watcher.control_addresses = self._control_addresses
+            message.control_addresses.extend(self._control_addresses)
         return message
 
     def _add_changes(self, message: pb.FeedMessage, watcher: Watcher) -> None:
--- a/coltsfootchute/control/joins.py
+++ b/coltsfootchute/control/joins.py
@@ -39,14 +39,20 @@
         The replicated state.
     initial
         The initial members in the settings.
+    may_form
+        Whether this is the first start of the whole system. On a later start, an
+        instance without data joins, even if nobody responds: it may have lost its
+        disk while a cluster is out of reach.
     """
 
     def __init__(
         self,
         core: cores.Core,
         initial: collections.abc.Sequence[settings.InitialMember],
+        may_form: bool = True,
     ):
         self._core = core
+        self._may_form = may_form
         self._initial = {member.name: member.address for member in initial}
         self._others = {
             name: address
@@ -140,6 +146,8 @@
         decision = formations.decide(
             self._core.identity, list(self._initial), replies, random.SystemRandom()
         )
+        if decision.step is formations.Step.FORM and not self._may_form:
+            return "no cluster found, and this is not the first start"
         if decision.step is formations.Step.FORM:
             self._begin(decision.membership)
             self.formed_here = True
--- a/coltsfootchute/control/leases.py
+++ b/coltsfootchute/control/leases.py
@@ -26,6 +26,7 @@
 class _Pool:
     """Sizes of the pool of one service, and its expiries in one lease time."""
 
+    lease_s: float
     sizes: collections.deque = dataclasses.field(default_factory=collections.deque)
     expiries: collections.deque = dataclasses.field(default_factory=collections.deque)
     size: int = 0
@@ -34,9 +35,9 @@
         self.size = size
         if not self.sizes or self.sizes[-1][1] != size:
             self.sizes.append((now, size))
-        while len(self.sizes) > 1 and self.sizes[1][0] <= now - TARGET_LEASE_S:
+        while len(self.sizes) > 1 and self.sizes[1][0] <= now - self.lease_s:
             self.sizes.popleft()
-        while self.expiries and self.expiries[0] <= now - TARGET_LEASE_S:
+        while self.expiries and self.expiries[0] <= now - self.lease_s:
             self.expiries.popleft()
 
     def allows_expiry(self) -> bool:
@@ -59,6 +60,11 @@
 class TargetLeases:
     """Leases of the registered targets.
 
+    Parameters
+    ----------
+    lease_s
+        Seconds from a renewal to the end of a lease.
+
     Notes
     -----
     In one lease time at most a quarter of a service's targets expire, rounded
@@ -69,20 +75,21 @@
     One check costs O(targets).
     """
 
-    def __init__(self):
+    def __init__(self, lease_s: float = TARGET_LEASE_S):
+        self.lease_s = lease_s
         self._ends: dict[str, float] = {}
         self._proposed: dict[str, _Pending] = {}
         self._pools: dict[str, _Pool] = {}
 
     def take_over(self, targets: list[pb.Target], now: float) -> None:
         """Renew every lease, as a new leader does, and forget earlier expiries."""
-        self._ends = {target.target_id: now + TARGET_LEASE_S for target in targets}
+        self._ends = {target.target_id: now + self.lease_s for target in targets}
         self._proposed.clear()
         self._pools.clear()
 
     def renew(self, target_id: str, now: float) -> None:
         """Start the lease of a registered target anew."""
-        self._ends[target_id] = now + TARGET_LEASE_S
+        self._ends[target_id] = now + self.lease_s
 
     def remaining_s(self, target_id: str, now: float) -> float:
         """Return the seconds until a lease ends; 0 if it has ended."""
@@ -108,7 +115,7 @@
         self._observe(targets, now)
         commands = []
         for target in targets:
-            end = self._ends.setdefault(target.target_id, now + TARGET_LEASE_S)
+            end = self._ends.setdefault(target.target_id, now + self.lease_s)
             if target.target_id in self._proposed:
                 continue
             kind = self._decide(target, end <= now, now)
@@ -140,7 +147,9 @@
             for service in set(target.services)
         )
         for service in sizes.keys() | self._pools.keys():
-            self._pools.setdefault(service, _Pool()).observe(sizes[service], now)
+            self._pools.setdefault(service, _Pool(self.lease_s)).observe(
+                sizes[service], now
+            )
 
     def _in_pool(self, target: pb.Target) -> bool:
         pending = self._proposed.get(target.target_id)
--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -6,7 +6,7 @@
 import grpclib
 import grpclib.const
 
-from coltsfootchute import errors, sections
+from coltsfootchute import declarations, errors, sections
 from coltsfootchute.control import cores, duties, feeds, joins, members
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
@@ -142,6 +142,30 @@
         reply.header.CopyFrom(self._header(leads=True))
         return reply
 
+    @_unary
+    async def Declare(self, request, stream) -> pb.DeclareReply:  # noqa: N802
+        """Put a declaration in force if its version is the highest."""
+        self._count("declarations")
+        _require(request.version > 0, "version: missing")
+        try:
+            declarations.parse(request.document)
+        except errors.DocumentError as exc:
+            _require(False, str(exc))
+        command = pb.Command(declaration=request)
+        return pb.DeclareReply(**await self._commit(command))
+
+    @_unary
+    async def ReadDeclaration(self, request, stream):  # noqa: N802
+        """Read the declaration under the lease of the leader."""
+        reply = pb.ReadDeclarationReply(
+            declaration=self._core.machine.declaration.newest
+        )
+        # Asked last: a process that was frozen has no lease any more.
+        if not self._core.is_leader:
+            return pb.ReadDeclarationReply(header=self._header(leads=False))
+        reply.header.CopyFrom(self._header(leads=True))
+        return reply
+
     @_unary
     async def Announce(self, request, stream) -> pb.AnnounceReply:  # noqa: N802
         """Register, drain or withdraw a target."""
--- /dev/null
+++ b/coltsfootchute/declarations/__init__.py
@@ -0,0 +1,25 @@
+"""Declarations: services, routes by host and path prefix, and limits."""
+
+from coltsfootchute.declarations.routes import RouteTable
+from coltsfootchute.declarations.schemas import (
+    Declaration,
+    Limits,
+    Route,
+    Service,
+    Share,
+    check,
+    encode,
+    parse,
+)
+
+__all__ = [
+    "Declaration",
+    "Limits",
+    "Route",
+    "RouteTable",
+    "Service",
+    "Share",
+    "check",
+    "encode",
+    "parse",
+]
--- /dev/null
+++ b/coltsfootchute/declarations/schemas.py
@@ -0,0 +1,175 @@
+"""Declaration documents and their checks."""
+
+import collections
+import typing
+
+import msgspec
+
+from coltsfootchute import errors
+
+__all__ = [
+    "Declaration",
+    "Guarantee",
+    "Limits",
+    "Route",
+    "Service",
+    "Share",
+    "check",
+    "encode",
+    "parse",
+]
+
+Guarantee = typing.Literal["repeatable", "at_most_once"]
+Text = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A service that routes name.
+
+    Parameters
+    ----------
+    name
+        Name that its targets announce.
+    health_path
+        Path that answers whether a target is healthy.
+    max_connections
+        Connections that a target accepts from all entries together; 0 for no
+        stated bound.
+    """
+
+    name: Text
+    health_path: str = "/"
+    max_connections: Count = 0
+
+
+class Share(msgspec.Struct, frozen=True):
+    """The part of a route's requests that one service gets."""
+
+    service: Text
+    weight: typing.Annotated[float, msgspec.Meta(ge=0)] = 1
+
+
+class Route(msgspec.Struct, frozen=True):
+    """How the requests of one host below one path prefix are treated.
+
+    Parameters
+    ----------
+    name
+        Label in logs and metrics.
+    host
+        Value of the `Host` header without a port.
+    prefix
+        Begins and ends with a slash; the longest one that begins a path counts.
+    guarantee
+        Whether a request may run more than once.
+    shares
+        Services and their weights.
+    timeout_s
+        Longest time to the final answer; None for the caller's own deadline.
+    objective_s
+        Time within which an answer is worth most; None if not stated.
+    priority
+        Rank among the requests of a service; 0 comes first.
+    attempts
+        Most targets to which one request may be sent.
+    """
+
+    name: str
+    host: Text
+    prefix: typing.Annotated[str, msgspec.Meta(pattern="^/", max_length=2048)]
+    guarantee: Guarantee
+    shares: typing.Annotated[list[Share], msgspec.Meta(min_length=1, max_length=100)]
+    timeout_s: Seconds | None = None
+    objective_s: Seconds | None = None
+    priority: Count = 0
+    attempts: typing.Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """Bounds of what a caller may send, and how long it may take."""
+
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 1 << 26
+    header_timeout_s: Seconds = 5.0
+    idle_timeout_s: Seconds = 60.0
+
+
+class Declaration(msgspec.Struct, frozen=True):
+    """Everything that the operator declares, under one version."""
+
+    version: typing.Annotated[int, msgspec.Meta(ge=1, le=(1 << 63) - 1)]
+    services: list[Service]
+    routes: list[Route]
+    limits: Limits = Limits()
+
+
+_DECODER = msgspec.json.Decoder(Declaration)
+
+
+def encode(declaration: Declaration) -> str:
+    """Return a declaration as JSON text."""
+    return msgspec.json.encode(declaration).decode()
+
+
+def parse(text: str | bytes) -> Declaration:
+    """Read and check a declaration.
+
+    Parameters
+    ----------
+    text
+        JSON text.
+
+    Returns
+    -------
+    Declaration
+        The checked declaration.
+
+    Raises
+    ------
+    coltsfootchute.errors.DocumentError
+        With the path and the reason of each mistake.
+    """
+    try:
+        declaration = _DECODER.decode(text)
+    except msgspec.ValidationError as exc:
+        reason, _, path = str(exc).partition(" - at `")
+        raise errors.DocumentError([(path.rstrip("`") or "$", reason)]) from None
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise errors.DocumentError([("$", str(exc))]) from None
+    check(declaration)
+    return declaration
+
+
+def check(declaration: Declaration) -> None:
+    """Check what the types do not express.
+
+    Raises
+    ------
+    coltsfootchute.errors.DocumentError
+        With the path and the reason of each mistake.
+    """
+    problems = list(_problems(declaration))
+    if problems:
+        raise errors.DocumentError(problems)
+
+
+def _problems(declaration: Declaration) -> typing.Iterator[tuple[str, str]]:
+    names = collections.Counter(service.name for service in declaration.services)
+    for name, count in names.items():
+        if count > 1:
+            yield "$.services", f"{name!r} stands {count} times"
+    places = collections.Counter((r.host.lower(), r.prefix) for r in declaration.routes)
+    for (host, prefix), count in places.items():
+        if count > 1:
+            yield "$.routes", f"{host}{prefix} stands {count} times"
+    for position, route in enumerate(declaration.routes):
+        path = f"$.routes[{position}]"
+        if not route.prefix.endswith("/"):
+            yield f"{path}.prefix", "does not end with a slash"
+        for share in route.shares:
+            if share.service not in names:
+                yield f"{path}.shares", f"no service {share.service!r}"
+        if sum(share.weight for share in route.shares) <= 0:
+            yield f"{path}.shares", "the weights add up to 0"
--- a/coltsfootchute/proto/coltsfootchute_grpc.py
+++ b/coltsfootchute/proto/coltsfootchute_grpc.py
@@ -130,6 +130,14 @@
     async def Status(self, stream: 'grpclib.server.Stream[coltsfootchute.proto.coltsfootchute_pb2.StatusRequest, coltsfootchute.proto.coltsfootchute_pb2.StatusReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Declare(self, stream: 'grpclib.server.Stream[coltsfootchute.proto.coltsfootchute_pb2.Declaration, coltsfootchute.proto.coltsfootchute_pb2.DeclareReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def ReadDeclaration(self, stream: 'grpclib.server.Stream[coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationRequest, coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/coltsfootchute.Control/Propose': grpclib.const.Handler(
@@ -192,6 +200,18 @@
                 coltsfootchute.proto.coltsfootchute_pb2.StatusRequest,
                 coltsfootchute.proto.coltsfootchute_pb2.StatusReply,
             ),
+            '/coltsfootchute.Control/Declare': grpclib.const.Handler(
+                self.Declare,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                coltsfootchute.proto.coltsfootchute_pb2.Declaration,
+                coltsfootchute.proto.coltsfootchute_pb2.DeclareReply,
+            ),
+            '/coltsfootchute.Control/ReadDeclaration': grpclib.const.Handler(
+                self.ReadDeclaration,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationRequest,
+                coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationReply,
+            ),
         }
 
 
@@ -258,6 +278,18 @@
             coltsfootchute.proto.coltsfootchute_pb2.StatusRequest,
             coltsfootchute.proto.coltsfootchute_pb2.StatusReply,
         )
+        self.Declare = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/coltsfootchute.Control/Declare',
+            coltsfootchute.proto.coltsfootchute_pb2.Declaration,
+            coltsfootchute.proto.coltsfootchute_pb2.DeclareReply,
+        )
+        self.ReadDeclaration = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/coltsfootchute.Control/ReadDeclaration',
+            coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationRequest,
+            coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationReply,
+        )
 
 
 class FeedBase(abc.ABC):
--- a/coltsfootchute/state/machines.py
+++ b/coltsfootchute/state/machines.py
@@ -2,7 +2,14 @@
 
 from coltsfootchute import registries
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
-from coltsfootchute.state import claims, outcomes, quarantines, registers, targets
+from coltsfootchute.state import (
+    claims,
+    declarations,
+    outcomes,
+    quarantines,
+    registers,
+    targets,
+)
 
 __all__ = ["Machine", "commands"]
 
@@ -10,7 +17,7 @@
 
 
 class Machine:
-    """Sections, targets, claims, quarantines and outcomes of requests.
+    """Declaration, sections, targets, claims, quarantines, outcomes of requests.
 
     Notes
     -----
@@ -31,6 +38,7 @@
         self.index = 0
         self.revision = 0
         self.clock_ms = 0
+        self.declaration = declarations.DeclarationRegister()
         self.sections = registers.SectionRegister()
         self.outcomes = outcomes.OutcomeTable()
         self.targets = targets.TargetRegister()
@@ -88,6 +96,7 @@
     def view(self) -> list[pb.FeedChange]:
         """Return everything that watchers see, as changes of the last revision."""
         parts = [
+            *({"declaration": item} for item in self.declaration.in_force()),
             *({"section": self.sections.in_force(n)} for n in self.sections.names()),
             *({"target": target} for target in self.targets.all()),
             *({"quarantine": item} for item in self.quarantines.dump()),
@@ -105,6 +114,8 @@
             quarantines=self.quarantines.dump(),
             revision=self.revision,
             floors=self.claims.dump_floors(),
+            declaration=self.declaration.newest,
+            withdrawn=self.targets.withdrawn(),
         )
         return snapshot.SerializeToString(deterministic=True) + self.claims.dump()
 
@@ -122,7 +133,8 @@
         self.clock_ms = snapshot.clock_ms
         self.sections.load(list(snapshot.sections))
         self.outcomes.load(list(snapshot.outcomes))
-        self.targets.load(list(snapshot.targets))
+        self.targets.load(list(snapshot.targets), list(snapshot.withdrawn))
+        self.declaration.load(snapshot.declaration)
         self.claims.load(snapshot.claims, snapshot.floors)
         self.quarantines.load(list(snapshot.quarantines))
 
@@ -143,15 +155,21 @@
 @commands.register("target")
 def _change_target(machine: Machine, command: pb.TargetCommand) -> outcomes.Applied:
     outcome, changed = machine.targets.apply(command, machine.clock_ms)
-    if not changed:
-        return outcomes.Applied(outcome)
-    target_id = command.target.target_id
+    return outcomes.Applied(outcome, [_target_change(machine, i) for i in changed])
+
+
+def _target_change(machine: Machine, target_id: str) -> pb.FeedChange:
     target = machine.targets.get(target_id)
     if target is None:
-        change = pb.FeedChange(removed_target_id=target_id)
-    else:
-        change = pb.FeedChange(target=target)
-    return outcomes.Applied(outcome, [change])
+        return pb.FeedChange(removed_target_id=target_id)
+    return pb.FeedChange(target=target)
+
+
+@commands.register("declaration")
+def _declare(machine: Machine, declaration: pb.Declaration) -> outcomes.Applied:
+    outcome = machine.declaration.apply(declaration)
+    changes = machine.declaration.in_force() if outcome.applied else []
+    return outcomes.Applied(outcome, [pb.FeedChange(declaration=c) for c in changes])
 
 
 @commands.register("claim")
--- a/coltsfootchute/state/outcomes.py
+++ b/coltsfootchute/state/outcomes.py
@@ -9,7 +9,13 @@
 
 OUTCOME_KEPT_MS = 24 * 3600 * 1000
 
-Reply = pb.ProposalOutcome | pb.AnnouncementOutcome | pb.ClaimOutcome | None
+Reply = (
+    pb.ProposalOutcome
+    | pb.AnnouncementOutcome
+    | pb.ClaimOutcome
+    | pb.DeclarationOutcome
+    | None
+)
 
 
 @dataclasses.dataclass(slots=True)
--- a/coltsfootchute/state/targets.py
+++ b/coltsfootchute/state/targets.py
@@ -5,6 +5,9 @@
 
 __all__ = ["TargetRegister"]
 
+# A report that a partition delayed may arrive long after its target has left.
+WITHDRAWN_KEPT = 1000
+
 Kind = pb.TargetCommand.Kind
 kinds = registries.Registry("target command")
 
@@ -18,12 +21,17 @@
 
     Notes
     -----
+    An incarnation that was withdrawn, or that expired while it drained, is
+    remembered, so that a late announcement does not register it again. Of two
+    incarnations at one address only the later one is registered.
+
     The targets returned by `get` and `all` are replaced on a change and never
     altered, so callers may hold on to them.
     """
 
     def __init__(self):
         self._targets: dict[str, pb.Target] = {}
+        self._withdrawn: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -36,13 +44,23 @@
         """Return all targets in the order of their first announcement."""
         return list(self._targets.values())
 
-    def load(self, targets: list[pb.Target]) -> None:
+    def withdrawn(self) -> list[pb.Target]:
+        """Return the remembered withdrawn incarnations, oldest first."""
+        return [
+            pb.Target(target_id=target_id, incarnation=incarnation)
+            for target_id, incarnation in self._withdrawn.items()
+        ]
+
+    def load(
+        self, targets: list[pb.Target], withdrawn: list[pb.Target] | None = None
+    ) -> None:
         """Replace the register by dumped targets."""
         self._targets = {target.target_id: target for target in targets}
+        self._withdrawn = {t.target_id: t.incarnation for t in withdrawn or []}
 
     def apply(
         self, command: pb.TargetCommand, time_ms: int
-    ) -> tuple[pb.AnnouncementOutcome, bool]:
+    ) -> tuple[pb.AnnouncementOutcome, list[str]]:
         """Apply a command to one target.
 
         Parameters
@@ -56,44 +74,70 @@
         Returns
         -------
         tuple
-            The outcome, and whether the register changed.
+            The outcome, and the ids of the targets that changed.
         """
         wanted = command.target
         known = self._targets.get(wanted.target_id)
         if command.kind == Kind.KIND_ANNOUNCE:
             return self._announce(wanted, known, time_ms)
         if known is None:
-            return _outcome(pb.ANNOUNCEMENT_STATUS_UNKNOWN_TARGET, 0), False
+            return _outcome(pb.ANNOUNCEMENT_STATUS_UNKNOWN_TARGET, 0), []
         by_id = wanted.incarnation == 0 and command.kind in _BY_ID
         if wanted.incarnation < known.incarnation and not by_id:
             status = pb.ANNOUNCEMENT_STATUS_OLD_INCARNATION
-            return _outcome(status, known.incarnation), False
+            return _outcome(status, known.incarnation), []
         if wanted.incarnation > known.incarnation:
             status = pb.ANNOUNCEMENT_STATUS_UNKNOWN_TARGET
-            return _outcome(status, known.incarnation), False
+            return _outcome(status, known.incarnation), []
         name = Kind.Name(command.kind)
         changed = name in kinds and kinds[name](self, known)
-        return _outcome(pb.ANNOUNCEMENT_STATUS_ACCEPTED, known.incarnation), changed
+        outcome = _outcome(pb.ANNOUNCEMENT_STATUS_ACCEPTED, known.incarnation)
+        return outcome, [known.target_id] if changed else []
 
     def _announce(self, wanted: pb.Target, known: pb.Target | None, time_ms: int):
-        if known and wanted.incarnation < known.incarnation:
-            status = pb.ANNOUNCEMENT_STATUS_OLD_INCARNATION
-            return _outcome(status, known.incarnation), False
+        newest = max(
+            known.incarnation if known else -1,
+            self._withdrawn.get(wanted.target_id, -1) + 1,
+        )
+        others = self._others_at(wanted)
+        newest = max([newest, *(other.incarnation + 1 for other in others)])
+        if wanted.incarnation < newest:
+            return _outcome(pb.ANNOUNCEMENT_STATUS_OLD_INCARNATION, newest), []
+        for other in others:
+            self._withdraw(other)
         new = pb.Target()
         new.CopyFrom(wanted)
-        new.state = pb.TARGET_STATE_SERVING
         new.announced_ms = time_ms
+        if new.state != pb.TARGET_STATE_DRAINING:
+            new.state = pb.TARGET_STATE_SERVING
         if known and wanted.incarnation == known.incarnation:
             # A late duplicate of an announcement must not end a drain.
             if known.state == pb.TARGET_STATE_DRAINING:
                 new.state = known.state
             new.announced_ms = known.announced_ms
+            new.warm_up_ms = known.warm_up_ms
         accepted = _outcome(pb.ANNOUNCEMENT_STATUS_ACCEPTED, wanted.incarnation)
-        changed = new != known
-        if changed:
+        changed = [other.target_id for other in others]
+        if new != known:
             self._targets[new.target_id] = new
+            changed.append(new.target_id)
         return accepted, changed
 
+    def _others_at(self, wanted: pb.Target) -> list[pb.Target]:
+        """Return the targets that have the address of a target, O(targets)."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.address == wanted.address and target.target_id != wanted.target_id
+        ]
+
+    def _withdraw(self, known: pb.Target) -> None:
+        del self._targets[known.target_id]
+        self._withdrawn.pop(known.target_id, None)
+        self._withdrawn[known.target_id] = known.incarnation
+        if len(self._withdrawn) > WITHDRAWN_KEPT:
+            del self._withdrawn[next(iter(self._withdrawn))]
+
     def _move(self, known: pb.Target, state: pb.TargetState) -> bool:
         if known.state == state:
             return False
@@ -108,9 +152,17 @@
         return self._move(known, pb.TARGET_STATE_DRAINING)
 
     @kinds.register("KIND_WITHDRAW")
+    def _leave(self, known: pb.Target) -> bool:
+        self._withdraw(known)
+        return True
+
     @kinds.register("KIND_EXPIRE")
-    def _remove(self, known: pb.Target) -> bool:
-        del self._targets[known.target_id]
+    def _expire(self, known: pb.Target) -> bool:
+        if known.state == pb.TARGET_STATE_DRAINING:
+            self._withdraw(known)
+        else:
+            # A partition may have kept the reports away; the target may return.
+            del self._targets[known.target_id]
         return True
 
     @kinds.register("KIND_SUSPECT")
