--- a/coltsfootchute/balancing/budgets.py
+++ b/coltsfootchute/balancing/budgets.py
@@ -1,6 +1,6 @@
 """Token budget that bounds retries and hedges."""
 
-__all__ = ["TokenBudget"]
+__all__ = ["MAX_TOKENS", "TokenBudget"]
 
 MAX_TOKENS = 10.0
 # Tokens are sums of hundredths; without the tolerance ten additions of 0.1
@@ -15,33 +15,38 @@
     ----------
     percent
         Retries and hedges over requests, 0 to 100.
+    burst
+        Most tokens held.
 
     Notes
     -----
-    After n requests at most ``MAX_TOKENS + n * percent / 100`` tokens were
+    In any span with n requests at most ``burst + n * percent / 100`` tokens are
     taken. A budget of 0 percent never holds a token.
     """
 
-    __slots__ = ("_earned", "_tokens")
+    __slots__ = ("_burst", "_earned", "_tokens")
 
-    def __init__(self, percent: float):
+    def __init__(self, percent: float, burst: float = MAX_TOKENS):
         self._earned = percent / 100
-        self._tokens = MAX_TOKENS if percent > 0 else 0.0
+        self._burst = burst
+        self._tokens = burst if percent > 0 else 0.0
 
     @property
     def tokens(self) -> float:
         """Tokens held."""
         return self._tokens
 
-    def change(self, percent: float) -> None:
-        """Apply a new percentage; tokens are kept unless it is 0."""
+    def change(self, percent: float, burst: float = MAX_TOKENS) -> None:
+        """Apply new bounds; tokens within them are kept unless they are 0 percent."""
         self._earned = percent / 100
+        self._burst = burst
+        self._tokens = min(self._tokens, burst)
         if percent <= 0:
             self._tokens = 0.0
 
     def deposit(self) -> None:
         """Count a request."""
-        self._tokens = min(MAX_TOKENS, self._tokens + self._earned)
+        self._tokens = min(self._burst, self._tokens + self._earned)
 
     def available(self) -> bool:
         """Tell whether a retry or hedge may be sent."""
--- a/coltsfootchute/balancing/loads.py
+++ b/coltsfootchute/balancing/loads.py
@@ -5,10 +5,14 @@
 
 import msgspec
 
-__all__ = ["LoadReport", "parse"]
+from coltsfootchute import registries
+
+__all__ = ["FORMATS", "LoadReport", "parse"]
 
 MAX_HEADER_CHARS = 2048
 IN_FLIGHT_METRIC = "named_metrics.in_flight"
+MAX_COUNTS = 8
+FORMATS = registries.Registry("load format")
 UTILIZATION_METRICS = ("application_utilization", "cpu_utilization")
 
 
@@ -23,10 +27,14 @@
         target reports only its utilization.
     utilization
         Share of the capacity in use, 0 to 1 or more; None if not reported.
+    pace
+        How long work takes on the target's machine at the moment, over the usual
+        time; None if not reported.
     """
 
     in_flight: float | None = None
     utilization: float | None = None
+    pace: float | None = None
 
     def requests(self, slots: int) -> float:
         """Return the load as a number of requests in progress.
@@ -41,6 +49,7 @@
         return (self.utilization or 0.0) * slots
 
 
+@FORMATS.register("orca")
 def parse(header: str) -> LoadReport | None:
     """Read an ``endpoint-load-metrics`` header in its TEXT or JSON form.
 
@@ -59,9 +68,9 @@
     Examples
     --------
     >>> parse("TEXT cpu_utilization=0.5, named_metrics.in_flight=4")
-    LoadReport(in_flight=4.0, utilization=0.5)
+    LoadReport(in_flight=4.0, utilization=0.5, pace=None)
     >>> parse('JSON {"named_metrics": {"in_flight": 2}}')
-    LoadReport(in_flight=2.0, utilization=None)
+    LoadReport(in_flight=2.0, utilization=None, pace=None)
     >>> parse("BIN CgQ") is None
     True
     """
@@ -78,6 +87,35 @@
     return LoadReport(in_flight, utilization)
 
 
+@FORMATS.register("counts")
+def parse_counts(header: str) -> LoadReport | None:
+    """Read running requests, waiting requests, slots and pace in percent.
+
+    Parameters
+    ----------
+    header
+        Value of the header; the pace may be missing.
+
+    Returns
+    -------
+    LoadReport or None
+        None if the header is malformed.
+
+    Examples
+    --------
+    >>> parse_counts("3,1,8,150")
+    LoadReport(in_flight=4.0, utilization=None, pace=1.5)
+    >>> parse_counts("3,x") is None
+    True
+    """
+    fields = header[:MAX_HEADER_CHARS].split(",", MAX_COUNTS)
+    numbers = _numbers({str(i): field for i, field in enumerate(fields)})
+    if not {"0", "1", "2"} <= numbers.keys():
+        return None
+    pace = numbers["3"] / 100 if "3" in numbers else None
+    return LoadReport(numbers["0"] + numbers["1"], None, pace)
+
+
 def _text_metrics(body: str) -> dict[str, float]:
     pairs = (item.partition("=") for item in body.split(","))
     return _numbers({name.strip(): value for name, _, value in pairs})
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -37,12 +37,15 @@
         Retries and hedges over requests, 0 to 100.
     queue_length, queue_wait_s
         Bounds of the admission queue.
+    retry_burst
+        Retries and hedges of this entry beyond the percentage.
     """
 
     policy: str = "expected_wait"
     retry_budget_percent: float = 10.0
     queue_length: int = 64
     queue_wait_s: float = 0.2
+    retry_burst: float = budgets.MAX_TOKENS
 
 
 class Pool:
@@ -118,7 +121,9 @@
         self._slots_share = slots_share
         self._rng = rng
         self._policy = policies.POLICIES[settings.policy](failure_domain)
-        self._budget = budgets.TokenBudget(settings.retry_budget_percent)
+        self._budget = budgets.TokenBudget(
+            settings.retry_budget_percent, settings.retry_burst
+        )
         self._hedge_delay = hedges.HedgeDelay()
         self._views: dict[ids.TargetId, views.TargetView] = {}
         self._in_use_changed = False
@@ -133,7 +138,7 @@
         if settings.policy != self._settings.policy:
             policy = policies.POLICIES[settings.policy]
             self._policy = policy(self._failure_domain)
-        self._budget.change(settings.retry_budget_percent)
+        self._budget.change(settings.retry_budget_percent, settings.retry_burst)
         self.admission.change(settings.queue_length, settings.queue_wait_s)
         self._settings = settings
 
--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -4,13 +4,14 @@
 import contextlib
 import os
 import signal
+import sys
 import typing
 
 import uvloop
 
 from coltsfootchute import errors, logs, settings
 
-__all__ = ["run"]
+__all__ = ["run", "run_settings"]
 
 FORCED_EXIT_CODE = 1
 
@@ -38,10 +39,32 @@
     if missing:
         raise errors.SettingsError([(f"$.{name}", "missing") for name in missing])
     logs.configure(cfg)
-    uvloop.run(_serve(cfg, needed))
+    uvloop.run(_serve(cfg, needed, None))
 
 
-async def _serve(cfg: settings.Settings, names: tuple[str, ...]) -> None:
+def run_settings(cfg: settings.Settings, extend: typing.Any = None) -> None:
+    """Run all roles of checked settings until a planned stop.
+
+    Parameters
+    ----------
+    cfg
+        Settings of the instance.
+    extend
+        Adds routes to the `api` listener; see `entry.apis.Extension`.
+
+    Raises
+    ------
+    coltsfootchute.errors.StoreError
+        If the data folder can't be used.
+    """
+    logs.configure(cfg, sys.stdout)
+    names = [name for name in ("control", "entry") if getattr(cfg, name) is not None]
+    uvloop.run(_serve(cfg, tuple(names), extend))
+
+
+async def _serve(
+    cfg: settings.Settings, names: tuple[str, ...], extend: typing.Any
+) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -49,7 +72,7 @@
     async with contextlib.AsyncExitStack() as stack:
         failures = []
         for name in names:
-            daemon = _daemon(name, cfg)
+            daemon = _daemon(name, cfg, extend)
             await daemon.start()
             # The entry was started last and stops first: until then it needs
             # control for its claims.
@@ -79,7 +102,7 @@
     stopping.set()
 
 
-def _daemon(name: str, cfg: settings.Settings) -> typing.Any:
+def _daemon(name: str, cfg: settings.Settings, extend: typing.Any) -> typing.Any:
     # The control role must not load what only the entry needs.
     if name == "control":
         from coltsfootchute.control import daemons as control_daemons
@@ -87,4 +110,4 @@
         return control_daemons.Daemon(cfg)
     from coltsfootchute.entry import daemons as entry_daemons
 
-    return entry_daemons.Daemon(cfg)
+    return entry_daemons.Daemon(cfg, extend)
--- a/coltsfootchute/entry/addresses.py
+++ b/coltsfootchute/entry/addresses.py
@@ -6,7 +6,7 @@
 
 from coltsfootchute.proto import coltsfootchute_pb2
 
-__all__ = ["choose_addresses", "entries_of"]
+__all__ = ["choose_addresses", "entries_of", "usable"]
 
 
 def choose_addresses(
@@ -35,7 +35,7 @@
     the domains and the order within each domain rotate independently, so that
     callers spread over all entries.
     """
-    serving = _usable(instances)
+    serving = usable(instances)
     domains = _by_domain(sorted(serving, key=lambda i: i.name))
     if not domains:
         return []
@@ -78,7 +78,7 @@
     Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
     IEEE/ACM Transactions on Networking, 1998.
     """
-    serving = _usable(instances)
+    serving = usable(instances)
     if count is None or count >= len(serving):
         return serving
     domains = _by_domain(sorted(serving, key=lambda i: _weight(service, i.name)))
@@ -110,9 +110,10 @@
     return hashlib.blake2b(text, digest_size=8).digest()
 
 
-def _usable(
+def usable(
     instances: list[coltsfootchute_pb2.Instance],
 ) -> list[coltsfootchute_pb2.Instance]:
+    """Return the entries that are neither stopping nor, if others are known, stale."""
     stopping = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
     serving = [i for i in instances if i.state != stopping]
     current = [i for i in serving if not i.stale]
--- a/coltsfootchute/entry/answers.py
+++ b/coltsfootchute/entry/answers.py
@@ -45,6 +45,8 @@
     _R.CLAIM_UNAVAILABLE: 503,
     _R.TARGET_SHED: 503,
     _R.STOPPING: 503,
+    _R.MISDIRECTED: 503,
+    _R.TARGET_FAILED: 502,
     _R.DEADLINE: 504,
     _R.TARGET_TIMEOUT: 504,
 }
@@ -173,6 +175,9 @@
     refusal: verdicts.Refusal,
     keep_alive: bool,
     extra: typing.Mapping[str, str] | None = None,
+    *,
+    retry_after_s: float = RETRY_AFTER_S,
+    status: int | None = None,
 ) -> Written:
     """Write a refusal as JSON with its verdict and reason.
 
@@ -186,14 +191,18 @@
         Whether the connection stays open.
     extra
         More headers.
+    retry_after_s
+        Seconds after which the caller of a 503 should come back.
+    status
+        By default the status of the reason.
     """
-    status = STATUSES[refusal.reason]
+    status = status or STATUSES[refusal.reason]
     headers = multidict.CIMultiDict(extra or {})
     headers["Content-Type"] = "application/json"
     headers[verdicts.VERDICT_HEADER] = refusal.verdict.value
     headers[verdicts.REASON_HEADER] = refusal.reason.value
     if status == 503:
-        headers["Retry-After"] = str(RETRY_AFTER_S)
+        headers["Retry-After"] = f"{retry_after_s:g}"
     body = _RefusalBody(refusal.verdict.value, refusal.reason.value, refusal.detail)
     encoded = msgspec.json.encode(body)
     return await write_whole(request, status, headers, encoded, keep_alive)
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -6,7 +6,7 @@
 import loguru
 import msgspec
 
-from coltsfootchute import errors
+from coltsfootchute import declarations, errors
 from coltsfootchute.entry import (
     addresses,
     clients,
@@ -17,12 +17,16 @@
 )
 from coltsfootchute.proto import coltsfootchute_pb2
 
-__all__ = ["Api", "TargetLeaseTimes"]
+__all__ = ["Api", "Extension", "TargetLeaseTimes"]
 
 # A document has at most a few hundred short rules.
 MAX_BODY_BYTES = 1 << 20
 READ_LIMIT_S = 3.0
 CHANGE_LIMIT_S = 5.0
+# A target that gets no response within a second turns to another instance.
+REPORT_LIMIT_S = 0.9
+# An operator that gets no response within a second turns to another instance.
+DECLARATION_LIMIT_S = 0.9
 
 _Handler = typing.Callable[
     [aiohttp.web.Request], typing.Awaitable[aiohttp.web.Response]
@@ -120,12 +124,28 @@
         self._keep_s = keep_s
         self._turn = 0
 
+    @property
+    def view(self) -> watches.View:
+        """The replicated state."""
+        return self._view
+
+    @property
+    def client(self) -> clients.ControlClient:
+        """The Control client."""
+        return self._client
+
+    def own(self) -> coltsfootchute_pb2.Instance:
+        """Return this instance with its present state."""
+        return self._own()
+
     def application(self) -> aiohttp.web.Application:
         """Return the routes with their handlers."""
         app = aiohttp.web.Application(
             client_max_size=MAX_BODY_BYTES, middlewares=[_explain]
         )
         app.router.add_get("/v1/services/{service}/addresses", self.addresses)
+        app.router.add_get("/v1/declaration", self.declaration)
+        app.router.add_put("/v1/declaration", self.declare)
         app.router.add_get("/v1/sections", self.sections)
         app.router.add_get("/v1/sections/{name}", self.section)
         app.router.add_get("/v1/sections/{name}/history", self.history)
@@ -164,6 +184,67 @@
         }
         return _json(body)
 
+    async def declaration(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Return the declaration in force as it was submitted."""
+        found = await self.read_declaration()
+        if not found.version:
+            return _error(404, "no_declaration", "nothing was declared yet")
+        return aiohttp.web.Response(
+            body=found.submitted, content_type="application/json"
+        )
+
+    async def declare(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
+        """Take a declaration; an older version is acknowledged without effect."""
+        submitted = await request.read()
+        try:
+            declared = declarations.parse(submitted)
+        except errors.DocumentError as exc:
+            problems = [{"path": p, "reason": r} for p, r in exc.problems]
+            return _json({"error": "invalid", "errors": problems}, 400)
+        outcome = await self.submit_declaration(declared, submitted)
+        return _json({"version": outcome.version, "applied": outcome.applied})
+
+    async def read_declaration(self) -> coltsfootchute_pb2.Declaration:
+        """Return the newest declaration; version 0 if there is none.
+
+        Raises
+        ------
+        coltsfootchute.errors.ColtsfootchuteError
+            If the leader did not reply, so that the newest one is not known.
+        """
+        request = coltsfootchute_pb2.ReadDeclarationRequest()
+        reply = await self._client.call(
+            "ReadDeclaration", request, DECLARATION_LIMIT_S, repeatable=True
+        )
+        return reply.declaration
+
+    async def submit_declaration(
+        self, declared: declarations.Declaration, submitted: bytes
+    ) -> coltsfootchute_pb2.DeclarationOutcome:
+        """Commit a checked declaration.
+
+        Parameters
+        ----------
+        declared
+            The declaration.
+        submitted
+            What the operator sent, for later reads.
+
+        Raises
+        ------
+        coltsfootchute.errors.ColtsfootchuteError
+            If it may not be in force; it can be sent again.
+        """
+        message = coltsfootchute_pb2.Declaration(
+            version=declared.version,
+            document=declarations.encode(declared),
+            submitted=submitted,
+        )
+        reply = await self._client.call(
+            "Declare", message, DECLARATION_LIMIT_S, repeatable=True
+        )
+        return reply.outcome
+
     async def sections(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return all sections in force."""
         reply = await self._read("")
@@ -231,6 +312,71 @@
         kind = coltsfootchute_pb2.TargetCommand.KIND_ANNOUNCE
         return await self._command(kind, target)
 
+    async def report_target(
+        self, target: coltsfootchute_pb2.Target
+    ) -> coltsfootchute_pb2.AnnouncementOutcome | None:
+        """Take the periodic report of a target.
+
+        Parameters
+        ----------
+        target
+            The target; in state draining if it is leaving.
+
+        Returns
+        -------
+        AnnouncementOutcome or None
+            None if the report holds no news; then only the lease is renewed.
+
+        Raises
+        ------
+        coltsfootchute.errors.ColtsfootchuteError
+            If the report may be lost; the target must turn to another instance.
+        """
+        if self._holds(target):
+            self._client.renew_in_background(target.target_id, target.incarnation)
+            return None
+        return await self.change_target(
+            coltsfootchute_pb2.TargetCommand.KIND_ANNOUNCE, target, REPORT_LIMIT_S
+        )
+
+    def _holds(self, target: coltsfootchute_pb2.Target) -> bool:
+        known = self._view.targets.get(target.target_id)
+        if not self._is_registered(target.target_id, target.incarnation):
+            return False
+        told = (target.address, list(target.services), target.slots, target.state)
+        held = (known.address, list(known.services), known.slots, known.state)
+        # A draining target stays draining, whatever a late report says.
+        drains = known.state == coltsfootchute_pb2.TARGET_STATE_DRAINING
+        return told == held or (drains and told[:3] == held[:3])
+
+    async def change_target(
+        self,
+        kind: int,
+        target: coltsfootchute_pb2.Target,
+        limit_s: float = CHANGE_LIMIT_S,
+    ) -> coltsfootchute_pb2.AnnouncementOutcome:
+        """Commit a command for a target.
+
+        Raises
+        ------
+        coltsfootchute.errors.ColtsfootchuteError
+            If it may not be in force; it can be sent again.
+        """
+        command = coltsfootchute_pb2.TargetCommand(kind=kind, target=target)
+        message = coltsfootchute_pb2.AnnounceRequest(command=command)
+        # Register commands are idempotent for the same incarnation.
+        reply = await self._client.call("Announce", message, limit_s, repeatable=True)
+        return reply.outcome
+
+    def entries(self) -> list[coltsfootchute_pb2.Instance]:
+        """Return the entries that callers should use, nearest not considered."""
+        return addresses.usable(list(self._view.instances.values()))
+
+    @property
+    def keep_s(self) -> float:
+        """Seconds for which callers may keep an address response."""
+        return self._keep_s
+
     async def retire(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Drain or withdraw a target."""
         body = _INCARNATION.decode(await request.read())
@@ -242,13 +388,7 @@
     async def _command(
         self, kind: int, target: coltsfootchute_pb2.Target
     ) -> aiohttp.web.Response:
-        command = coltsfootchute_pb2.TargetCommand(kind=kind, target=target)
-        message = coltsfootchute_pb2.AnnounceRequest(command=command)
-        # Register commands are idempotent for the same incarnation.
-        reply = await self._client.call(
-            "Announce", message, CHANGE_LIMIT_S, repeatable=True
-        )
-        outcome = reply.outcome
+        outcome = await self.change_target(kind, target)
         if outcome.status in _ANNOUNCEMENT_ERRORS:
             status, name = _ANNOUNCEMENT_ERRORS[outcome.status]
             detail = f"incarnation {outcome.incarnation} is known"
@@ -321,6 +461,9 @@
         return _json({**body, "revision": own.revision}, 200 if ready else 503)
 
 
+Extension = typing.Callable[[aiohttp.web.Application, Api], None]
+
+
 @aiohttp.web.middleware
 async def _explain(
     request: aiohttp.web.Request, handler: _Handler
--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -22,6 +22,8 @@
     "strip_hop_by_hop",
 ]
 
+# A response to an earlier request that is longer than this is not skipped.
+MAX_SKIPPED_BYTES = 1 << 18
 READ_BUFFER_BYTES = 1 << 16
 MAX_HEAD_FIELD_BYTES = 1 << 15
 
@@ -103,7 +105,9 @@
         "body_error",
         "headers",
         "message",
+        "parts",
         "payload",
+        "request_id",
         "revision",
         "started_s",
         "was_shed",
@@ -124,6 +128,10 @@
         self.message: typing.Any = None
         self.payload: aiohttp.StreamReader | None = None
         self.headers: multidict.CIMultiDict[str] | None = None
+        # Name and value of the header that the target echoes.
+        self.request_id: tuple[str, str] | None = None
+        # Parts of the response body that were read ahead.
+        self.parts: list[bytes] = []
 
     @property
     def close_delimited(self) -> bool:
@@ -142,11 +150,45 @@
         TruncatedError
             If the response is incomplete.
         """
+        if self.parts:
+            return self.parts.pop(0)
         try:
             return await self.payload.readany()
-        except (aiohttp.ClientError, OSError) as exc:
+        except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as exc:
             raise TruncatedError(str(exc)) from exc
 
+    async def read_ahead(self, limit: int) -> None:
+        """Read the response body to its end, or up to a bound.
+
+        Parameters
+        ----------
+        limit
+            Most bytes to hold in memory.
+
+        Raises
+        ------
+        AttemptError
+            If the response is incomplete.
+        """
+        parts, size = [], 0
+        try:
+            while size < limit:
+                part = await self.read()
+                if not part:
+                    break
+                parts.append(part)
+                size += len(part)
+            if self.close_delimited and self.payload.is_eof():
+                self.check_end()
+        except TruncatedError as exc:
+            raise _lost(exc) from exc
+        self.parts = parts
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether nothing of the response body is left to be read."""
+        return not self.parts and self.payload.at_eof()
+
     def check_end(self) -> None:
         """Check the end of a response that the connection ends.
 
@@ -259,15 +301,33 @@
 
     async def _read_head(self) -> None:
         message, payload = await self._protocol.read()
-        while 100 <= message.code < 200:
+        while 100 <= message.code < 200 or self._is_foreign(message):
             if message.code == 101:
                 raise aiohttp.ClientPayloadError("the target switched protocols")
+            if message.code >= 200:
+                await self._skip(payload)
             message, payload = await self._protocol.read()
         self.message = message
         self.payload = payload
         self.headers = multidict.CIMultiDict(message.headers)
         strip_hop_by_hop(self.headers)
 
+    def _is_foreign(self, message: typing.Any) -> bool:
+        """Tell whether a response names another request than this one."""
+        if self.request_id is None:
+            return False
+        name, value = self.request_id
+        return message.headers.get(name, value) != value
+
+    async def _skip(self, payload: aiohttp.StreamReader) -> None:
+        # The target wrote it before it read this request; the own one follows.
+        self._protocol.force_close()
+        size = 0
+        while part := await payload.readany():
+            size += len(part)
+            if size > MAX_SKIPPED_BYTES:
+                raise aiohttp.ClientPayloadError("a response to another request")
+
 
 def strip_hop_by_hop(headers: multidict.CIMultiDict[str]) -> None:
     """Remove the headers that concern one connection only (RFC 9110, 7.6.1)."""
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -8,7 +8,7 @@
 import aiohttp.web
 import loguru
 
-from coltsfootchute import balancing, verdicts
+from coltsfootchute import balancing, declarations, logs, settings, verdicts
 from coltsfootchute.entry import (
     answers,
     attempts,
@@ -28,6 +28,11 @@
 # Bounds the connections that one call tries while many targets are down.
 MAX_FREE_RETRIES = 3
 
+# The request itself is at fault, so it must not come back.
+_FINAL_REASONS = frozenset(
+    {verdicts.Reason.BODY_TOO_LARGE, verdicts.Reason.BAD_REQUEST}
+)
+MISDIRECTED = 421
 _OUTCOMES = {
     verdicts.Reason.CONNECTION_FAILED: balancing.Outcome.CONNECTION_FAILED,
     verdicts.Reason.CONNECTION_LOST: balancing.Outcome.CONNECTION_LOST,
@@ -52,6 +57,10 @@
         Takes crash reports.
     meters
         Metrics.
+    names
+        Names of headers.
+    retry_after_s
+        Seconds after which a refused caller should come back.
     """
 
     def __init__(
@@ -63,7 +72,11 @@
         claims: keys.Claims,
         reporter: crashes.CrashReporter,
         meters: metrics.Metrics,
+        names: settings.HeaderSettings | None = None,
+        retry_after_s: float = answers.RETRY_AFTER_S,
     ):
+        self._names = names or settings.HeaderSettings()
+        self._retry_after_s = retry_after_s
         self._view = view
         self._services = services.by_name
         self._forwarder = forwarder
@@ -120,6 +133,13 @@
             meter.latency.observe(time.monotonic() - started)
 
     def _match(self, request: aiohttp.web.BaseRequest, now: float) -> requests.Call:
+        routes = self._view.routes
+        if routes is not None:
+            return self._match_route(request, routes, now)
+        if not self._view.revision:
+            raise requests.refused(
+                verdicts.Reason.STALE, "the entry has had no contact with control yet"
+            )
         name, path, query = requests.split_target(request.raw_path)
         service = self._services.get(name)
         if service is None:
@@ -128,12 +148,38 @@
         if rule is None:
             detail = f"no rule of {name!r} matches {request.method} {path}"
             raise requests.refused(verdicts.Reason.NO_RULE, detail)
-        return requests.Call(request, service, rule, (path, query), now)
+        place = (path, query)
+        return requests.Call(request, service, rule, place, now, names=self._names)
+
+    def _match_route(
+        self,
+        request: aiohttp.web.BaseRequest,
+        routes: declarations.RouteTable,
+        now: float,
+    ) -> requests.Call:
+        place = requests.check_path(request.raw_path)
+        host = request.headers.get("Host", "")
+        route = routes.match(host, place[0])
+        if route is None:
+            detail = f"no route of {host!r} matches {place[0]}"
+            raise requests.refused(verdicts.Reason.NO_RULE, detail)
+        service = self._services[routes.service_of(route)]
+        rule = requests.rule_of(route, routes.declaration.limits)
+        return requests.Call(
+            request,
+            service,
+            rule,
+            place,
+            now,
+            names=self._names,
+            is_declared=True,
+        )
 
     async def _serve(self, call: requests.Call) -> answers.Written:
         await self._view.catch_up()
         self._check_currency(call)
-        key = None if call.rule.repeatable else requests.parse_key(call.request.headers)
+        needs_key = call.rule.key == "required"
+        key = requests.parse_key(call.request.headers) if needs_key else None
         call.body = await requests.read_body(call)
         self._check_quarantine(call)
         service = call.service
@@ -151,7 +197,8 @@
         return await self._answer(call, attempt, token)
 
     def _check_currency(self, call: requests.Call) -> None:
-        if not self._view.is_stale(watches.clock()):
+        # A declared request needs no claim, and its target checks that it is meant.
+        if call.is_declared or not self._view.is_stale(watches.clock()):
             return
         if call.rule.repeatable and call.service.section.when_stale == "serve":
             return
@@ -162,7 +209,7 @@
     def _check_quarantine(self, call: requests.Call) -> None:
         # For a request that is not repeatable the check is part of the claim, so
         # that a key that has run gets its answer.
-        if not call.rule.repeatable or not call.service.has_crashes:
+        if call.rule.key == "required" or not call.service.has_crashes:
             return
         crashes = call.service.pool.crashes
         if crashes.is_quarantined(call.crash_digest(), time.monotonic()):
@@ -171,9 +218,30 @@
     async def _attempts(self, call: requests.Call, token: balancing.Token):
         while True:
             try:
-                return await self._race(call, token)
+                attempt, token = await self._race(call, token)
             except attempts.AttemptError as exc:
                 token = await self._retry(call, exc)
+                continue
+            if attempt.message.code < 500:
+                return attempt, token
+            following = self._replace_failure(call)
+            if following is None:
+                return attempt, token
+            attempt.finish()
+            call.service.finish(token, balancing.Outcome.ERROR)
+            token = following
+
+    def _replace_failure(self, call: requests.Call) -> balancing.Token | None:
+        """Return an attempt in place of a target's failure; None to pass it on."""
+        may_retry = call.is_declared and call.rule.repeatable and call.can_repeat
+        if not may_retry or not call.has_attempts:
+            return None
+        pool, now = call.service.pool, time.monotonic()
+        view = pool.select(now, call.tried, balancing.AttemptKind.RETRY)
+        if view is None or not pool.may_retry():
+            return None
+        self._meters.retries.labels(verdicts.Reason.TARGET_FAILED.value).inc()
+        return pool.started(view, now)
 
     async def _race(self, call: requests.Call, token: balancing.Token) -> races.Won:
         delay_s = None
@@ -216,6 +284,7 @@
             error.verdict.allows_retry(repeatable=call.rule.repeatable)
             and call.can_repeat
             and call.may_retry
+            and call.has_attempts
             and now < call.deadline
         )
         if not allowed:
@@ -225,6 +294,13 @@
         if token is None:
             raise pools.RefusedError(refusal)
         self._meters.retries.labels(error.reason.value).inc()
+        logs.note(
+            "entry",
+            "retries",
+            request=call.request_id,
+            reason=error.reason.value,
+            tried=call.tried,
+        )
         return token
 
     async def _next(
@@ -250,6 +326,7 @@
         target = token.view.target
         call.tried.append(target.target_id)
         attempt = attempts.Attempt()
+        attempt.request_id = call.request_id
         call.attempts.append(attempt)
         attempt.revision = self._view.revision
         attempt.started_s = time.monotonic()
@@ -258,12 +335,15 @@
                 attempt,
                 call.service.endpoint(target.address),
                 call.target_line,
-                call.attempt_headers(attempt.started_s),
+                call.attempt_headers(attempt.started_s, target.target_id),
                 call.body,
                 fresh=not call.rule.repeatable,
                 head_only=call.request.method == "HEAD",
             )
             self._check_shed(attempt)
+            if call.rule.whole_bytes:
+                await attempt.read_ahead(call.rule.whole_bytes)
+            self._check_seal(attempt)
         except attempts.AttemptError as exc:
             self._fail(call, token, exc)
             if exc.broke:
@@ -288,15 +368,35 @@
         call.service.finish(token, outcome)
 
     def _check_shed(self, attempt: attempts.Attempt) -> None:
-        if attempt.message.code != 503:
-            return
-        not_run = verdicts.Verdict.NOT_RUN
-        if attempt.headers.get(verdicts.VERDICT_HEADER) != not_run.value:
+        if not self._states_not_run(attempt):
             return
         attempt.was_shed = True
         attempt.abort()
+        reason = verdicts.Reason.TARGET_SHED
+        if attempt.message.code == MISDIRECTED:
+            reason = verdicts.Reason.MISDIRECTED
         detail = "the target refused the request before it ran"
-        raise attempts.AttemptError(not_run, verdicts.Reason.TARGET_SHED, detail)
+        raise attempts.AttemptError(verdicts.Verdict.NOT_RUN, reason, detail)
+
+    def _states_not_run(self, attempt: attempts.Attempt) -> bool:
+        code, headers = attempt.message.code, attempt.headers
+        if self._names.expected_target is not None and code == MISDIRECTED:
+            return True
+        if self._names.not_run is not None:
+            return code >= 400 and self._names.not_run in headers
+        not_run = verdicts.Verdict.NOT_RUN.value
+        return code == 503 and headers.get(verdicts.VERDICT_HEADER) == not_run
+
+    def _check_seal(self, attempt: attempts.Attempt) -> None:
+        seal = self._names.seal
+        if seal is None or attempt.message.code >= 300 or seal in attempt.headers:
+            return
+        attempt.abort()
+        raise attempts.AttemptError(
+            verdicts.Verdict.MAY_HAVE_RUN,
+            verdicts.Reason.CONNECTION_LOST,
+            "a success without the header of a complete one",
+        )
 
     def _note_head(
         self, call: requests.Call, attempt: attempts.Attempt, token: balancing.Token
@@ -305,7 +405,9 @@
         if verdicts.DRAINING_HEADER in attempt.headers:
             pool.draining(token.view.target.target_id)
         if attempt.message.code < 500:
-            pool.responded(token, time.monotonic(), requests.load_of(attempt))
+            pool.responded(
+                token, time.monotonic(), requests.load_of(attempt, self._names)
+            )
 
     async def _answer(
         self, call: requests.Call, attempt: attempts.Attempt, token: balancing.Token
@@ -354,20 +456,50 @@
     async def _end(
         self, call: requests.Call, refusal: verdicts.Refusal
     ) -> answers.Written:
+        logs.note(
+            "entry",
+            "failed",
+            request=call.request_id,
+            service=call.service.name,
+            rule=call.rule.name,
+            reason=refusal.reason.value,
+            verdict=refusal.verdict.value,
+            detail=refusal.detail,
+            tried=call.tried,
+            left_s=round(call.deadline - time.monotonic(), 3),
+            revision=self._view.revision,
+            waiting=len(call.service.pool.admission),
+        )
         if call.is_answering:
             return answers.abort(call.request)
         if call.may_have_run and refusal.verdict is verdicts.Verdict.NOT_RUN:
             # An earlier attempt of this call may have run.
             refusal = verdicts.Refusal(call.verdict, refusal.reason, refusal.detail)
-        return await self._refuse(call.request, refusal)
+        status = None
+        if call.is_declared and refusal.verdict is verdicts.Verdict.NOT_RUN:
+            # The caller of a declared route has no other sign of the verdict.
+            status = None if refusal.reason in _FINAL_REASONS else 503
+        return await self._refuse(call.request, refusal, status)
 
     async def _refuse(
-        self, request: aiohttp.web.BaseRequest, refusal: verdicts.Refusal
+        self,
+        request: aiohttp.web.BaseRequest,
+        refusal: verdicts.Refusal,
+        status: int | None = None,
     ) -> answers.Written:
         self._meters.refusals.labels(refusal.reason.value).inc()
         keeps = request.keep_alive and not self.is_closing
         extra = {verdicts.STALE_HEADER: "1"} if self._is_stale() else None
-        return await answers.refuse(request, refusal, keeps, extra)
+        # A body that was not read may still arrive on the connection.
+        keeps = keeps and (not request.body_exists or request.content.at_eof())
+        return await answers.refuse(
+            request,
+            refusal,
+            keeps,
+            extra,
+            retry_after_s=self._retry_after_s,
+            status=status,
+        )
 
 
 def _late(call: requests.Call) -> verdicts.Refusal:
--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -71,6 +71,14 @@
         self._background_timer: asyncio.TimerHandle | None = None
         self._resends: set[asyncio.Task[None]] = set()
 
+    def change_addresses(self, addresses: list[str]) -> None:
+        """Ask these instances from now on; the leader is kept while it is one."""
+        self._addresses = list(addresses)
+        if self._leader not in self._addresses:
+            self._leader = self._addresses[0]
+        for address in self._channels.keys() - set(self._addresses):
+            self._channels.pop(address).close()
+
     async def close(self) -> None:
         """Close all channels; unacknowledged settlements are dropped."""
         if self._background_timer is not None:
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -1,7 +1,6 @@
 """The entry role as a daemon."""
 
 import asyncio
-import contextlib
 import time
 import typing
 
@@ -36,10 +35,15 @@
 IDLE_GRACE_S = 0.2
 SETTLE_LIMIT_S = 5.0
 MAX_KEEP_S = 300.0
+# Parts of the time for a planned stop: until no more connections are taken, and
+# until what is still in progress is cut off.
+ACCEPT_PART = 0.55
+FINISH_PART = 0.9
 STOP_LIMIT_S = NEWS_S + MAX_KEEP_S + FINISH_LIMIT_S + SETTLE_LIMIT_S
 REPORT_CHANGED_S = 1.0
 REPORT_UNCHANGED_S = 5.0
 BACKLOG = 1024
+API_SHUTDOWN_S = 0.5
 
 
 class Daemon:
@@ -49,6 +53,8 @@
     ----------
     cfg
         Settings of the instance, with the entry role.
+    extend
+        Adds routes to the `api` listener.
 
     Notes
     -----
@@ -56,14 +62,16 @@
     share the process.
     """
 
-    def __init__(self, cfg: settings.Settings):
+    def __init__(self, cfg: settings.Settings, extend: apis.Extension | None = None):
         self._cfg = cfg
         entry = cfg.entry
         name = cfg.instance.name
         self.metrics = metrics.Metrics()
         self.view = watches.View(self._learn)
         self.client = clients.ControlClient(entry.control)
-        self.services = pools.Services(self.view, cfg.instance.failure_domain)
+        self.services = pools.Services(
+            self.view, cfg.instance.failure_domain, entry.retries
+        )
         self.feed = feeds.Feed()
         self._watcher = watches.Watcher(self.view, name, entry.control)
         self._api = apis.Api(
@@ -84,6 +92,7 @@
         self._calls_server: aiohttp.web.Server | None = None
         self._listener: asyncio.Server | None = None
         self._api_runner: aiohttp.web.AppRunner | None = None
+        self._extend = extend
         self._peer_server: grpclib.server.Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -125,19 +134,23 @@
             claims=keys.Claims(self.client, self._cfg.instance.name),
             reporter=crashes.CrashReporter(self.client),
             meters=self.metrics,
+            names=entry.headers,
+            retry_after_s=entry.retry_after_s,
         )
         self._own.peer_address = await self._start_peer(entry.peer)
         self._own.api_address = await self._start_api(entry.api)
-        self._own.calls_address = await self._start_calls(entry.calls)
+        if entry.calls is not None:
+            self._own.calls_address = await self._start_calls(entry.calls)
         name = self._cfg.instance.name
         prober = measurements.Prober(
             self.services, self._forwarder, self.client, name, self.metrics
         )
         self._tasks = [
             asyncio.ensure_future(self._watcher.run()),
-            asyncio.ensure_future(self._report()),
             asyncio.ensure_future(prober.run()),
         ]
+        if entry.calls is not None:
+            self._tasks.append(asyncio.ensure_future(self._report()))
         loguru.logger.info("entry: calls at {}", self.calls_address)
 
     async def _start_peer(self, address: str) -> str:
@@ -148,11 +161,19 @@
 
     async def _start_api(self, address: str) -> str:
         host, port = _split(address)
-        runner = aiohttp.web.AppRunner(self._api.application(), access_log=None)
+        app = self._api.application()
+        if self._extend is not None:
+            self._extend(app, self._api)
+        runner = aiohttp.web.AppRunner(
+            app, access_log=None, shutdown_timeout=API_SHUTDOWN_S
+        )
         self._api_runner = runner
         await runner.setup()
         site = aiohttp.web.TCPSite(runner, host, port, backlog=BACKLOG)
         await site.start()
+        if self._cfg.entry.directory is not None:
+            other = _split(self._cfg.entry.directory)
+            await aiohttp.web.TCPSite(runner, *other, backlog=BACKLOG).start()
         return _bound(site._server, address)
 
     async def _start_calls(self, address: str) -> str:
@@ -173,20 +194,36 @@
         """Stop gracefully: leave the address answers, serve on, finish, close."""
         loguru.logger.info("entry: stopping")
         self._own.state = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
-        with contextlib.suppress(errors.ColtsfootchuteError):
-            await self._send_report()
-        await asyncio.sleep(NEWS_S + self._cfg.entry.keep_s)
-        await self._finish_calls()
+        if self._listener is not None:
+            await self._stop_calls()
         await self.client.drain(SETTLE_LIMIT_S)
         await self.abort()
         loguru.logger.info("entry: stopped")
 
-    async def _finish_calls(self) -> None:
+    async def _stop_calls(self) -> None:
+        stop_s = self._cfg.entry.stop_s
+        if stop_s is None:
+            accept_s, finish_s = NEWS_S + self._cfg.entry.keep_s, FINISH_LIMIT_S
+        else:
+            # Callers that hear of the stop late lose their connection after their
+            # next answer.
+            self._calls.is_closing = True
+            accept_s = stop_s * ACCEPT_PART
+            finish_s = stop_s * (FINISH_PART - ACCEPT_PART) - IDLE_GRACE_S
+        accepts_until = asyncio.get_running_loop().time() + accept_s
+        try:
+            await self._send_report()
+        except errors.ColtsfootchuteError as exc:
+            loguru.logger.warning("entry: the stop was not reported: {}", exc)
+        await asyncio.sleep(accepts_until - asyncio.get_running_loop().time())
+        await self._finish_calls(finish_s)
+
+    async def _finish_calls(self, limit_s: float) -> None:
         self._calls.is_closing = True
         self._listener.close()
         await asyncio.sleep(IDLE_GRACE_S)
         self._calls_server.pre_shutdown()
-        await self._calls.close(FINISH_LIMIT_S)
+        await self._calls.close(limit_s)
 
     async def abort(self) -> None:
         """Close everything at once; requests in progress are cut off."""
@@ -211,6 +248,10 @@
     def _learn(
         self, message: coltsfootchute_pb2.FeedMessage, touched: set[str]
     ) -> None:
+        if message.control_addresses:
+            addresses = list(message.control_addresses)
+            self.change_control(addresses)
+            self.feed.set_control_addresses(addresses)
         self.services.refresh(touched)
         if message.has_instances:
             self.services.refresh_share()
@@ -220,6 +261,11 @@
                 self.services.learn_quarantine(change.quarantine)
         self._pass_on(message)
 
+    def change_control(self, addresses: list[str]) -> None:
+        """Use these control instances from now on."""
+        self.client.change_addresses(addresses)
+        self._watcher.change_control(addresses)
+
     def _pass_on(self, message: coltsfootchute_pb2.FeedMessage) -> None:
         self.feed.cluster_id = self.view.cluster_id
         if message.full:
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -1,10 +1,11 @@
 """What the entry has prepared per service: rules, targets, the queue."""
 
 import asyncio
+import dataclasses
 import random
 import time
 
-from coltsfootchute import balancing, ids, sections, verdicts
+from coltsfootchute import balancing, ids, sections, settings, verdicts
 from coltsfootchute.entry import forwards, watches
 from coltsfootchute.proto import coltsfootchute_pb2
 
@@ -15,6 +16,9 @@
     coltsfootchute_pb2.TARGET_STATE_DRAINING: balancing.TargetState.DRAINING,
     coltsfootchute_pb2.TARGET_STATE_SUSPECT: balancing.TargetState.SUSPECT,
 }
+# Part of the burst that entries divide; the rest covers entries that restart within
+# a budget window and begin with a full share again.
+BURST_IN_USE = 0.5
 Admitted = balancing.Token | verdicts.Refusal
 
 
@@ -173,10 +177,18 @@
         The view; its changes rebuild the services concerned.
     failure_domain
         Of this entry.
+    retries
+        Bound on second attempts of declared services, over all entries.
     """
 
-    def __init__(self, view: watches.View, failure_domain: str):
+    def __init__(
+        self,
+        view: watches.View,
+        failure_domain: str,
+        retries: settings.RetrySettings | None = None,
+    ):
         self._view = view
+        self._retries = retries or settings.RetrySettings()
         self._failure_domain = ids.FailureDomain(failure_domain)
         self._rng = random.Random()
         self._entries = 1
@@ -200,6 +212,7 @@
             return
         self._entries = entries
         for service in self.by_name.values():
+            service.pool.update_settings(self._pool_settings(service.section))
             service.pool.update_share(self._share(service.section))
 
     def _share(self, section: sections.Section) -> float:
@@ -229,7 +242,7 @@
             service = self.by_name[name] = Service(name, table, self._pool(name, table))
         elif service.table is not table:
             service.table = table
-            service.pool.update_settings(_pool_settings(table.section))
+            service.pool.update_settings(self._pool_settings(table.section))
             service.pool.update_share(self._share(table.section))
         now = time.monotonic()
         targets = [_target(t, now) for t in self._view.targets_of(name)]
@@ -242,12 +255,23 @@
     def _pool(self, name: str, table: sections.RuleTable) -> balancing.Pool:
         return balancing.Pool(
             ids.ServiceName(name),
-            _pool_settings(table.section),
+            self._pool_settings(table.section),
             self._failure_domain,
             self._share(table.section),
             self._rng,
         )
 
+    def _pool_settings(self, section: sections.Section) -> balancing.PoolSettings:
+        # Only declared services have no rules.
+        if section.rules:
+            return _pool_settings(section)
+        burst = self._retries.burst * BURST_IN_USE / self._entries
+        return dataclasses.replace(
+            _pool_settings(section),
+            retry_budget_percent=self._retries.percent,
+            retry_burst=burst,
+        )
+
 
 def _pool_settings(section: sections.Section) -> balancing.PoolSettings:
     return balancing.PoolSettings(
--- a/coltsfootchute/entry/relays.py
+++ b/coltsfootchute/entry/relays.py
@@ -81,10 +81,10 @@
             keep_alive=self._keep_alive,
             ends_by_close=self._ends_by_close,
         )
-        if not payload.total_bytes and not payload.is_eof():
+        if not attempt.parts and not payload.total_bytes and not payload.is_eof():
             writer.send_headers()
         part = await attempt.read()
-        while part and not payload.at_eof():
+        while part and not attempt.has_ended:
             self._keep(part)
             await writer.write(part)
             part = await attempt.read()
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -8,13 +8,29 @@
 import aiohttp.web
 import multidict
 
-from coltsfootchute import balancing, sections, verdicts
+from coltsfootchute import balancing, declarations, sections, settings, verdicts
 from coltsfootchute.balancing import quarantines
 from coltsfootchute.entry import attempts, pools
 
-__all__ = ["Call", "parse_key", "read_body", "refused", "split_target"]
+__all__ = [
+    "Call",
+    "check_path",
+    "parse_key",
+    "read_body",
+    "refused",
+    "rule_of",
+    "split_target",
+]
 
 MAX_DEPTH = 12
+# Bodies up to this size can be sent to another target after a refused attempt.
+REPLAY_BYTES = 1 << 20
+# Responses up to this size are checked whole before the caller gets any of them.
+WHOLE_BYTES = 1 << 18
+# Waiting time of a request whose caller and route state none.
+DEFAULT_DEADLINE_MS = 30_000
+# Largest priority of a rule, for a route of rank 0.
+FIRST_PRIORITY = 9
 KEY_CHARS = 36
 
 
@@ -51,6 +67,20 @@
     >>> split_target("/orders/items/1?full=1")
     ('orders', '/items/1', 'full=1')
     """
+    path, query = check_path(raw)
+    service, _, rest = path[1:].partition("/")
+    return service, "/" + rest, query
+
+
+def check_path(raw: str) -> tuple[str, str]:
+    """Split a request target into path and query.
+
+    Raises
+    ------
+    RefusedError
+        If it is not a path, or has dot segments. A target that resolves them
+        would run another path than the one that the rule was chosen for.
+    """
     path, _, query = raw.partition("?")
     if not path.startswith("/"):
         raise refused(verdicts.Reason.BAD_REQUEST, "the request target is no path")
@@ -59,8 +89,28 @@
         segments = lower.replace("%2e", ".").replace("%2f", "/").replace("\\", "/")
         if {".", ".."} & set(segments.split("/")):
             raise refused(verdicts.Reason.BAD_REQUEST, "the path has dot segments")
-    service, _, rest = path[1:].partition("/")
-    return service, "/" + rest, query
+    return path, query
+
+
+def rule_of(route: declarations.Route, limits: declarations.Limits) -> sections.Rule:
+    """Return the rule by which the requests of a route are treated."""
+    repeatable = route.guarantee == "repeatable"
+    deadline_ms = DEFAULT_DEADLINE_MS
+    if route.timeout_s is not None:
+        deadline_ms = max(1, int(route.timeout_s * 1000))
+    return sections.Rule(
+        name=route.name,
+        methods=[],
+        path=route.prefix,
+        repeatable=repeatable,
+        deadline_ms=deadline_ms,
+        priority=max(0, FIRST_PRIORITY - route.priority),
+        hedge=repeatable and route.attempts > 1,
+        max_body_bytes=limits.max_body_bytes,
+        replay_bytes=REPLAY_BYTES,
+        attempts=route.attempts,
+        whole_bytes=WHOLE_BYTES,
+    )
 
 
 def parse_key(headers: multidict.CIMultiDictProxy[str]) -> bytes:
@@ -97,6 +147,7 @@
     """
 
     __slots__ = (
+        "_names",
         "attempts",
         "body",
         "claim",
@@ -105,6 +156,7 @@
         "headers",
         "is_answering",
         "is_body_used",
+        "is_declared",
         "keep_alive",
         "may_retry",
         "path",
@@ -123,18 +175,24 @@
         rule: sections.Rule,
         place: tuple[str, str],
         now: float,
+        *,
+        names: settings.HeaderSettings,
+        is_declared: bool = False,
     ):
         self.request = request
+        # Whether the rule comes from a route of the declaration.
+        self.is_declared = is_declared
+        self._names = names
         self.service = service
         self.rule = rule
         self.path, self.query = place
         headers = request.headers
-        self.deadline = now + _deadline_s(headers, rule)
+        self.deadline = now + _deadline_s(headers, names.deadline, rule)
         depth = _number(headers, verdicts.DEPTH_HEADER, 0)
         if depth > MAX_DEPTH:
             raise refused(verdicts.Reason.TOO_DEEP, f"calls are nested {depth} deep")
         self.may_retry = _number(headers, verdicts.ATTEMPTS_HEADER, 1) > 0
-        self.headers = _forwarded(headers, depth)
+        self.headers = _forwarded(headers, None if is_declared else depth)
         target = "?".join(part for part in place if part)
         self.target_line = f"{request.method} {target} HTTP/1.1"
         self.body = attempts.Body(b"", None)
@@ -167,14 +225,28 @@
     def can_hedge(self) -> bool:
         """Whether a second attempt may run at the same time."""
         rule = self.rule
-        whole = self.body.rest is None
+        whole = self.body.rest is None and len(self.tried) + 1 < rule.attempts
         return rule.hedge and rule.repeatable and self.may_retry and whole
 
-    def attempt_headers(self, now: float) -> multidict.CIMultiDict[str]:
-        """Return the headers for one attempt."""
+    @property
+    def request_id(self) -> tuple[str, str] | None:
+        """Name and value of the header that identifies the request, if it has one."""
+        name = self._names.request_id
+        value = self.request.headers.get(name) if name else None
+        return None if value is None else (name, value)
+
+    @property
+    def has_attempts(self) -> bool:
+        """Whether another target may get the request."""
+        return len(self.tried) < self.rule.attempts
+
+    def attempt_headers(self, now: float, target_id: str) -> multidict.CIMultiDict[str]:
+        """Return the headers for one attempt at a target."""
         headers = self.headers.copy()
         left_ms = max(1, int((self.deadline - now) * 1000))
-        headers[verdicts.DEADLINE_HEADER] = str(left_ms)
+        headers[self._names.deadline] = str(left_ms)
+        if self._names.expected_target is not None:
+            headers[self._names.expected_target] = target_id
         if not self.rule.repeatable:
             headers["Connection"] = "close"
         return headers
@@ -270,8 +342,10 @@
     return f"the body is larger than {rule.max_body_bytes} bytes"
 
 
-def _deadline_s(headers: multidict.CIMultiDictProxy[str], rule: sections.Rule) -> float:
-    asked_ms = _number(headers, verdicts.DEADLINE_HEADER, rule.deadline_ms)
+def _deadline_s(
+    headers: multidict.CIMultiDictProxy[str], name: str, rule: sections.Rule
+) -> float:
+    asked_ms = _number(headers, name, rule.deadline_ms)
     return min(asked_ms, rule.deadline_ms) / 1000
 
 
@@ -285,11 +359,13 @@
 
 
 def _forwarded(
-    headers: multidict.CIMultiDictProxy[str], depth: int
+    headers: multidict.CIMultiDictProxy[str], depth: int | None
 ) -> multidict.CIMultiDict[str]:
     copied = multidict.CIMultiDict(headers)
     attempts.strip_hop_by_hop(copied)
     copied.popall("Expect", None)
+    if depth is None:
+        return copied
     copied[verdicts.DEPTH_HEADER] = str(depth + 1)
     # This entry retries, so nested calls must not: retries happen at one level.
     copied[verdicts.ATTEMPTS_HEADER] = "0"
@@ -297,7 +373,11 @@
     return copied
 
 
-def load_of(attempt: attempts.Attempt) -> balancing.LoadReport | None:
+def load_of(
+    attempt: attempts.Attempt, names: settings.HeaderSettings
+) -> balancing.LoadReport | None:
     """Return the load that a response reports."""
-    header = attempt.headers.get(verdicts.LOAD_HEADER)
-    return None if header is None else balancing.loads.parse(header)
+    header = attempt.headers.get(names.load)
+    if header is None:
+        return None
+    return balancing.loads.FORMATS[names.load_format](header)
--- a/coltsfootchute/entry/tests/stands.py
+++ b/coltsfootchute/entry/tests/stands.py
@@ -62,6 +62,7 @@
             status=pb.PROPOSAL_STATUS_ACCEPTED, revision=1
         )
         self.proposals = []
+        self.declared = pb.Declaration()
         self.hang = asyncio.Event()
         self.hang.set()
 
@@ -137,6 +138,15 @@
         self.proposals.append(await stream.recv_message())
         await stream.send_message(pb.ProposeReply(outcome=self.proposal))
 
+    async def Declare(self, stream):  # noqa: N802
+        self.declared = await stream.recv_message()
+        outcome = pb.DeclarationOutcome(version=self.declared.version, applied=True)
+        await stream.send_message(pb.DeclareReply(outcome=outcome))
+
+    async def ReadDeclaration(self, stream):  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(pb.ReadDeclarationReply(declaration=self.declared))
+
     async def _unused(self, stream):
         raise NotImplementedError
 
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -4,6 +4,7 @@
 import collections.abc
 import contextlib
 import enum
+import random
 import time
 import typing
 
@@ -11,7 +12,7 @@
 import grpclib.exceptions
 import loguru
 
-from coltsfootchute import errors, sections
+from coltsfootchute import declarations, errors, sections
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
 __all__ = ["STALE_AFTER_S", "Taken", "View", "Watcher", "clock"]
@@ -72,6 +73,9 @@
         self.revision = 0
         self.sections: dict[str, coltsfootchute_pb2.SectionInForce] = {}
         self.tables: dict[str, sections.RuleTable] = {}
+        # The routes of the declaration in force; None before there is one.
+        self.routes: declarations.RouteTable | None = None
+        self.control_addresses: list[str] = []
         self.targets: dict[str, coltsfootchute_pb2.Target] = {}
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
         self.instances: dict[str, coltsfootchute_pb2.Instance] = {}
@@ -143,6 +147,8 @@
         self.revision = message.revision
         if message.has_instances:
             self.instances = {i.name: i for i in message.instances}
+        if message.control_addresses:
+            self.control_addresses = list(message.control_addresses)
         if message.has_proof:
             proof_at = now - message.proof_age_ms / 1000
             self.proof_at = max(self.proof_at, proof_at)
@@ -170,6 +176,7 @@
             touched.update(target.services)
         self.sections.clear()
         self.tables.clear()
+        self.routes = None
         self.targets.clear()
         self.quarantines.clear()
         return touched
@@ -178,6 +185,8 @@
         kind = change.WhichOneof("body")
         if kind == "section":
             return self._apply_section(change.section)
+        if kind == "declaration":
+            return self._apply_declaration(change.declaration)
         if kind == "target":
             return self._apply_target(change.target)
         if kind == "removed_target_id":
@@ -202,6 +211,25 @@
         self.tables[section.name] = table
         return {section.name}
 
+    def _apply_declaration(
+        self, declaration: coltsfootchute_pb2.Declaration
+    ) -> set[str]:
+        try:
+            declared = declarations.parse(declaration.document)
+        except errors.DocumentError as exc:
+            # The leader checks declarations; a newer schema is the usual cause.
+            loguru.logger.error("feed: the declaration is unusable: {}", exc)
+            return set()
+        before = self.routes.declaration.services if self.routes else []
+        names = {service.name for service in declared.services}
+        gone = {service.name for service in before} - names
+        for name in gone - self.sections.keys():
+            self.tables.pop(name, None)
+        for name in names - self.tables.keys():
+            self.tables[name] = sections.RuleTable(sections.Section(rules=[]))
+        self.routes = declarations.RouteTable(declared, random.random())
+        return names | gone
+
     def _apply_target(self, target: coltsfootchute_pb2.Target) -> set[str]:
         before = self.targets.get(target.target_id)
         self.targets[target.target_id] = target
@@ -231,6 +259,10 @@
         self._freezes = 0
         self._foreign: set[str] = set()
 
+    def change_control(self, control: list[str]) -> None:
+        """Watch these control instances from the next change of source on."""
+        self._control = list(control)
+
     async def run(self) -> None:
         """Watch one source after the other until cancelled."""
         self._view.alive_at = clock()
--- a/coltsfootchute/logs.py
+++ b/coltsfootchute/logs.py
@@ -8,7 +8,7 @@
 
 from coltsfootchute import settings
 
-__all__ = ["configure"]
+__all__ = ["configure", "note"]
 
 HUMAN_FORMAT = "{time:YYYY-MM-DD HH:mm:ss.SSS} {level: <7} {extra[instance]} {message}"
 
@@ -21,6 +21,26 @@
     instance: str
     message: str
     exception: str = ""
+    fields: dict[str, typing.Any] = {}
+
+
+def note(part: str, message: str, **fields: typing.Any) -> None:
+    """Log a decision with the inputs that decided it.
+
+    Parameters
+    ----------
+    part
+        Prefix of the part of the program.
+    message
+        The outcome.
+    fields
+        The inputs. `request` is a header's name and value, of which the value is
+        logged.
+    """
+    request = fields.pop("request", None)
+    if request is not None:
+        fields = {"request": request[1], **fields}
+    loguru.logger.bind(fields=fields).info("{}: {}", part, message)
 
 
 def configure(cfg: settings.Settings, stream: typing.TextIO | None = None) -> None:
@@ -59,6 +79,7 @@
             instance=record["extra"]["instance"],
             message=record["message"],
             exception=text,
+            fields=record["extra"].get("fields", {}),
         )
         stream.write(msgspec.json.encode(line).decode() + "\n")
         stream.flush()
--- a/coltsfootchute/sections/schemas.py
+++ b/coltsfootchute/sections/schemas.py
@@ -59,6 +59,11 @@
         Largest request body.
     replay_bytes
         Largest request body that is kept for another attempt.
+    attempts
+        Most targets to which one request may be sent.
+    whole_bytes
+        Largest response that is read whole before the caller gets any of it, so
+        that an incomplete one can be replaced.
     """
 
     name: Name
@@ -73,6 +78,8 @@
     replay_bytes: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REPLAY_BYTES)] = (
         1 << 16
     )
+    attempts: typing.Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1000
+    whole_bytes: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REPLAY_BYTES)] = 0
 
 
 class Section(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/coltsfootchute/settings/__init__.py
+++ b/coltsfootchute/settings/__init__.py
@@ -4,9 +4,11 @@
 from coltsfootchute.settings.schemas import (
     ControlSettings,
     EntrySettings,
+    HeaderSettings,
     InitialMember,
     InstanceSettings,
     LogSettings,
+    RetrySettings,
     Settings,
     load,
     parse,
@@ -15,9 +17,11 @@
 __all__ = [
     "ControlSettings",
     "EntrySettings",
+    "HeaderSettings",
     "InitialMember",
     "InstanceSettings",
     "LogSettings",
+    "RetrySettings",
     "Settings",
     "documents",
     "load",
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -14,9 +14,11 @@
     "MAX_CONTROL_MEMBERS",
     "ControlSettings",
     "EntrySettings",
+    "HeaderSettings",
     "InitialMember",
     "InstanceSettings",
     "LogSettings",
+    "RetrySettings",
     "Settings",
     "load",
     "parse",
@@ -57,6 +59,11 @@
         The data folder; a relative path counts from the settings file.
     initial
         The control instances of the first start, this one included or not.
+    may_form
+        Whether this is the first start of the whole system, in which the initial
+        instances form a cluster.
+    lease_s
+        Seconds after its last report for which a target counts as alive.
     metrics
         IP number and port of the HTTP listener for metrics, if wanted.
     """
@@ -66,30 +73,94 @@
     initial: typing.Annotated[
         list[InitialMember], msgspec.Meta(min_length=1, max_length=MAX_CONTROL_MEMBERS)
     ]
+    may_form: bool = True
+    lease_s: typing.Annotated[float, msgspec.Meta(ge=1, le=3600)] = 30.0
     metrics: Address | None = None
 
 
+class HeaderSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Names of the headers that callers, entries and targets exchange.
+
+    Parameters
+    ----------
+    deadline
+        Milliseconds that a caller waits; forwarded with what is left.
+    load, load_format
+        Load report of a target, and its format in `balancing.loads.FORMATS`.
+    request_id
+        Id of a request, which a target echoes; None if targets do not.
+    expected_target
+        Id of the target that a request is meant for; another one refuses it with
+        421.
+    seal
+        Stands on each complete success of a target; None if targets send none.
+    not_run
+        Stands on the response of a target that did not run the request; None for
+        a 503 with the verdict header.
+    """
+
+    deadline: str = "Coltsfootchute-Deadline-Ms"
+    load: str = "endpoint-load-metrics"
+    load_format: str = "orca"
+    request_id: str | None = None
+    expected_target: str | None = None
+    seal: str | None = None
+    not_run: str | None = None
+
+
+class RetrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Bound on second attempts of the declared services, over all entries.
+
+    Parameters
+    ----------
+    percent
+        Second attempts over requests of a service, 0 to 100.
+    burst
+        Second attempts that all entries together may send beyond the percentage.
+    """
+
+    percent: typing.Annotated[float, msgspec.Meta(ge=0, le=100)] = 10.0
+    burst: typing.Annotated[float, msgspec.Meta(ge=0)] = 100.0
+
+
 class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Settings of the entry role.
 
     Parameters
     ----------
     calls, api, peer
-        IP numbers and ports of the listeners.
+        IP numbers and ports of the listeners. Without `calls` the instance only
+        answers operators, targets and callers that ask for addresses.
+    directory
+        A second address of the `api` listener.
     control
         Addresses of control instances.
     keep_s
         Seconds for which callers may keep an address response.
+    stop_s
+        Seconds in which a planned stop must end; None for as long as requests in
+        progress take.
+    retry_after_s
+        Seconds after which a refused caller should come back.
+    retries
+        Bound on second attempts for declared services.
+    headers
+        Names of headers.
     operators
         SHA-256 in hex of the token of each team; without it the team header is
         trusted.
     """
 
-    calls: Address
     api: Address
     peer: Address
     control: typing.Annotated[list[Address], msgspec.Meta(min_length=1)]
+    calls: Address | None = None
+    directory: Address | None = None
     keep_s: typing.Annotated[float, msgspec.Meta(ge=0.1, le=300)] = 5.0
+    stop_s: typing.Annotated[float, msgspec.Meta(ge=1, le=3600)] | None = None
+    retry_after_s: typing.Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
+    retries: RetrySettings = RetrySettings()
+    headers: HeaderSettings = HeaderSettings()
     operators: dict[str, TokenHash] | None = None
 
 
@@ -204,7 +275,8 @@
     if cfg.entry is not None:
         listeners += [
             (f"$.entry.{field}", getattr(cfg.entry, field))
-            for field in ("calls", "api", "peer")
+            for field in ("calls", "api", "peer", "directory")
+            if getattr(cfg.entry, field) is not None
         ]
     return listeners
 
--- a/coltsfootchute/verdicts.py
+++ b/coltsfootchute/verdicts.py
@@ -65,6 +65,8 @@
     NO_TARGET = "no_target"
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
+    MISDIRECTED = "misdirected"
+    TARGET_FAILED = "target_failed"
     STALE = "stale"
     TOO_DEEP = "too_deep"
     BODY_TOO_LARGE = "body_too_large"
