--- a/coltsfootchute/balancing/policies.py
+++ b/coltsfootchute/balancing/policies.py
@@ -16,6 +16,18 @@
 # A target that is slower than the median by more than this factor gets
 # requests only after its estimate has decayed; they wait for another instead.
 SLOW_FACTOR = 4.0
+# In the expected time of an idle target at its usual pace.
+UNKNOWN_PACE = 1.6
+OVERDUE_PACE = 6.0
+DOMAIN_COST = 0.3
+# An answer to a probe takes a few milliseconds.
+PROBE_OVERDUE_S = 0.025
+# Targets slow down when nearly all of their slots are in use.
+CROWDED = 0.8
+CROWDED_FACTOR = 1.5
+# Response times of single requests scatter by about this factor.
+TOLERATED_SLOWNESS = 2.5
+UNKNOWN_LATENCY_S = 0.1
 
 
 class Policy(typing.Protocol):
@@ -144,6 +156,51 @@
         return best
 
 
+@POLICIES.register("sampled")
+class Sampled:
+    """The target with the least expected time by reports that are still fresh. O(n).
+
+    Notes
+    -----
+    The entry probes a few candidates before it selects. A target without a fresh
+    report is expected to be as loaded as targets are on average; one that leaves a
+    probe unanswered, or whose responses were far slower than those of the others,
+    is avoided. Another failure domain costs bytes between domains, so it has to be
+    faster by a part of the usual time.
+    """
+
+    waits_for_fast = False
+
+    def __init__(self, failure_domain: ids.FailureDomain):
+        self._failure_domain = failure_domain
+
+    def select(self, views, now, rng):
+        """Return the view with the least expected time."""
+        if not views:
+            return None
+        known = sorted(view.latency_s(now) for view in views)
+        usual_s = known[len(known) // 2] or UNKNOWN_LATENCY_S
+        return min(
+            _rotated(views, rng), key=lambda view: self._expected(view, usual_s, now)
+        )
+
+    def _expected(self, view, usual_s, now):
+        if view.is_sampled(now):
+            load, pace = view.sampled_load(), view.sampled_pace
+        else:
+            load, pace = view.in_flight + view.others_load(now), UNKNOWN_PACE
+        if now - view.probed_s > PROBE_OVERDUE_S:
+            pace = max(pace, OVERDUE_PACE)
+        rounds = 1 + max(0.0, load + 1 - view.slots) / view.slots
+        if load + 1 > view.slots * CROWDED:
+            rounds *= CROWDED_FACTOR
+        slowness = max(1.0, view.latency_s(now) / usual_s / TOLERATED_SLOWNESS)
+        expected = pace * rounds * slowness
+        if view.target.failure_domain != self._failure_domain:
+            expected += DOMAIN_COST
+        return expected
+
+
 def without_slow(
     views: collections.abc.Sequence[views_.TargetView],
     peers: collections.abc.Sequence[views_.TargetView],
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -16,6 +16,7 @@
     policies,
     probes,
     quarantines,
+    samples,
     views,
 )
 
@@ -23,6 +24,8 @@
 
 # How often a request that waits for a faster target is looked at again.
 SLOW_WAIT_S = 0.005
+# Weight of one response in the moving average of response times.
+USUAL_GAIN = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +42,8 @@
         Bounds of the admission queue.
     retry_burst
         Retries and hedges of this entry beyond the percentage.
+    samples_per_s
+        Probes per target and second that this entry may send before requests.
     """
 
     policy: str = "expected_wait"
@@ -46,6 +51,7 @@
     queue_length: int = 64
     queue_wait_s: float = 0.2
     retry_burst: float = budgets.MAX_TOKENS
+    samples_per_s: float = 0.0
 
 
 class Pool:
@@ -125,6 +131,9 @@
             settings.retry_budget_percent, settings.retry_burst
         )
         self._hedge_delay = hedges.HedgeDelay()
+        self._samples = samples.SampleBudget(0.0)
+        # Moving average of response times; None before the first one.
+        self.usual_s: float | None = None
         self._views: dict[ids.TargetId, views.TargetView] = {}
         self._in_use_changed = False
 
@@ -141,6 +150,7 @@
         self._budget.change(settings.retry_budget_percent, settings.retry_burst)
         self.admission.change(settings.queue_length, settings.queue_wait_s)
         self._settings = settings
+        self._samples.change(settings.samples_per_s * len(self._views))
 
     def update_share(self, slots_share: float) -> None:
         """Apply a new share, when entries come or go."""
@@ -169,6 +179,37 @@
                 self._views[target_id] = views.TargetView(target, share, typical_s)
             else:
                 self._update_view(view, target)
+        self._samples.change(self._settings.samples_per_s * len(self._views))
+
+    def candidates(
+        self,
+        count: int,
+        now: float,
+        exclude: collections.abc.Collection[ids.TargetId] = (),
+    ) -> list[views.TargetView]:
+        """Return targets to probe before a request is sent.
+
+        Parameters
+        ----------
+        count
+            Most targets to return.
+        now
+            Time.
+        exclude
+            Targets that this request has tried.
+
+        Notes
+        -----
+        Random eligible targets without a fresh report, all but one of them of the
+        entry's own failure domain if there are enough. Takes from the budget.
+        """
+        found = [v for v in self._eligible(now, exclude) if not v.is_sampled(now)]
+        self._rng.shuffle(found)
+        domain = self._failure_domain
+        near = [v for v in found if v.target.failure_domain == domain]
+        far = [v for v in found if v.target.failure_domain != domain]
+        chosen = [*near[: count - 1], *far, *near[count - 1 :]][:count]
+        return chosen[: self._samples.take(len(chosen), now)]
 
     def draining(self, target_id: ids.TargetId) -> None:
         """Send no new work to a target until its next incarnation."""
@@ -273,6 +314,9 @@
         token.is_measured = True
         response_s = now - token.started_s
         token.view.measured(response_s, now)
+        if self.usual_s is None:
+            self.usual_s = response_s
+        self.usual_s += USUAL_GAIN * (response_s - self.usual_s)
         self._hedge_delay.record(response_s)
         if load is not None:
             token.view.reported(load, now)
--- /dev/null
+++ b/coltsfootchute/balancing/samples.py
@@ -0,0 +1,53 @@
+"""Rate of probes that an entry sends to sample the load of targets."""
+
+__all__ = ["SampleBudget"]
+
+
+class SampleBudget:
+    """Bound on the probes of one service from one entry.
+
+    Parameters
+    ----------
+    per_s
+        Probes a second.
+
+    Notes
+    -----
+    A token bucket that holds the probes of one second. The rates of all entries
+    add up to the agreed rate of the targets, so no lease is needed.
+    """
+
+    __slots__ = ("_at", "_per_s", "_tokens")
+
+    def __init__(self, per_s: float):
+        self._per_s = per_s
+        self._tokens = per_s
+        self._at: float | None = None
+
+    def change(self, per_s: float) -> None:
+        """Apply a new rate."""
+        self._per_s = per_s
+        self._tokens = min(self._tokens, per_s)
+
+    def take(self, wanted: int, now: float) -> int:
+        """Take tokens for some probes.
+
+        Parameters
+        ----------
+        wanted
+            Number of probes.
+        now
+            Time in seconds.
+
+        Returns
+        -------
+        int
+            How many may be sent.
+        """
+        if self._at is not None:
+            earned = (now - self._at) * self._per_s
+            self._tokens = min(self._per_s, self._tokens + max(0.0, earned))
+        self._at = now
+        granted = min(wanted, int(self._tokens))
+        self._tokens -= granted
+        return granted
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -25,6 +25,9 @@
 # different ones, so that they don't return together.
 SHED_PAUSE = (0.5, 1.5)
 MAX_SHED_PAUSE_S = 0.1
+# A report of a sampled target stands for its load for this long; neighbours on its
+# machine change within some hundred milliseconds.
+SAMPLE_FRESH_S = 0.05
 FAST_ERRORS = 3
 EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
@@ -138,6 +141,9 @@
         "_reported",
         "_reported_s",
         "_running",
+        "_sample",
+        "_sample_in_flight",
+        "_sampled_s",
         "_strikes",
         "closed_until_s",
         "ejected_until_s",
@@ -145,6 +151,7 @@
         "is_draining",
         "last_response_s",
         "limit",
+        "probed_s",
         "slots",
         "target",
     )
@@ -162,6 +169,11 @@
         self._estimated_s = -math.inf
         self._reported = 0.0
         self._reported_s = -math.inf
+        self._sample = loads.LoadReport()
+        self._sample_in_flight = 0
+        self._sampled_s = -math.inf
+        # When the unanswered probe was sent.
+        self.probed_s = math.inf
         self._errors = 0
         self._strikes = 0
         self.ejected_until_s = -math.inf
@@ -230,6 +242,23 @@
         """Apply a load report; the entry's own requests are taken out."""
         self._reported = max(0.0, report.requests(self.slots) - self.in_flight)
         self._reported_s = now
+        self._sample = report
+        self._sample_in_flight = self.in_flight
+        self._sampled_s = now
+
+    def is_sampled(self, now: float) -> bool:
+        """Tell whether the last report still stands for the target's load."""
+        return now - self._sampled_s <= SAMPLE_FRESH_S
+
+    def sampled_load(self) -> float:
+        """Return the requests at the target by its last report and since then."""
+        started = max(0, self.in_flight - self._sample_in_flight)
+        return self._sample.requests(self.slots) + started
+
+    @property
+    def sampled_pace(self) -> float:
+        """Time of work over the usual one, by the last report."""
+        return 1.0 if self._sample.pace is None else self._sample.pace
 
     def others_load(self, now: float) -> float:
         """Return the requests of other entries, as far as still believed."""
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -20,6 +20,7 @@
     races,
     relays,
     requests,
+    samplers,
     watches,
 )
 
@@ -57,6 +58,8 @@
         Takes crash reports.
     meters
         Metrics.
+    sampler
+        Probes targets before a request of a declared route; None for no probes.
     names
         Names of headers.
     retry_after_s
@@ -72,9 +75,11 @@
         claims: keys.Claims,
         reporter: crashes.CrashReporter,
         meters: metrics.Metrics,
+        sampler: samplers.Sampler | None = None,
         names: settings.HeaderSettings | None = None,
         retry_after_s: float = answers.RETRY_AFTER_S,
     ):
+        self._sampler = sampler
         self._names = names or settings.HeaderSettings()
         self._retry_after_s = retry_after_s
         self._view = view
@@ -183,6 +188,8 @@
         call.body = await requests.read_body(call)
         self._check_quarantine(call)
         service = call.service
+        if call.is_declared and self._sampler is not None:
+            await self._sampler.sample(service, call.deadline)
         now = time.monotonic()
         token = await service.admit(call.rule.priority, call.deadline, now)
         if key is not None:
@@ -246,7 +253,7 @@
     async def _race(self, call: requests.Call, token: balancing.Token) -> races.Won:
         delay_s = None
         if call.can_hedge:
-            delay_s = call.service.pool.hedge_delay(time.monotonic())
+            delay_s = call.hedge_delay(time.monotonic())
         if delay_s is None:
             return await self._attempt(call, token)
 
@@ -290,7 +297,9 @@
         if not allowed:
             raise pools.RefusedError(refusal)
         self._check_quarantine(call)
-        token = await self._next(call, error, now)
+        if call.is_declared and self._sampler is not None:
+            await self._sampler.sample(call.service, call.deadline, call.tried)
+        token = await self._next(call, error, time.monotonic())
         if token is None:
             raise pools.RefusedError(refusal)
         self._meters.retries.labels(error.reason.value).inc()
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -21,6 +21,7 @@
     metrics,
     operators,
     pools,
+    samplers,
     watches,
 )
 from coltsfootchute.proto import coltsfootchute_pb2
@@ -70,7 +71,7 @@
         self.view = watches.View(self._learn)
         self.client = clients.ControlClient(entry.control)
         self.services = pools.Services(
-            self.view, cfg.instance.failure_domain, entry.retries
+            self.view, cfg.instance.failure_domain, entry.retries, entry.samples
         )
         self.feed = feeds.Feed()
         self._watcher = watches.Watcher(self.view, name, entry.control)
@@ -89,6 +90,7 @@
         )
         self._calls: calls.Calls | None = None
         self._forwarder: forwards.Forwarder | None = None
+        self._sampler: samplers.Sampler | None = None
         self._calls_server: aiohttp.web.Server | None = None
         self._listener: asyncio.Server | None = None
         self._api_runner: aiohttp.web.AppRunner | None = None
@@ -127,6 +129,9 @@
         """
         entry = self._cfg.entry
         self._forwarder = forwards.Forwarder()
+        self._sampler = samplers.Sampler(
+            self._forwarder, entry.samples, entry.headers
+        )
         self._calls = calls.Calls(
             view=self.view,
             services=self.services,
@@ -134,6 +139,7 @@
             claims=keys.Claims(self.client, self._cfg.instance.name),
             reporter=crashes.CrashReporter(self.client),
             meters=self.metrics,
+            sampler=self._sampler,
             names=entry.headers,
             retry_after_s=entry.retry_after_s,
         )
@@ -238,6 +244,8 @@
         if self._api_runner is not None:
             await self._api_runner.cleanup()
         self.feed.close()
+        if self._sampler is not None:
+            await self._sampler.close()
         if self._peer_server is not None:
             self._peer_server.close()
             await self._peer_server.wait_closed()
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -40,6 +40,8 @@
         self.table = table
         self.pool = pool
         self.endpoints: dict[str, forwards.Endpoint] = {}
+        # Path of a declared service that answers with the load of a target.
+        self.health_path = ""
         # True once a crash was seen or learned: only then are digests computed.
         self.has_crashes = False
         self._waiting: dict[balancing.Ticket, asyncio.Future[Admitted]] = {}
@@ -179,6 +181,8 @@
         Of this entry.
     retries
         Bound on second attempts of declared services, over all entries.
+    samples
+        Bound on probes before requests of declared services, over all entries.
     """
 
     def __init__(
@@ -186,7 +190,9 @@
         view: watches.View,
         failure_domain: str,
         retries: settings.RetrySettings | None = None,
+        samples: settings.SampleSettings | None = None,
     ):
+        self._samples = samples or settings.SampleSettings()
         self._view = view
         self._retries = retries or settings.RetrySettings()
         self._failure_domain = ids.FailureDomain(failure_domain)
@@ -244,6 +250,7 @@
             service.table = table
             service.pool.update_settings(self._pool_settings(table.section))
             service.pool.update_share(self._share(table.section))
+        service.health_path = self._view.health_paths.get(name, "")
         now = time.monotonic()
         targets = [_target(t, now) for t in self._view.targets_of(name)]
         service.pool.update_targets(targets, now)
@@ -270,6 +277,8 @@
             _pool_settings(section),
             retry_budget_percent=self._retries.percent,
             retry_burst=burst,
+            policy="sampled" if self._samples.per_target_s else section.policy,
+            samples_per_s=self._samples.per_target_s / self._entries,
         )
 
 
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -29,6 +29,9 @@
 WHOLE_BYTES = 1 << 18
 # Waiting time of a request whose caller and route state none.
 DEFAULT_DEADLINE_MS = 30_000
+# Of the usual response time: when a response is late, and what a hedge needs.
+HEDGE_AFTER = 1.15
+HEDGE_ROOM = 1.1
 # Largest priority of a rule, for a route of rank 0.
 FIRST_PRIORITY = 9
 KEY_CHARS = 36
@@ -95,6 +98,9 @@
 def rule_of(route: declarations.Route, limits: declarations.Limits) -> sections.Rule:
     """Return the rule by which the requests of a route are treated."""
     repeatable = route.guarantee == "repeatable"
+    objective_ms = None
+    if route.objective_s is not None:
+        objective_ms = max(1, int(route.objective_s * 1000))
     deadline_ms = DEFAULT_DEADLINE_MS
     if route.timeout_s is not None:
         deadline_ms = max(1, int(route.timeout_s * 1000))
@@ -109,6 +115,7 @@
         max_body_bytes=limits.max_body_bytes,
         replay_bytes=REPLAY_BYTES,
         attempts=route.attempts,
+        objective_ms=objective_ms,
         whole_bytes=WHOLE_BYTES,
     )
 
@@ -164,6 +171,7 @@
         "request",
         "rule",
         "service",
+        "started_s",
         "target_line",
         "tried",
     )
@@ -187,6 +195,7 @@
         self.rule = rule
         self.path, self.query = place
         headers = request.headers
+        self.started_s = now
         self.deadline = now + _deadline_s(headers, names.deadline, rule)
         depth = _number(headers, verdicts.DEPTH_HEADER, 0)
         if depth > MAX_DEPTH:
@@ -240,6 +249,18 @@
         """Whether another target may get the request."""
         return len(self.tried) < self.rule.attempts
 
+    def hedge_delay(self, now: float) -> float | None:
+        """Return after how many seconds to hedge; None for not at all.
+
+        A hedge that starts late cannot meet the objective, and one that starts
+        before the usual response time is wasted on most requests.
+        """
+        pool = self.service.pool
+        if self.rule.objective_ms is None or pool.usual_s is None:
+            return pool.hedge_delay(now)
+        left_s = self.started_s + self.rule.objective_ms / 1000 - now
+        return max(pool.usual_s * HEDGE_AFTER, left_s - pool.usual_s * HEDGE_ROOM)
+
     def attempt_headers(self, now: float, target_id: str) -> multidict.CIMultiDict[str]:
         """Return the headers for one attempt at a target."""
         headers = self.headers.copy()
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -75,6 +75,7 @@
         self.tables: dict[str, sections.RuleTable] = {}
         # The routes of the declaration in force; None before there is one.
         self.routes: declarations.RouteTable | None = None
+        self.health_paths: dict[str, str] = {}
         self.control_addresses: list[str] = []
         self.targets: dict[str, coltsfootchute_pb2.Target] = {}
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
@@ -228,6 +229,7 @@
         for name in names - self.tables.keys():
             self.tables[name] = sections.RuleTable(sections.Section(rules=[]))
         self.routes = declarations.RouteTable(declared, random.random())
+        self.health_paths = {s.name: s.health_path for s in declared.services}
         return names | gone
 
     def _apply_target(self, target: coltsfootchute_pb2.Target) -> set[str]:
--- a/coltsfootchute/sections/schemas.py
+++ b/coltsfootchute/sections/schemas.py
@@ -61,6 +61,9 @@
         Largest request body that is kept for another attempt.
     attempts
         Most targets to which one request may be sent.
+    objective_ms
+        Time within which an answer is worth most, in milliseconds; None if it is
+        not stated.
     whole_bytes
         Largest response that is read whole before the caller gets any of it, so
         that an incomplete one can be replaced.
@@ -79,6 +82,7 @@
         1 << 16
     )
     attempts: typing.Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1000
+    objective_ms: typing.Annotated[int, msgspec.Meta(ge=1, le=600_000)] | None = None
     whole_bytes: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_REPLAY_BYTES)] = 0
 
 
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -19,6 +19,7 @@
     "InstanceSettings",
     "LogSettings",
     "RetrySettings",
+    "SampleSettings",
     "Settings",
     "load",
     "parse",
@@ -123,6 +124,24 @@
     burst: typing.Annotated[float, msgspec.Meta(ge=0)] = 100.0
 
 
+class SampleSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Probes that an entry sends before a request of a declared service.
+
+    Parameters
+    ----------
+    per_target_s
+        Probes per target and second over all entries; 0 for none.
+    fan_out
+        Targets that are probed before one request.
+    wait_s
+        Seconds that a request waits for the answers.
+    """
+
+    per_target_s: typing.Annotated[float, msgspec.Meta(ge=0, le=1000)] = 0.0
+    fan_out: typing.Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
+    wait_s: typing.Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.03
+
+
 class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Settings of the entry role.
 
@@ -144,6 +163,8 @@
         Seconds after which a refused caller should come back.
     retries
         Bound on second attempts for declared services.
+    samples
+        Probes before requests of declared services.
     headers
         Names of headers.
     operators
@@ -160,6 +181,7 @@
     stop_s: typing.Annotated[float, msgspec.Meta(ge=1, le=3600)] | None = None
     retry_after_s: typing.Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
     retries: RetrySettings = RetrySettings()
+    samples: SampleSettings = SampleSettings()
     headers: HeaderSettings = HeaderSettings()
     operators: dict[str, TokenHash] | None = None
 
