process: reload on SIGHUP, faster elections, confirmed crashes

A reset of an answered connection counted as a crash of the target, so a request that many callers send with the same path could be quarantined without any crash.

--- a/coltsfootchute/agreement/records.py
+++ b/coltsfootchute/agreement/records.py
@@ -67,7 +67,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Timing:
     """Times in seconds, and sizes.
 
@@ -94,6 +94,24 @@
     append_bytes: int = 256 << 10  # Bound of the entries in one message.
     window_entries: int = 4096  # Entries sent to a follower and not acknowledged.
 
+    @classmethod
+    def of_election(cls, election_s: float) -> "Timing":
+        """Return the times for a minimum election timeout, in the usual ratios.
+
+        Parameters
+        ----------
+        election_s
+            Seconds without a leader after which an election starts at the earliest.
+        """
+        factor = election_s / cls.election_min_s
+        return cls(
+            heartbeat_s=cls.heartbeat_s * factor,
+            election_min_s=election_s,
+            election_max_s=cls.election_max_s * factor,
+            lease_s=cls.lease_s * factor,
+            recent_s=cls.recent_s * factor,
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Snapshot:
--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import signal
 import sys
@@ -11,9 +12,11 @@
 
 from coltsfootchute import errors, logs, settings
 
-__all__ = ["run", "run_settings"]
+__all__ = ["Source", "run", "run_source"]
 
 FORCED_EXIT_CODE = 1
+# A settings file may change without a signal.
+FILE_CHECK_S = 1.0
 
 
 def run(role: str, path: str) -> None:
@@ -39,46 +42,76 @@
     if missing:
         raise errors.SettingsError([(f"$.{name}", "missing") for name in missing])
     logs.configure(cfg)
-    uvloop.run(_serve(cfg, needed, None))
+    source = Source(path, lambda: settings.load(path))
+    uvloop.run(_serve(cfg, needed, source, None))
 
 
-def run_settings(cfg: settings.Settings, extend: typing.Any = None) -> None:
-    """Run all roles of checked settings until a planned stop.
+@dataclasses.dataclass(frozen=True)
+class Source:
+    """Where the settings of a process come from.
 
     Parameters
     ----------
-    cfg
-        Settings of the instance.
+    path
+        The settings file.
+    load
+        Reads and checks it.
+    """
+
+    path: str
+    load: typing.Callable[[], settings.Settings]
+
+
+def run_source(source: Source, extend: typing.Any = None) -> None:
+    """Run all roles that the settings have until a planned stop.
+
+    Parameters
+    ----------
+    source
+        The settings.
     extend
         Adds routes to the `api` listener; see `entry.apis.Extension`.
 
     Raises
     ------
+    coltsfootchute.errors.SettingsError
+        If the settings have mistakes.
     coltsfootchute.errors.StoreError
         If the data folder can't be used.
     """
+    cfg = source.load()
     logs.configure(cfg, sys.stdout)
     names = [name for name in ("control", "entry") if getattr(cfg, name) is not None]
-    uvloop.run(_serve(cfg, tuple(names), extend))
+    uvloop.run(_serve(cfg, tuple(names), source, extend))
 
 
 async def _serve(
-    cfg: settings.Settings, names: tuple[str, ...], extend: typing.Any
+    cfg: settings.Settings,
+    names: tuple[str, ...],
+    source: Source,
+    extend: typing.Any,
 ) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, _signalled, stopping)
+    changed = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, changed.set)
+    logs.note("process", "starts", roles=names, settings=source.path)
     async with contextlib.AsyncExitStack() as stack:
-        failures = []
+        failures, daemons = [], []
         for name in names:
             daemon = _daemon(name, cfg, extend)
             await daemon.start()
+            daemons.append(daemon)
             # The entry was started last and stops first: until then it needs
             # control for its claims.
             stack.push_async_callback(daemon.stop)
             failures += [daemon.failed] if hasattr(daemon, "failed") else []
+        reloads = asyncio.ensure_future(_reload(source, changed, daemons))
+        stack.callback(reloads.cancel)
         await _wait_for_any(stopping, failures)
+        logs.note("process", "stops", by_signal=stopping.is_set())
         # A role that can't go on must not write anything more, so the process
         # ends without a graceful stop.
         for failure in failures:
@@ -95,6 +128,39 @@
     signalled.cancel()
 
 
+async def _reload(
+    source: Source, changed: asyncio.Event, daemons: list[typing.Any]
+) -> None:
+    """Apply the settings again after a signal or a change of the file."""
+    seen = _stamp(source.path)
+    while True:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(changed.wait(), FILE_CHECK_S)
+        stamp = _stamp(source.path)
+        if not changed.is_set() and stamp == seen:
+            continue
+        seen = stamp
+        by_signal = changed.is_set()
+        changed.clear()
+        try:
+            cfg = source.load()
+        except errors.SettingsError as exc:
+            logs.note("process", "keeps its settings", error=str(exc))
+            continue
+        for daemon in daemons:
+            daemon.reload(cfg)
+        logs.note("process", "reloads", by_signal=by_signal, settings=source.path)
+
+
+def _stamp(path: str) -> tuple[int, int] | None:
+    try:
+        found = os.stat(path)
+    except OSError:
+        # The file may be replaced at this moment; the next check sees it.
+        return None
+    return found.st_mtime_ns, found.st_size
+
+
 def _signalled(stopping: asyncio.Event) -> None:
     if stopping.is_set():
         # The second signal ends the process at once, as the operator asked.
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -61,7 +61,7 @@
     ):
         self.cfg = cfg
         self._sock = sock
-        self._timing = timing or agreement.Timing()
+        self._timing = timing or agreement.Timing.of_election(cfg.control.election_s)
         self._rng = rng or random.Random()
         self._tasks: list[asyncio.Task] = []
         self._proposing: set[asyncio.Task] = set()
@@ -158,6 +158,11 @@
             # What is still due is proposed again.
             logger.debug("control: own command not committed: {}", exc)
 
+    def reload(self, cfg: settings.Settings) -> None:
+        """Apply changed settings; only the instances to join can change."""
+        if cfg.control is not None:
+            self.joiner.change_initial(cfg.control.initial)
+
     async def stop(self) -> None:
         """Transfer the leadership, end the feeds, then close everything."""
         if self._stopped:
--- a/coltsfootchute/control/duties.py
+++ b/coltsfootchute/control/duties.py
@@ -10,7 +10,7 @@
 
 # After a start, entries report for this long before the list of instances is
 # passed on; a list with gaps would take entries out of address responses.
-INSTANCES_COMPLETE_S = 6.0
+INSTANCES_COMPLETE_S = 2.5
 FREEZE_S = 5.0
 MS_PER_S = 1000
 
--- a/coltsfootchute/control/instances.py
+++ b/coltsfootchute/control/instances.py
@@ -10,9 +10,9 @@
 
 __all__ = ["REPORT_TIMEOUT_S", "InstanceTable"]
 
-# Entries report every 5 s at least.
-REPORT_TIMEOUT_S = 15.0
-RELAY_INTERVAL_S = 4.0
+# Entries report every 1.5 s at least, so three reports in a row may be lost.
+REPORT_TIMEOUT_S = 5.0
+RELAY_INTERVAL_S = 1.4
 
 
 @dataclasses.dataclass(slots=True)
--- a/coltsfootchute/control/joins.py
+++ b/coltsfootchute/control/joins.py
@@ -53,13 +53,19 @@
     ):
         self._core = core
         self._may_form = may_form
+        self.change_initial(initial)
+        self.formed_here = False
+
+    def change_initial(
+        self, initial: collections.abc.Sequence[settings.InitialMember]
+    ) -> None:
+        """Ask these instances from now on."""
         self._initial = {member.name: member.address for member in initial}
         self._others = {
             name: address
             for name, address in self._initial.items()
-            if name != core.identity.name
+            if name != self._core.identity.name
         }
-        self.formed_here = False
 
     # Answers.
 
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -356,7 +356,7 @@
         except attempts.AttemptError as exc:
             self._fail(call, token, exc)
             if exc.broke:
-                self._crashes.crashed(call, target.target_id, attempt)
+                self._crashes.crashed(call, target, attempt)
             raise
         except BaseException:
             call.service.finish(token, self._interruption(call))
@@ -428,7 +428,7 @@
             written = await relay.run()
         except attempts.TruncatedError as exc:
             outcome = balancing.Outcome.CONNECTION_LOST
-            self._crashes.crashed(call, token.view.target.target_id, attempt)
+            self._crashes.crashed(call, token.view.target, attempt)
             return self._truncate(call, exc)
         except BaseException:
             outcome = self._interruption(call)
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -41,8 +41,8 @@
 ACCEPT_PART = 0.55
 FINISH_PART = 0.9
 STOP_LIMIT_S = NEWS_S + MAX_KEEP_S + FINISH_LIMIT_S + SETTLE_LIMIT_S
-REPORT_CHANGED_S = 1.0
-REPORT_UNCHANGED_S = 5.0
+REPORT_CHANGED_S = 0.5
+REPORT_UNCHANGED_S = 1.5
 BACKLOG = 1024
 API_SHUTDOWN_S = 0.5
 
@@ -129,9 +129,7 @@
         """
         entry = self._cfg.entry
         self._forwarder = forwards.Forwarder()
-        self._sampler = samplers.Sampler(
-            self._forwarder, entry.samples, entry.headers
-        )
+        self._sampler = samplers.Sampler(self._forwarder, entry.samples, entry.headers)
         self._calls = calls.Calls(
             view=self.view,
             services=self.services,
@@ -269,6 +267,17 @@
                 self.services.learn_quarantine(change.quarantine)
         self._pass_on(message)
 
+    def reload(self, cfg: settings.Settings) -> None:
+        """Apply changed settings; only addresses of control can change.
+
+        Once the members are known from control, those of the settings are used
+        only if they no longer respond.
+        """
+        if cfg.entry is not None:
+            self._watcher.change_seeds(cfg.entry.control)
+            if not self.view.control_addresses:
+                self.change_control(cfg.entry.control)
+
     def change_control(self, addresses: list[str]) -> None:
         """Use these control instances from now on."""
         self.client.change_addresses(addresses)
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -256,11 +256,16 @@
         self._view = view
         self._name = name
         self._control = control
+        self._seeds = list(control)
         self._next = 0
         self._next_peer = 0
         self._freezes = 0
         self._foreign: set[str] = set()
 
+    def change_seeds(self, seeds: list[str]) -> None:
+        """Remember the control instances of the settings."""
+        self._seeds = list(seeds)
+
     def change_control(self, control: list[str]) -> None:
         """Watch these control instances from the next change of source on."""
         self._control = list(control)
@@ -300,6 +305,10 @@
         for address in control[1:]:
             yield address, None
             yield from self._peer_in_turn()
+        # All known members may have been replaced meanwhile.
+        for address in self._seeds:
+            if address not in control:
+                yield address, None
 
     def _peer_in_turn(self) -> collections.abc.Iterator[tuple[str, float | None]]:
         # Asked late: the source before may have been watched for days.
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -63,6 +63,9 @@
     may_form
         Whether this is the first start of the whole system, in which the initial
         instances form a cluster.
+    election_s
+        Seconds without a leader after which an election starts at the earliest;
+        all instances must have the same.
     lease_s
         Seconds after its last report for which a target counts as alive.
     metrics
@@ -75,6 +78,7 @@
         list[InitialMember], msgspec.Meta(min_length=1, max_length=MAX_CONTROL_MEMBERS)
     ]
     may_form: bool = True
+    election_s: typing.Annotated[float, msgspec.Meta(ge=0.1, le=60)] = 1.2
     lease_s: typing.Annotated[float, msgspec.Meta(ge=1, le=3600)] = 30.0
     metrics: Address | None = None
 
