--- a/coltsfootchute/balancing/samples.py
+++ b/coltsfootchute/balancing/samples.py
@@ -27,7 +27,8 @@
     def change(self, per_s: float) -> None:
         """Apply a new rate."""
         self._per_s = per_s
-        self._tokens = min(self._tokens, per_s)
+        unused = self._at is None
+        self._tokens = per_s if unused else min(self._tokens, per_s)
 
     def take(self, wanted: int, now: float) -> int:
         """Take tokens for some probes.
--- a/coltsfootchute/entry/tests/stands.py
+++ b/coltsfootchute/entry/tests/stands.py
@@ -89,6 +89,16 @@
         document = json.dumps({"rules": RULES, **changes})
         self.publish(section=pb.SectionInForce(name=name, document=document))
 
+    def declare(self, version, *routes, services=("shop",)):
+        """Put a declaration with routes of host `x` in force."""
+        share = [{"service": services[0]}]
+        common = {"host": "x", "guarantee": "repeatable", "attempts": 2}
+        rows = [{**common, "name": r["prefix"], "shares": share, **r} for r in routes]
+        named = [{"name": name, "health_path": "/health"} for name in services]
+        document = {"version": version, "services": named, "routes": rows}
+        declaration = pb.Declaration(version=version, document=json.dumps(document))
+        self.publish(declaration=declaration)
+
     def target(self, target, **changes):
         fields = {
             "target_id": target.name,
--- /dev/null
+++ b/coltsfootchute/entry/tests/test_declared.py
@@ -0,0 +1,259 @@
+"""Requests on declared routes."""
+
+import asyncio
+import time
+
+import pytest
+
+from coltsfootchute.entry import pools
+from coltsfootchute.entry.tests import stands
+
+NAMES = {
+    "deadline": "X-Deadline",
+    "load": "X-Load",
+    "load_format": "counts",
+    "request_id": "X-Id",
+    "expected_target": "X-Target",
+    "seal": "X-Seal",
+    "not_run": "X-Not-Run",
+}
+READ = {"prefix": "/read/", "timeout_s": 2}
+ORDER = {"prefix": "/order/", "guarantee": "at_most_once", "timeout_s": 1}
+SEALED = "X-Seal: 1\r\n"
+
+
+def echo(body=b"hello", headers=SEALED, status="200 OK", before=b""):
+    """Return a script that echoes the id of the request."""
+
+    async def script(target, head, reader, writer):
+        await stands.read_body(head, reader)
+        named = [line for line in head.split("\r\n") if line.startswith("X-Id")]
+        lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *named]
+        text = "\r\n".join(lines) + f"\r\n{headers}\r\n"
+        writer.write(before + text.encode() + body)
+        await writer.drain()
+
+    return script
+
+
+def play_declared(play, *scripts, routes=(READ, ORDER), services=("shop",), **options):
+    async def whole(stage):
+        stage.control.declare(1, *routes, services=services)
+        await stands.until(lambda: stage.entry.view.routes is not None)
+        await play(stage)
+
+    stands.run(whole, *scripts, headers=NAMES, **options)
+
+
+def ask(stage, path="/read/1", method="GET", body=b"", **headers):
+    return stage.send(method, path, body, **{"X_Id": "r1", **headers})
+
+
+def test_the_longest_prefix_of_the_host_selects_the_route():
+    """A request must not reach the service of a shorter prefix."""
+
+    async def play(stage):
+        stage.control.target(stage.targets[1], services=["deep"])
+        stage.control.target(stage.targets[0], services=["shop"])
+        await stands.until(
+            lambda: (
+                {t.services[0] for t in stage.entry.view.targets.values()}
+                == {"shop", "deep"}
+            )
+        )
+        assert (await ask(stage, "/read/deep/1")).body == b"deep"
+        assert (await ask(stage, "/read/other")).body == b"shop"
+        assert (await ask(stage, "/elsewhere/")).status == 404
+
+    deep = {"prefix": "/read/deep/", "shares": [{"service": "deep"}]}
+    play_declared(
+        play,
+        echo(b"shop"),
+        echo(b"deep"),
+        routes=(READ, deep),
+        services=("shop", "deep"),
+    )
+
+
+def test_an_entry_without_a_declaration_says_that_nothing_ran():
+    """A restarted entry must not answer 404 for routes that it does not know yet."""
+
+    async def play(stage):
+        stage.entry.view.revision = 0
+        answer = await ask(stage)
+        assert (answer.status, answer.headers["retry-after"]) == (503, "0.2")
+
+    stands.run(play, echo(), headers=NAMES, retry_after_s=0.2)
+
+
+def test_a_request_that_must_not_repeat_needs_no_key_and_runs_once():
+    async def play(stage):
+        lost = await ask(stage, "/order/1", "POST", b"one")
+        assert (lost.status, lost.refusal[:12]) == (502, "may_have_run")
+        assert sum(len(t.heads) for t in stage.targets) == 1
+        assert not stage.control.claims
+
+    play_declared(play, stands.close_after(), stands.close_after())
+
+
+def test_a_refused_order_goes_to_another_target():
+    shed = echo(status="503 -", headers="X-Not-Run: 1\r\n")
+
+    async def play(stage):
+        for _ in range(4):
+            answer = await ask(stage, "/order/1", "POST", b"one")
+            assert answer.status in {200, 503}
+        assert any(len(target.heads) for target in stage.targets[1:])
+
+    play_declared(play, shed, echo())
+
+
+@pytest.mark.parametrize("status", ["421 -", "503 -"])
+def test_a_lone_target_that_did_not_run_the_request_gives_503(status):
+    """A promise that nothing ran has to be true and named with a time to return."""
+
+    async def play(stage):
+        answer = await ask(stage, "/order/1", "POST", b"one")
+        assert (answer.status, answer.headers["retry-after"]) == (503, "0.1")
+
+    script = echo(status=status, headers="X-Not-Run: 1\r\n")
+    play_declared(play, script, retry_after_s=0.1)
+
+
+def test_the_request_names_the_target_and_the_time_left():
+    async def play(stage):
+        assert (await ask(stage, X_Deadline="700")).status == 200
+        lines = stage.targets[0].heads[0].split("\r\n")
+        named = dict(line.split(": ", 1) for line in lines[1:] if line)
+        assert named["X-Target"] == "t0"
+        assert named["X-Id"] == "r1"
+        assert 0 < int(named["X-Deadline"]) <= 700
+
+    play_declared(play, echo())
+
+
+def test_an_answer_to_an_earlier_request_is_skipped():
+    """A second answer that arrives late must not reach the next caller."""
+    extra = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\nX-Id: old\r\nX-Seal: 1\r\n\r\nold"
+
+    async def play(stage):
+        answer = await ask(stage)
+        assert (answer.status, answer.body) == (200, b"hello")
+
+    play_declared(play, echo(before=extra))
+
+
+def test_a_success_without_the_seal_is_not_passed_on():
+    async def play(stage):
+        answer = await ask(stage)
+        assert (answer.status, answer.refusal[:12]) == (502, "may_have_run")
+
+    play_declared(play, echo(headers=""))
+
+
+def test_an_incomplete_answer_of_a_read_is_replaced():
+    """A caller must get a whole answer although the first target broke off."""
+    broken = stands.close_after(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nX-Seal: 1\r\n\r\nhalf"
+    )
+
+    async def play(stage):
+        answers = [await ask(stage) for _ in range(4)]
+        assert {(a.status, a.body) for a in answers} == {(200, b"hello")}
+        assert stage.targets[0].heads
+
+    play_declared(play, broken, echo())
+
+
+def test_attempts_bound_the_targets_of_one_request():
+    async def play(stage):
+        assert (await ask(stage)).status == 502
+        assert sum(len(t.heads) for t in stage.targets) == 2
+
+    play_declared(play, *[stands.close_after()] * 4)
+
+
+def test_a_read_is_answered_at_the_timeout_of_its_route():
+    """A caller must not be kept longer than the operator wants."""
+    silent = asyncio.Event()
+
+    async def play(stage):
+        started = time.monotonic()
+        answer = await ask(stage, "/quick/1", X_Deadline="5000")
+        assert answer.status == 504
+        assert time.monotonic() - started < 2
+
+    quick = {"prefix": "/quick/", "timeout_s": 0.2, "attempts": 1}
+    play_declared(play, stands.respond(before=silent), routes=(quick,))
+
+
+def test_a_stop_finishes_requests_and_ends_in_time():
+    """A planned stop must neither cut a request nor outlast its bound."""
+    release = asyncio.Event()
+
+    async def play(stage):
+        running = asyncio.ensure_future(ask(stage))
+        await stands.until(lambda: stage.targets[0].heads)
+        started = time.monotonic()
+        stopping = asyncio.ensure_future(stage.entry.stop())
+        await asyncio.sleep(0.1)
+        release.set()
+        answer = await running
+        assert (answer.status, answer.headers["connection"]) == (200, "close")
+        await stopping
+        assert time.monotonic() - started < 3
+
+    slow = stands.respond(before=release, headers=SEALED)
+    play_declared(play, slow, stop_s=3)
+
+
+def test_a_probe_finds_the_idle_target():
+    """A request must not go to a target whose machine is slow at the moment."""
+
+    def at(pace):
+        async def script(target, head, reader, writer):
+            load = f"X-Load: 0,0,8,{pace}\r\n"
+            await echo(headers=SEALED + load)(target, head, reader, writer)
+
+        return script
+
+    async def play(stage):
+        for _ in range(8):
+            assert (await ask(stage)).status == 200
+        runs = [
+            [h for h in t.heads if h.startswith("GET /read/")] for t in stage.targets
+        ]
+        probes = [h for t in stage.targets for h in t.heads if "/health" in h]
+        assert (len(runs[0]), len(runs[1])) == (0, 8)
+        assert probes
+        assert not any("X-Id" in head for head in probes)
+
+    samples = {"per_target_s": 1000, "wait_s": 1}
+    play_declared(play, at(500), at(100), samples=samples)
+
+
+def test_the_burst_of_retries_is_divided_among_the_entries():
+    """All entries together must keep the bound on second attempts."""
+
+    async def play(stage):
+        stage.control.feed.set_instances(
+            [stands.pb.Instance(name=f"e{n}", peer_address="x:1") for n in range(10)]
+        )
+        await stands.until(lambda: len(stage.entry.view.instances) == 10)
+        pool = stage.entry.services.by_name["shop"].pool
+        assert pool._settings.retry_burst == 50 * pools.BURST_IN_USE / 10
+
+    play_declared(play, echo(), retries={"percent": 20, "burst": 50})
+
+
+def test_new_control_instances_are_learned_from_the_feed():
+    """An entry must find control after all instances of its settings have left."""
+
+    async def play(stage):
+        known = stage.control.address
+        stage.control.feed.set_control_addresses([known, "127.0.0.1:9"])
+        await stands.until(lambda: len(stage.entry.view.control_addresses) == 2)
+        assert stage.entry.client._addresses == [known, "127.0.0.1:9"]
+        assert stage.entry._watcher._control == [known, "127.0.0.1:9"]
+
+    play_declared(play, echo())
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -172,12 +172,13 @@
         return touched
 
     def _clear(self) -> set[str]:
-        touched = set(self.sections)
+        touched = set(self.tables)
         for target in self.targets.values():
             touched.update(target.services)
         self.sections.clear()
         self.tables.clear()
         self.routes = None
+        self.health_paths.clear()
         self.targets.clear()
         self.quarantines.clear()
         return touched
@@ -209,6 +210,9 @@
             loguru.logger.error("feed: section {} is unusable: {}", section.name, exc)
             return set()
         self.sections[section.name] = section
+        if section.name in self.health_paths:
+            # The declaration goes first.
+            return set()
         self.tables[section.name] = table
         return {section.name}
 
@@ -221,16 +225,19 @@
             # The leader checks declarations; a newer schema is the usual cause.
             loguru.logger.error("feed: the declaration is unusable: {}", exc)
             return set()
-        before = self.routes.declaration.services if self.routes else []
-        names = {service.name for service in declared.services}
-        gone = {service.name for service in before} - names
-        for name in gone - self.sections.keys():
+        gone = self.health_paths.keys() - {s.name for s in declared.services}
+        for name in gone:
+            del self.health_paths[name]
             self.tables.pop(name, None)
-        for name in names - self.tables.keys():
-            self.tables[name] = sections.RuleTable(sections.Section(rules=[]))
+            if name in self.sections:
+                self._apply_section(self.sections[name])
+        for service in declared.services:
+            if service.name not in self.health_paths:
+                empty = sections.Section(rules=[])
+                self.tables[service.name] = sections.RuleTable(empty)
+            self.health_paths[service.name] = service.health_path
         self.routes = declarations.RouteTable(declared, random.random())
-        self.health_paths = {s.name: s.health_path for s in declared.services}
-        return names | gone
+        return gone | self.health_paths.keys()
 
     def _apply_target(self, target: coltsfootchute_pb2.Target) -> set[str]:
         before = self.targets.get(target.target_id)
--- /dev/null
+++ b/coltsfootchute/state/tests/test_targets.py
@@ -0,0 +1,102 @@
+"""The register of targets against late, repeated and foreign reports."""
+
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+from coltsfootchute.state import machines, targets
+
+Kind = pb.TargetCommand.Kind
+ACCEPTED = pb.ANNOUNCEMENT_STATUS_ACCEPTED
+OLD = pb.ANNOUNCEMENT_STATUS_OLD_INCARNATION
+
+
+class Register:
+    """A machine that gets one command after the other."""
+
+    def __init__(self):
+        self.machine = machines.Machine()
+
+    def do(self, kind, target_id, incarnation=1, address="1.1.1.1:1", **fields):
+        target = pb.Target(
+            target_id=target_id, incarnation=incarnation, address=address, **fields
+        )
+        command = pb.TargetCommand(kind=kind, target=target)
+        index = self.machine.index + 1
+        return self.machine.apply(index, pb.Command(time_ms=1, target=command))
+
+    def ids(self):
+        return [target.target_id for target in self.machine.targets.all()]
+
+
+def test_a_withdrawn_target_does_not_return_with_a_late_report():
+    """A report that a partition delayed must not bring a target back."""
+    register = Register()
+    register.do(Kind.KIND_ANNOUNCE, "a")
+    assert register.do(Kind.KIND_WITHDRAW, "a", 0).reply.status == ACCEPTED
+    late = register.do(Kind.KIND_ANNOUNCE, "a")
+    assert (late.reply.status, late.changes, register.ids()) == (OLD, [], [])
+    assert register.do(Kind.KIND_ANNOUNCE, "a", 2).reply.status == ACCEPTED
+    assert register.ids() == ["a"]
+
+
+def test_an_expired_target_returns_unless_it_drained():
+    register = Register()
+    register.do(Kind.KIND_ANNOUNCE, "a")
+    register.do(Kind.KIND_EXPIRE, "a")
+    register.do(Kind.KIND_ANNOUNCE, "a")
+    assert register.ids() == ["a"]
+    register.do(Kind.KIND_DRAIN, "a")
+    register.do(Kind.KIND_EXPIRE, "a")
+    register.do(Kind.KIND_ANNOUNCE, "a")
+    assert register.ids() == []
+
+
+def test_a_draining_report_drains_and_a_late_serving_one_does_not_undo_it():
+    register = Register()
+    draining = pb.TARGET_STATE_DRAINING
+    register.do(Kind.KIND_ANNOUNCE, "a")
+    register.do(Kind.KIND_ANNOUNCE, "a", state=draining)
+    register.do(Kind.KIND_ANNOUNCE, "a")
+    assert register.machine.targets.get("a").state == draining
+
+
+def test_the_later_start_at_an_address_counts():
+    """A crashed target must not get requests at the address of its successor."""
+    register = Register()
+    register.do(Kind.KIND_ANNOUNCE, "old", 5)
+    applied = register.do(Kind.KIND_ANNOUNCE, "new", 6)
+    assert {c.WhichOneof("body") for c in applied.changes} == {
+        "removed_target_id",
+        "target",
+    }
+    assert register.do(Kind.KIND_ANNOUNCE, "old", 5).reply.status == OLD
+    assert register.ids() == ["new"]
+
+
+def test_withdrawn_targets_survive_a_snapshot_within_their_bound(monkeypatch):
+    monkeypatch.setattr(targets, "WITHDRAWN_KEPT", 2)
+    register = Register()
+    for name in ("a", "b", "c"):
+        register.do(Kind.KIND_ANNOUNCE, name, address=f"{name}:1")
+        register.do(Kind.KIND_WITHDRAW, name)
+    loaded = machines.Machine()
+    loaded.load(register.machine.dump())
+    assert [t.target_id for t in loaded.targets.withdrawn()] == ["b", "c"]
+
+
+def test_the_highest_declared_version_wins_and_never_changes():
+    """A resend, an older version and other content must have no effect."""
+    machine = machines.Machine()
+
+    def declare(version, document):
+        body = pb.Declaration(version=version, document=document, submitted=b"raw")
+        return machine.apply(machine.index + 1, pb.Command(time_ms=1, declaration=body))
+
+    assert declare(7, "seven").reply.applied
+    for version, document in ((7, "seven"), (7, "other"), (3, "three")):
+        applied = declare(version, document)
+        assert (applied.reply.version, applied.changes) == (7, [])
+    assert machine.declaration.newest.document == "seven"
+    (change,) = declare(9, "nine").changes
+    assert (change.declaration.version, change.declaration.submitted) == (9, b"")
+    loaded = machines.Machine()
+    loaded.load(machine.dump())
+    assert loaded.declaration.newest == machine.declaration.newest
--- a/conftest.py
+++ b/conftest.py
@@ -7,12 +7,17 @@
 
 import os
 import pathlib
+import platform
 
 import hypothesis
 import pytest
 
 pytest_plugins = ["pytester"]
 
+# pytest imports the tests in the folder of this name as submodules. With a path, the
+# module of the standard library serves as their parent instead of being replaced.
+platform.__path__ = [str(pathlib.Path(__file__).parent / "platform")]
+
 FUZZ_EXAMPLES = int(os.environ.get("COLTSFOOTCHUTE_FUZZ_EXAMPLES", "0"))
 KNOWN_RED_FILE = "KNOWN-RED.txt"
 
