logs: write decisions with their inputs, within a bound

Cause: a failed request left one line without the loads by which its target was selected, successes left none, and nothing bounded the volume. Ruled out: a separate process or thread for the log; a check that the stream takes bytes costs one system call a line.

--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -137,6 +137,11 @@
         self._views: dict[ids.TargetId, views.TargetView] = {}
         self._in_use_changed = False
 
+    @property
+    def retry_tokens(self) -> float:
+        """Retries and hedges that the budget allows at the moment."""
+        return self._budget.tokens
+
     @property
     def all_views(self) -> list[views.TargetView]:
         """Views of all targets, for status and metrics."""
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -267,6 +267,16 @@
         age_s = now - self._reported_s
         return self._reported * 2.0 ** (-age_s / REPORT_HALF_LIFE_S)
 
+    def describe_load(self, now: float) -> str:
+        """Return what is known of the load, for the log."""
+        age_s = now - self._sampled_s
+        seen = "never reported"
+        if math.isfinite(age_s):
+            load = self._sample.requests(self.slots)
+            seen = f"{load:g}/{self.slots} at pace {self.sampled_pace:g}"
+            seen = f"{seen}, {age_s:.3f} s old"
+        return f"{seen}; {self.in_flight} own in flight"
+
     def has_room(self, now: float) -> bool:
         """Tell whether limit and pause after a shed allow another attempt."""
         if now < self.closed_until_s:
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -99,7 +99,11 @@
             return await self._handle(request)
         except ConnectionError:
             # The caller is gone; an answer can't be written.
+            logs.note("entry", "the caller left", request=self._id_of(request))
             return answers.CLOSED
+        except asyncio.CancelledError:
+            logs.note("entry", "the caller left", request=self._id_of(request))
+            raise
         except Exception:
             # A reset says nothing about whether the request ran, which is right
             # for a fault of the entry itself.
@@ -110,6 +114,11 @@
             if self.is_closing and not self.in_progress:
                 self.idle.set()
 
+    def _id_of(self, request: aiohttp.web.BaseRequest) -> tuple[str, str] | None:
+        name = self._names.request_id
+        value = request.headers.get(name) if name else None
+        return None if value is None else (name, value)
+
     async def close(self, limit_s: float) -> None:
         """Wait until no call is in progress; answers close their connections."""
         self.is_closing = True
@@ -122,6 +131,14 @@
         try:
             call = self._match(request, started)
         except pools.RefusedError as exc:
+            logs.note(
+                "entry",
+                "refused",
+                request=self._id_of(request),
+                reason=exc.refusal.reason.value,
+                detail=exc.refusal.detail,
+                revision=self._view.revision,
+            )
             return await self._refuse(request, exc.refusal)
         meter = self._meters.meter(call.service.name)
         meter.in_flight.inc()
@@ -280,6 +297,14 @@
         if view is None or not pool.may_hedge():
             return None
         self._meters.meter(call.service.name).hedges.inc()
+        logs.note(
+            "entry",
+            "hedges",
+            request=call.request_id,
+            waited_s=round(now - call.started_s, 4),
+            following=view.target.target_id,
+            **_inputs(call),
+        )
         return pool.started(view, now)
 
     async def _retry(
@@ -308,7 +333,10 @@
             "retries",
             request=call.request_id,
             reason=error.reason.value,
-            tried=call.tried,
+            verdict=error.verdict.value,
+            detail=error.detail,
+            following=token.view.target.target_id,
+            **_inputs(call),
         )
         return token
 
@@ -334,6 +362,7 @@
     async def _attempt(self, call: requests.Call, token: balancing.Token) -> races.Won:
         target = token.view.target
         call.tried.append(target.target_id)
+        call.loads.append(token.view.describe_load(time.monotonic()))
         attempt = attempts.Attempt()
         attempt.request_id = call.request_id
         call.attempts.append(attempt)
@@ -438,6 +467,16 @@
             call.service.finish(token, outcome)
         self._meters.meter(call.service.name).attempts[verdicts.Verdict.RAN].inc()
         self._complete(call, relay)
+        logs.note(
+            "entry",
+            "answered",
+            routine=code < 500,
+            request=call.request_id,
+            service=call.service.name,
+            status=code,
+            took_s=round(time.monotonic() - call.started_s, 4),
+            **_inputs(call),
+        )
         return written
 
     def _complete(self, call: requests.Call, relay: relays.Relay) -> None:
@@ -470,14 +509,15 @@
             "failed",
             request=call.request_id,
             service=call.service.name,
-            rule=call.rule.name,
             reason=refusal.reason.value,
             verdict=refusal.verdict.value,
             detail=refusal.detail,
-            tried=call.tried,
             left_s=round(call.deadline - time.monotonic(), 3),
             revision=self._view.revision,
+            proof_age_s=round(watches.clock() - self._view.proof_at, 3),
             waiting=len(call.service.pool.admission),
+            tokens=round(call.service.pool.retry_tokens, 1),
+            **_inputs(call),
         )
         if call.is_answering:
             return answers.abort(call.request)
@@ -511,6 +551,11 @@
         )
 
 
+def _inputs(call: requests.Call) -> dict[str, typing.Any]:
+    """Return the targets of a call with the loads by which they were selected."""
+    return {"rule": call.rule.name, "tried": list(call.tried), "loads": call.loads}
+
+
 def _late(call: requests.Call) -> verdicts.Refusal:
     if call.may_have_run:
         reason, detail = verdicts.Reason.TARGET_TIMEOUT, "no response in time"
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -8,7 +8,7 @@
 import grpclib.server
 import loguru
 
-from coltsfootchute import errors, settings
+from coltsfootchute import errors, logs, settings
 from coltsfootchute.control import feeds
 from coltsfootchute.entry import (
     apis,
@@ -262,11 +262,28 @@
         if message.has_instances:
             self.services.refresh_share()
             self.feed.set_instances(list(message.instances))
+        if not message.full:
+            self._note_changes(message)
         for change in message.changes:
             if change.WhichOneof("body") == "quarantine":
                 self.services.learn_quarantine(change.quarantine)
         self._pass_on(message)
 
+    def _note_changes(self, message: coltsfootchute_pb2.FeedMessage) -> None:
+        for change in message.changes:
+            kind = change.WhichOneof("body")
+            fields = {"revision": change.revision}
+            if kind == "target":
+                target = change.target
+                state = coltsfootchute_pb2.TargetState.Name(target.state)
+                fields |= {"target": target.target_id, "address": target.address}
+                fields |= {"services": list(target.services), "state": state}
+            elif kind == "removed_target_id":
+                fields["target"] = change.removed_target_id
+            elif kind == "declaration":
+                fields["version"] = change.declaration.version
+            logs.note("feed", f"learned {kind}", **fields)
+
     def reload(self, cfg: settings.Settings) -> None:
         """Apply changed settings; only addresses of control can change.
 
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -165,6 +165,7 @@
         "is_body_used",
         "is_declared",
         "keep_alive",
+        "loads",
         "may_retry",
         "path",
         "query",
@@ -209,6 +210,8 @@
         self.is_answering = False
         self.attempts: list[attempts.Attempt] = []
         self.tried: list[str] = []
+        # What was known of the load of each tried target, for the log.
+        self.loads: list[str] = []
         self.claim: tuple[bytes, bytes] | None = None
         self.digest: bytes | None = None
         self.keep_alive = False
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -12,7 +12,7 @@
 import grpclib.exceptions
 import loguru
 
-from coltsfootchute import declarations, errors, sections
+from coltsfootchute import declarations, errors, logs, sections
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
 __all__ = ["STALE_AFTER_S", "Taken", "View", "Watcher", "clock"]
@@ -268,6 +268,8 @@
         self._next_peer = 0
         self._freezes = 0
         self._foreign: set[str] = set()
+        # The source of the last message, while it is watched.
+        self._source = ""
 
     def change_seeds(self, seeds: list[str]) -> None:
         """Remember the control instances of the settings."""
@@ -333,9 +335,25 @@
             async with asyncio.timeout(limit_s):
                 await self._watch(address)
         except (OSError, TimeoutError, grpclib.exceptions.GRPCError) as exc:
-            loguru.logger.debug("feed: {} ended: {!r}", address, exc)
+            self._note_lost(address, exc)
         except grpclib.exceptions.StreamTerminatedError as exc:
-            loguru.logger.debug("feed: {} ended: {!r}", address, exc)
+            self._note_lost(address, exc)
+
+    def _note_lost(self, address: str, exc: Exception) -> None:
+        logs.note(
+            "feed",
+            "source lost",
+            routine=address != self._source,
+            source=address,
+            error=repr(exc),
+            revision=self._view.revision,
+        )
+        self._source = ""
+
+    def _note_found(self, address: str) -> None:
+        if address != self._source:
+            self._source = address
+            logs.note("feed", "source found", source=address)
 
     async def _watch(self, address: str) -> None:
         host, _, port = address.rpartition(":")
@@ -376,6 +394,7 @@
             if self._freezes != freezes:
                 await stream.cancel()
                 return
+            self._note_found(address)
             taken = self._view.take(message, now)
             if taken is Taken.FOREIGN_CLUSTER:
                 self._log_foreign(address, message.cluster_id)
