balancing: start the shared burst of retries empty

A restarted entry counted itself as the only one until it had the list of entries, so each began with half of the whole burst; a request that waited again earned a second part. Ruled out: sheds by srv_grey alone; before the kill the bound held. Change: a shared burst starts empty, holds one token while the list is unknown, and never less than one, since 112 entries could else never retry; a request earns once.

--- a/coltsfootchute/balancing/budgets.py
+++ b/coltsfootchute/balancing/budgets.py
@@ -17,6 +17,9 @@
         Retries and hedges over requests, 0 to 100.
     burst
         Most tokens held.
+    is_full
+        Whether the first tokens are there at the start. An entry that shares a bound
+        with others starts empty, since it may have spent its part before a restart.
 
     Notes
     -----
@@ -26,10 +29,10 @@
 
     __slots__ = ("_burst", "_earned", "_tokens")
 
-    def __init__(self, percent: float, burst: float = MAX_TOKENS):
+    def __init__(self, percent: float, burst: float = MAX_TOKENS, is_full: bool = True):
         self._earned = percent / 100
         self._burst = burst
-        self._tokens = burst if percent > 0 else 0.0
+        self._tokens = burst if percent > 0 and is_full else 0.0
 
     @property
     def tokens(self) -> float:
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -42,6 +42,8 @@
         Bounds of the admission queue.
     retry_burst
         Retries and hedges of this entry beyond the percentage.
+    shares_burst
+        Whether the burst is a part of one that all entries share.
     samples_per_s
         Probes per target and second that this entry may send before requests.
     """
@@ -51,6 +53,7 @@
     queue_length: int = 64
     queue_wait_s: float = 0.2
     retry_burst: float = budgets.MAX_TOKENS
+    shares_burst: bool = False
     samples_per_s: float = 0.0
 
 
@@ -128,7 +131,9 @@
         self._rng = rng
         self._policy = policies.POLICIES[settings.policy](failure_domain)
         self._budget = budgets.TokenBudget(
-            settings.retry_budget_percent, settings.retry_burst
+            settings.retry_budget_percent,
+            settings.retry_burst,
+            is_full=not settings.shares_burst,
         )
         self._hedge_delay = hedges.HedgeDelay()
         self._samples = samples.SampleBudget(0.0)
@@ -223,7 +228,7 @@
             self._in_use_changed = True
 
     def admit(
-        self, priority: int, deadline_s: float, now: float
+        self, priority: int, deadline_s: float, now: float, is_first: bool = True
     ) -> views.TargetView | admissions.Ticket | verdicts.Refusal:
         """Decide on a new request: a target, a place in the queue, or neither.
 
@@ -235,13 +240,17 @@
             Time by which the request must be answered.
         now
             Time.
+        is_first
+            Whether the request was not admitted before; only then it earns a part
+            of a retry.
 
         Returns
         -------
         views.TargetView, admissions.Ticket or verdicts.Refusal
             A refusal has the verdict `NOT_RUN`.
         """
-        self._budget.deposit()
+        if is_first:
+            self._budget.deposit()
         if now >= deadline_s:
             return admissions.refusal(
                 verdicts.Reason.DEADLINE, "the deadline has passed"
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -16,9 +16,9 @@
     coltsfootchute_pb2.TARGET_STATE_DRAINING: balancing.TargetState.DRAINING,
     coltsfootchute_pb2.TARGET_STATE_SUSPECT: balancing.TargetState.SUSPECT,
 }
-# Part of the burst that entries divide; the rest covers entries that restart within
-# a budget window and begin with a full share again.
-BURST_IN_USE = 0.5
+# Part of the burst that entries divide; the rest covers entries that come and go
+# before the others know.
+BURST_IN_USE = 0.8
 Admitted = balancing.Token | verdicts.Refusal
 
 
@@ -60,7 +60,7 @@
         return found
 
     async def admit(
-        self, priority: int, deadline_s: float, now: float
+        self, priority: int, deadline_s: float, now: float, is_first: bool = True
     ) -> balancing.Token:
         """Wait for a target.
 
@@ -74,7 +74,7 @@
         RefusedError
             If the queue refuses the request.
         """
-        admitted = self.pool.admit(priority, deadline_s, now)
+        admitted = self.pool.admit(priority, deadline_s, now, is_first)
         if isinstance(admitted, balancing.TargetView):
             return self.pool.started(admitted, now)
         if isinstance(admitted, balancing.Ticket):
@@ -93,7 +93,7 @@
         view = None if self._waiting else self.pool.select(now)
         if view is not None:
             return self.pool.started(view, now)
-        return await self.admit(priority, deadline_s, now)
+        return await self.admit(priority, deadline_s, now, is_first=False)
 
     async def _wait(self, ticket: balancing.Ticket) -> balancing.Token:
         fut = asyncio.get_running_loop().create_future()
@@ -272,11 +272,14 @@
         # Only declared services have no rules.
         if section.rules:
             return _pool_settings(section)
-        burst = self._retries.burst * BURST_IN_USE / self._entries
+        # Until the list of entries is known, an entry saves no retries up.
+        known = max(len(self._view.instances), self._entries)
+        burst = self._retries.burst * BURST_IN_USE / known if known > 1 else 1.0
         return dataclasses.replace(
             _pool_settings(section),
             retry_budget_percent=self._retries.percent,
-            retry_burst=burst,
+            retry_burst=max(1.0, burst),
+            shares_burst=True,
             policy="sampled" if self._samples.per_target_s else section.policy,
             samples_per_s=self._samples.per_target_s / self._entries,
         )
