--- a/coltsfootchute/balancing/policies.py
+++ b/coltsfootchute/balancing/policies.py
@@ -20,6 +20,8 @@
 UNKNOWN_PACE = 1.6
 OVERDUE_PACE = 6.0
 DOMAIN_COST = 0.3
+# A failed attempt costs several usual response times.
+FAILURE_COST = 6.0
 # An answer to a probe takes a few milliseconds.
 PROBE_OVERDUE_S = 0.025
 # Targets slow down when nearly all of their slots are in use.
@@ -196,6 +198,7 @@
             rounds *= CROWDED_FACTOR
         slowness = max(1.0, view.latency_s(now) / usual_s / TOLERATED_SLOWNESS)
         expected = pace * rounds * slowness
+        expected *= 1 + FAILURE_COST * view.failure_rate(now)
         if view.target.failure_domain != self._failure_domain:
             expected += DOMAIN_COST
         return expected
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -250,7 +250,7 @@
             A refusal has the verdict `NOT_RUN`.
         """
         if is_first:
-            self._budget.deposit()
+            self.deposit()
         if now >= deadline_s:
             return admissions.refusal(
                 verdicts.Reason.DEADLINE, "the deadline has passed"
@@ -265,6 +265,49 @@
         interval_s = service_s / self._capacity(now)
         return self.admission.offer(priority, deadline_s, now, service_s, interval_s)
 
+    def deposit(self) -> None:
+        """Count a request, which earns a part of a retry."""
+        self._budget.deposit()
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether any target takes requests, with or without room."""
+        return bool(self._in_use())
+
+    def select_with_room(
+        self,
+        now: float,
+        occupancy: float,
+        exclude: collections.abc.Collection[ids.TargetId] = (),
+    ) -> views.TargetView | None:
+        """Select a target whose fresh report shows room.
+
+        Parameters
+        ----------
+        now
+            Time.
+        occupancy
+            Part of the slots that may be in use with the request added.
+        exclude
+            Targets that this request has tried.
+
+        Returns
+        -------
+        views.TargetView or None
+            Any eligible target if there is no fresh report at all; None if no
+            target with a fresh report has room.
+        """
+        self._restore_excess(now)
+        found = self._eligible(now, exclude)
+        sampled = [view for view in found if view.is_sampled(now)]
+        if sampled:
+            found = [
+                view
+                for view in sampled
+                if view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
+            ]
+        return self._policy.select(found, now, self._rng)
+
     def select(
         self,
         now: float,
@@ -349,6 +392,8 @@
         if outcome is views.Outcome.OK:
             self.responded(token, now, load)
         token.is_open = False
+        if outcome is not views.Outcome.CANCELLED:
+            view.judged(outcome is views.Outcome.OK, now)
         if outcome not in (views.Outcome.OK, views.Outcome.CANCELLED):
             self._failed(token, outcome, now)
         view.released(token)
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -28,6 +28,10 @@
 # A report of a sampled target stands for its load for this long; neighbours on its
 # machine change within some hundred milliseconds.
 SAMPLE_FRESH_S = 0.05
+# Weight of one attempt in the failure rate, and the time in which a rate that no
+# attempt confirms is halved.
+FAILURE_GAIN = 0.3
+FAILURE_HALF_LIFE_S = 4.0
 FAST_ERRORS = 3
 EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
@@ -137,6 +141,8 @@
     __slots__ = (
         "_errors",
         "_estimated_s",
+        "_failure_rate",
+        "_judged_s",
         "_latency_s",
         "_reported",
         "_reported_s",
@@ -175,6 +181,8 @@
         # When the unanswered probe was sent.
         self.probed_s = math.inf
         self._errors = 0
+        self._failure_rate = 0.0
+        self._judged_s = -math.inf
         self._strikes = 0
         self.ejected_until_s = -math.inf
 
@@ -267,6 +275,19 @@
         age_s = now - self._reported_s
         return self._reported * 2.0 ** (-age_s / REPORT_HALF_LIFE_S)
 
+    def judged(self, is_ok: bool, now: float) -> None:
+        """Apply the end of an attempt to the failure rate."""
+        rate = self.failure_rate(now)
+        self._failure_rate = rate + FAILURE_GAIN * ((0.0 if is_ok else 1.0) - rate)
+        self._judged_s = now
+
+    def failure_rate(self, now: float) -> float:
+        """Return the part of recent attempts that failed, 0 to 1."""
+        if not self._failure_rate:
+            return 0.0
+        age_s = now - self._judged_s
+        return self._failure_rate * 2.0 ** (-age_s / FAILURE_HALF_LIFE_S)
+
     def describe_load(self, now: float) -> str:
         """Return what is known of the load, for the log."""
         age_s = now - self._sampled_s
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -16,11 +16,11 @@
     forwards,
     keys,
     metrics,
+    placements,
     pools,
     races,
     relays,
     requests,
-    samplers,
     watches,
 )
 
@@ -58,8 +58,8 @@
         Takes crash reports.
     meters
         Metrics.
-    sampler
-        Probes targets before a request of a declared route; None for no probes.
+    placer
+        Finds targets for requests of declared routes by probes; None for no probes.
     names
         Names of headers.
     retry_after_s
@@ -75,11 +75,11 @@
         claims: keys.Claims,
         reporter: crashes.CrashReporter,
         meters: metrics.Metrics,
-        sampler: samplers.Sampler | None = None,
+        placer: placements.Placer | None = None,
         names: settings.HeaderSettings | None = None,
         retry_after_s: float = answers.RETRY_AFTER_S,
     ):
-        self._sampler = sampler
+        self._placer = placer
         self._names = names or settings.HeaderSettings()
         self._retry_after_s = retry_after_s
         self._view = view
@@ -205,8 +205,10 @@
         call.body = await requests.read_body(call)
         self._check_quarantine(call)
         service = call.service
-        if call.is_declared and self._sampler is not None:
-            await self._sampler.sample(service, call.deadline)
+        if self._places(call):
+            token = await self._placer.place(call)
+            attempt, token = await self._attempts(call, token)
+            return await self._answer(call, attempt, token)
         now = time.monotonic()
         token = await service.admit(call.rule.priority, call.deadline, now)
         if key is not None:
@@ -248,24 +250,27 @@
                 continue
             if attempt.message.code < 500:
                 return attempt, token
-            following = self._replace_failure(call)
+            following = await self._replace_failure(call)
             if following is None:
                 return attempt, token
             attempt.finish()
             call.service.finish(token, balancing.Outcome.ERROR)
             token = following
 
-    def _replace_failure(self, call: requests.Call) -> balancing.Token | None:
+    async def _replace_failure(self, call: requests.Call) -> balancing.Token | None:
         """Return an attempt in place of a target's failure; None to pass it on."""
         may_retry = call.is_declared and call.rule.repeatable and call.can_repeat
         if not may_retry or not call.has_attempts:
             return None
         pool, now = call.service.pool, time.monotonic()
-        view = pool.select(now, call.tried, balancing.AttemptKind.RETRY)
+        if self._places(call):
+            view = await self._placer.find(call, placements.OCCUPANCY)
+        else:
+            view = pool.select(now, call.tried, balancing.AttemptKind.RETRY)
         if view is None or not pool.may_retry():
             return None
         self._meters.retries.labels(verdicts.Reason.TARGET_FAILED.value).inc()
-        return pool.started(view, now)
+        return pool.started(view, time.monotonic())
 
     async def _race(self, call: requests.Call, token: balancing.Token) -> races.Won:
         delay_s = None
@@ -275,6 +280,8 @@
             return await self._attempt(call, token)
 
         def hedge() -> typing.Coroutine[typing.Any, typing.Any, races.Won] | None:
+            if self._places(call):
+                return self._place_hedge(call)
             second = self._hedge(call)
             return None if second is None else self._attempt(call, second)
 
@@ -296,6 +303,12 @@
         view = pool.select(now, call.tried, balancing.AttemptKind.HEDGE)
         if view is None or not pool.may_hedge():
             return None
+        return self._start_hedge(call, view)
+
+    def _start_hedge(
+        self, call: requests.Call, view: balancing.TargetView
+    ) -> balancing.Token:
+        now = time.monotonic()
         self._meters.meter(call.service.name).hedges.inc()
         logs.note(
             "entry",
@@ -305,7 +318,7 @@
             following=view.target.target_id,
             **_inputs(call),
         )
-        return pool.started(view, now)
+        return call.service.pool.started(view, now)
 
     async def _retry(
         self, call: requests.Call, error: attempts.AttemptError
@@ -322,9 +335,7 @@
         if not allowed:
             raise pools.RefusedError(refusal)
         self._check_quarantine(call)
-        if call.is_declared and self._sampler is not None:
-            await self._sampler.sample(call.service, call.deadline, call.tried)
-        token = await self._next(call, error, time.monotonic())
+        token = await self._next(call, error, now)
         if token is None:
             raise pools.RefusedError(refusal)
         self._meters.retries.labels(error.reason.value).inc()
@@ -345,6 +356,8 @@
     ) -> balancing.Token | None:
         """Return the attempt that follows a failed one; None for none."""
         pool = call.service.pool
+        if self._places(call):
+            return await self._place_again(call, error)
         # No target has seen a request whose connection failed, so another attempt
         # adds no load and takes no token; it may wait for a target like the first.
         is_free = error.reason is verdicts.Reason.CONNECTION_FAILED
@@ -359,6 +372,31 @@
         except pools.RefusedError:
             return None
 
+    def _places(self, call: requests.Call) -> bool:
+        return call.is_declared and self._placer is not None
+
+    async def _place_again(
+        self, call: requests.Call, error: attempts.AttemptError
+    ) -> balancing.Token | None:
+        """Return an attempt after a failed one on another target with room."""
+        pool = call.service.pool
+        view = await self._placer.find(call, placements.OCCUPANCY)
+        is_free = error.reason is verdicts.Reason.CONNECTION_FAILED
+        is_free = is_free and len(call.tried) <= MAX_FREE_RETRIES
+        if view is None or not (is_free or pool.may_retry()):
+            return None
+        return pool.started(view, time.monotonic())
+
+    async def _place_hedge(self, call: requests.Call) -> races.Won:
+        """Send a second attempt if a target has spare slots."""
+        pool = call.service.pool
+        view = await self._placer.find(call)
+        if view is None or not pool.may_hedge():
+            raise attempts.AttemptError(
+                verdicts.Verdict.NOT_RUN, verdicts.Reason.NO_TARGET, "no spare target"
+            )
+        return await self._attempt(call, self._start_hedge(call, view))
+
     async def _attempt(self, call: requests.Call, token: balancing.Token) -> races.Won:
         target = token.view.target
         call.tried.append(target.target_id)
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -20,6 +20,7 @@
     measurements,
     metrics,
     operators,
+    placements,
     pools,
     samplers,
     watches,
@@ -130,6 +131,7 @@
         entry = self._cfg.entry
         self._forwarder = forwards.Forwarder()
         self._sampler = samplers.Sampler(self._forwarder, entry.samples, entry.headers)
+        samples = entry.samples.per_target_s > 0
         self._calls = calls.Calls(
             view=self.view,
             services=self.services,
@@ -137,7 +139,7 @@
             claims=keys.Claims(self.client, self._cfg.instance.name),
             reporter=crashes.CrashReporter(self.client),
             meters=self.metrics,
-            sampler=self._sampler,
+            placer=placements.Placer(self._sampler) if samples else None,
             names=entry.headers,
             retry_after_s=entry.retry_after_s,
         )
--- /dev/null
+++ b/coltsfootchute/entry/placements.py
@@ -0,0 +1,115 @@
+"""Placement of requests on targets that have room, by probes right before."""
+
+import asyncio
+import random
+import time
+
+from coltsfootchute import balancing, verdicts
+from coltsfootchute.entry import requests, samplers
+
+__all__ = ["Placer"]
+
+# Pause before other targets are probed; a slot of a busy target becomes free within
+# some ten milliseconds.
+PAUSE_S = 0.015
+# Shortest time for which a request looks for room.
+MIN_PATIENCE_S = 0.03
+# A request that can't meet its objective any more looks for room this long.
+LATE_PATIENCE_S = 0.15
+# Of the usual response time, what an answer within the objective needs.
+ROOM_FACTOR = 1.2
+# Part of a target's slots that may be in use after a request was added. Targets slow
+# down when nearly all are, so a full target answers fewer requests a second.
+OCCUPANCY = 0.8
+URGENT_OCCUPANCY = 1.0
+# For requests that are worth little and for hedges: only targets with spare slots.
+SPARE_OCCUPANCY = 0.55
+# Rank of a route up to which it may fill a target.
+URGENT_PRIORITY = 8
+
+
+class Placer:
+    """Finds a target with room for a request of a declared route.
+
+    Parameters
+    ----------
+    sampler
+        Probes targets.
+
+    Notes
+    -----
+    Requests wait here rather than in the queues of targets: a queued request can't
+    move to a target that becomes free. One that finds no room in time for its
+    objective is refused as not run, which is cheap for the caller while it is early.
+    """
+
+    def __init__(self, sampler: samplers.Sampler):
+        self._sampler = sampler
+
+    async def place(self, call: requests.Call) -> balancing.Token:
+        """Wait for a target with room.
+
+        Returns
+        -------
+        balancing.Token
+            An attempt that counts as started.
+
+        Raises
+        ------
+        RefusedError
+            If there is no target, or none with room in time.
+        """
+        pool = call.service.pool
+        pool.deposit()
+        late = is_late(call, time.monotonic())
+        until_s = time.monotonic() + patience_s(call, late)
+        occupancy = _occupancy(call, late)
+        while True:
+            view = await self.find(call, occupancy)
+            now = time.monotonic()
+            if view is not None:
+                return pool.started(view, now)
+            if not pool.is_serving:
+                raise requests.refused(
+                    verdicts.Reason.NO_TARGET, "no target is serving"
+                )
+            if now + PAUSE_S > until_s:
+                raise requests.refused(
+                    verdicts.Reason.QUEUE_FULL, "no probed target had room in time"
+                )
+            await asyncio.sleep(PAUSE_S * random.uniform(0.7, 1.3))
+
+    async def find(
+        self, call: requests.Call, occupancy: float = SPARE_OCCUPANCY
+    ) -> balancing.TargetView | None:
+        """Probe some targets and return the best one with room, if there is one."""
+        await self._sampler.sample(call.service, call.deadline, call.tried)
+        return call.service.pool.select_with_room(
+            time.monotonic(), occupancy, call.tried
+        )
+
+
+def is_late(call: requests.Call, now: float) -> bool:
+    """Tell whether an answer can't meet the objective any more."""
+    if call.rule.objective_ms is None:
+        return False
+    usual_s = call.service.pool.usual_s or 0.0
+    return call.age_s(now) + usual_s > call.rule.objective_ms / 1000
+
+
+def patience_s(call: requests.Call, late: bool) -> float:
+    """Return how long a request looks for room, in seconds."""
+    now = time.monotonic()
+    usual_s = call.service.pool.usual_s or 0.0
+    left_s = call.deadline - now - usual_s
+    if late or call.rule.objective_ms is None:
+        return max(0.0, min(LATE_PATIENCE_S, left_s))
+    room_s = call.rule.objective_ms / 1000 - call.age_s(now) - ROOM_FACTOR * usual_s
+    return max(0.0, min(max(MIN_PATIENCE_S, room_s), left_s))
+
+
+def _occupancy(call: requests.Call, late: bool) -> float:
+    if late:
+        return SPARE_OCCUPANCY
+    urgent = call.rule.priority >= URGENT_PRIORITY
+    return URGENT_OCCUPANCY if urgent else OCCUPANCY
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -44,6 +44,7 @@
         self.health_path = ""
         # True once a crash was seen or learned: only then are digests computed.
         self.has_crashes = False
+        self._deadlines_ms: dict[str, int] = {}
         self._waiting: dict[balancing.Ticket, asyncio.Future[Admitted]] = {}
         self._timer: asyncio.TimerHandle | None = None
 
@@ -52,6 +53,12 @@
         """The section in force."""
         return self.table.section
 
+    def longest_deadline(self, rule: str, asked_ms: int) -> int:
+        """Return the longest deadline that callers of a rule have stated, in ms."""
+        longest = max(asked_ms, self._deadlines_ms.get(rule, 0))
+        self._deadlines_ms[rule] = longest
+        return longest
+
     def endpoint(self, address: str) -> forwards.Endpoint:
         """Return the prepared address of a target."""
         found = self.endpoints.get(address)
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -155,6 +155,7 @@
 
     __slots__ = (
         "_names",
+        "_waited_before_s",
         "attempts",
         "body",
         "claim",
@@ -197,6 +198,9 @@
         self.path, self.query = place
         headers = request.headers
         self.started_s = now
+        asked_ms = _number(headers, names.deadline, 0)
+        full_ms = service.longest_deadline(rule.name, asked_ms)
+        self._waited_before_s = (full_ms - asked_ms) / 1000 if asked_ms else 0.0
         self.deadline = now + _deadline_s(headers, names.deadline, rule)
         depth = _number(headers, verdicts.DEPTH_HEADER, 0)
         if depth > MAX_DEPTH:
@@ -252,6 +256,13 @@
         """Whether another target may get the request."""
         return len(self.tried) < self.rule.attempts
 
+    def age_s(self, now: float) -> float:
+        """Return for how long the caller has waited, earlier attempts included.
+
+        A caller that comes back states a shorter deadline than at first.
+        """
+        return now - self.started_s + self._waited_before_s
+
     def hedge_delay(self, now: float) -> float | None:
         """Return after how many seconds to hedge; None for not at all.
 
@@ -261,7 +272,7 @@
         pool = self.service.pool
         if self.rule.objective_ms is None or pool.usual_s is None:
             return pool.hedge_delay(now)
-        left_s = self.started_s + self.rule.objective_ms / 1000 - now
+        left_s = self.rule.objective_ms / 1000 - self.age_s(now)
         return max(pool.usual_s * HEDGE_AFTER, left_s - pool.usual_s * HEDGE_ROOM)
 
     def attempt_headers(self, now: float, target_id: str) -> multidict.CIMultiDict[str]:
