--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -259,9 +259,15 @@
         return now - self._sampled_s <= SAMPLE_FRESH_S
 
     def sampled_load(self) -> float:
-        """Return the requests at the target by its last report and since then."""
-        started = max(0, self.in_flight - self._sample_in_flight)
-        return self._sample.requests(self.slots) + started
+        """Return the requests at the target by its last report and since then.
+
+        Notes
+        -----
+        A report that came with a response counts that request; its end is taken
+        off like the end of any other.
+        """
+        change = self.in_flight - self._sample_in_flight
+        return max(0.0, self._sample.requests(self.slots) + change)
 
     @property
     def sampled_pace(self) -> float:
--- a/coltsfootchute/entry/placements.py
+++ b/coltsfootchute/entry/placements.py
@@ -22,7 +22,7 @@
 # down when nearly all are, so a full target answers fewer requests a second.
 OCCUPANCY = 0.8
 URGENT_OCCUPANCY = 1.0
-# For requests that are worth little and for hedges: only targets with spare slots.
+# For hedges: only targets with spare slots.
 SPARE_OCCUPANCY = 0.55
 # Rank of a route up to which it may fill a target.
 URGENT_PRIORITY = 8
@@ -110,6 +110,6 @@
 
 def _occupancy(call: requests.Call, late: bool) -> float:
     if late:
-        return SPARE_OCCUPANCY
+        return OCCUPANCY
     urgent = call.rule.priority >= URGENT_PRIORITY
     return URGENT_OCCUPANCY if urgent else OCCUPANCY
