--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -24,8 +24,10 @@
 
 # How often a request that waits for a faster target is looked at again.
 SLOW_WAIT_S = 0.005
-# Weight of one response in the moving average of response times.
-USUAL_GAIN = 0.05
+# Weights of a slower and a faster response in the usual response time. It follows the
+# faster half, so that overload does not pass for the usual state.
+USUAL_RISE = 0.02
+USUAL_FALL = 0.06
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +139,7 @@
         )
         self._hedge_delay = hedges.HedgeDelay()
         self._samples = samples.SampleBudget(0.0)
-        # Moving average of response times; None before the first one.
+        # Usual response time of a target with room; None before the first response.
         self.usual_s: float | None = None
         self._views: dict[ids.TargetId, views.TargetView] = {}
         self._in_use_changed = False
@@ -373,7 +375,8 @@
         token.view.measured(response_s, now)
         if self.usual_s is None:
             self.usual_s = response_s
-        self.usual_s += USUAL_GAIN * (response_s - self.usual_s)
+        gap_s = response_s - self.usual_s
+        self.usual_s += gap_s * (USUAL_RISE if gap_s > 0 else USUAL_FALL)
         self._hedge_delay.record(response_s)
         if load is not None:
             token.view.reported(load, now)
--- a/coltsfootchute/entry/placements.py
+++ b/coltsfootchute/entry/placements.py
@@ -21,11 +21,8 @@
 # Part of a target's slots that may be in use after a request was added. Targets slow
 # down when nearly all are, so a full target answers fewer requests a second.
 OCCUPANCY = 0.8
-URGENT_OCCUPANCY = 1.0
-# For hedges: only targets with spare slots.
+# For hedges and for answers that are late in any case: only targets with spare slots.
 SPARE_OCCUPANCY = 0.55
-# Rank of a route up to which it may fill a target.
-URGENT_PRIORITY = 8
 
 
 class Placer:
@@ -63,7 +60,7 @@
         pool.deposit()
         late = is_late(call, time.monotonic())
         until_s = time.monotonic() + patience_s(call, late)
-        occupancy = _occupancy(call, late)
+        occupancy = SPARE_OCCUPANCY if late else OCCUPANCY
         while True:
             view = await self.find(call, occupancy)
             now = time.monotonic()
@@ -106,10 +103,3 @@
         return max(0.0, min(LATE_PATIENCE_S, left_s))
     room_s = call.rule.objective_ms / 1000 - call.age_s(now) - ROOM_FACTOR * usual_s
     return max(0.0, min(max(MIN_PATIENCE_S, room_s), left_s))
-
-
-def _occupancy(call: requests.Call, late: bool) -> float:
-    if late:
-        return OCCUPANCY
-    urgent = call.rule.priority >= URGENT_PRIORITY
-    return URGENT_OCCUPANCY if urgent else OCCUPANCY
