--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -26,7 +26,7 @@
 SLOW_WAIT_S = 0.005
 # Weights of a slower and a faster response in the usual response time. It follows the
 # faster half, so that overload does not pass for the usual state.
-USUAL_RISE = 0.02
+USUAL_RISE = 0.03
 USUAL_FALL = 0.06
 
 
--- a/coltsfootchute/entry/placements.py
+++ b/coltsfootchute/entry/placements.py
@@ -21,8 +21,11 @@
 # Part of a target's slots that may be in use after a request was added. Targets slow
 # down when nearly all are, so a full target answers fewer requests a second.
 OCCUPANCY = 0.8
-# For hedges and for answers that are late in any case: only targets with spare slots.
+URGENT_OCCUPANCY = 1.0
+# For hedges: only targets with spare slots.
 SPARE_OCCUPANCY = 0.55
+# Priority of a rule from which on its requests may fill a target.
+URGENT_PRIORITY = 8
 
 
 class Placer:
@@ -60,7 +63,8 @@
         pool.deposit()
         late = is_late(call, time.monotonic())
         until_s = time.monotonic() + patience_s(call, late)
-        occupancy = SPARE_OCCUPANCY if late else OCCUPANCY
+        urgent = call.rule.priority >= URGENT_PRIORITY and not late
+        occupancy = URGENT_OCCUPANCY if urgent else OCCUPANCY
         while True:
             view = await self.find(call, occupancy)
             now = time.monotonic()
