--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -128,6 +128,7 @@
 
     async def _handle(self, request: aiohttp.web.BaseRequest) -> answers.Written:
         started = time.monotonic()
+        await self._view.begin()
         try:
             call = self._match(request, started)
         except pools.RefusedError as exc:
--- a/coltsfootchute/entry/tests/test_declared.py
+++ b/coltsfootchute/entry/tests/test_declared.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from coltsfootchute.entry import pools
+from coltsfootchute.entry import daemons, pools
 from coltsfootchute.entry.tests import stands
 
 NAMES = {
@@ -78,12 +78,25 @@
 def test_an_entry_without_a_declaration_says_that_nothing_ran():
     """A restarted entry must not answer 404 for routes that it does not know yet."""
 
-    async def play(stage):
-        stage.entry.view.revision = 0
-        answer = await ask(stage)
-        assert (answer.status, answer.headers["retry-after"]) == (503, "0.2")
-
-    stands.run(play, echo(), headers=NAMES, retry_after_s=0.2)
+    async def play():
+        stage = stands.Stage()
+        await stage.control.start()
+        stage.control.feed.cluster_id = ""
+        stage.entry = daemons.Daemon(stage.settings(headers=NAMES, retry_after_s=0.2))
+        await stage.entry.start()
+        try:
+            answer = await ask(stage)
+            assert (answer.status, answer.headers["retry-after"]) == (503, "0.2")
+            waiting = asyncio.ensure_future(ask(stage))
+            await asyncio.sleep(0.1)
+            stage.control.feed.cluster_id = "c1"
+            stage.control.declare(1, READ)
+            # Known routes, no target yet.
+            assert (await waiting).refusal == "not_run no_target 503"
+        finally:
+            await stage.stop()
+
+    asyncio.run(play())
 
 
 def test_a_request_that_must_not_repeat_needs_no_key_and_runs_once():
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -35,6 +35,8 @@
 FREEZE_S = 1.0
 # A new source needs a few milliseconds to tell what happened during a freeze.
 CATCH_UP_S = 0.5
+# Callers give up an instance that has not read a request for 1 s.
+FIRST_NEWS_S = 0.8
 
 Listener = typing.Callable[[coltsfootchute_pb2.FeedMessage, set[str]], None]
 
@@ -85,6 +87,7 @@
         self.alive_at = clock()
         self.thawed_at = float("-inf")
         self._news = asyncio.Event()
+        self._begun = asyncio.Event()
         self.listener = listener
 
     def is_stale(self, now: float) -> bool:
@@ -101,6 +104,20 @@
         """Become stale until a source proves again that it is current."""
         self.proof_at = float("-inf")
 
+    async def begin(self) -> None:
+        """Wait for the first message after a start, for a short time.
+
+        Notes
+        -----
+        When all processes restart, entries listen before control has a leader. A
+        request that waits for the routes is served; one that is refused at once comes
+        back too early and uses up its caller's attempts.
+        """
+        if self._begun.is_set():
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._begun.wait(), FIRST_NEWS_S)
+
     async def catch_up(self) -> None:
         """Wait for the news after a freeze, for a short time.
 
@@ -146,6 +163,7 @@
         self.cluster_id = message.cluster_id
         touched = self._apply_changes(message)
         self.revision = message.revision
+        self._begun.set()
         if message.has_instances:
             self.instances = {i.name: i for i in message.instances}
         if message.control_addresses:
