--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import itertools
+import math
 import random
 
 from coltsfootchute import ids, verdicts
@@ -281,6 +282,7 @@
         now: float,
         occupancy: float,
         exclude: collections.abc.Collection[ids.TargetId] = (),
+        max_pace: float = math.inf,
     ) -> views.TargetView | None:
         """Select a target whose fresh report shows room.
 
@@ -292,6 +294,8 @@
             Part of the slots that may be in use with the request added.
         exclude
             Targets that this request has tried.
+        max_pace
+            Targets on machines that are slower at the moment are left out.
 
         Returns
         -------
@@ -307,6 +311,7 @@
                 view
                 for view in sampled
                 if view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
+                and view.sampled_pace <= max_pace
             ]
         return self._policy.select(found, now, self._rng)
 
--- a/coltsfootchute/entry/placements.py
+++ b/coltsfootchute/entry/placements.py
@@ -1,6 +1,7 @@
 """Placement of requests on targets that have room, by probes right before."""
 
 import asyncio
+import math
 import random
 import time
 
@@ -21,11 +22,11 @@
 # Part of a target's slots that may be in use after a request was added. Targets slow
 # down when nearly all are, so a full target answers fewer requests a second.
 OCCUPANCY = 0.8
-URGENT_OCCUPANCY = 1.0
 # For hedges: only targets with spare slots.
 SPARE_OCCUPANCY = 0.55
-# Priority of a rule from which on its requests may fill a target.
-URGENT_PRIORITY = 8
+# A machine that is slower than this at the moment makes an answer late, so a request
+# rather looks for another one while it has the time.
+MAX_PACE = 2.0
 
 
 class Placer:
@@ -61,20 +62,20 @@
         """
         pool = call.service.pool
         pool.deposit()
-        late = is_late(call, time.monotonic())
-        until_s = time.monotonic() + patience_s(call, late)
-        urgent = call.rule.priority >= URGENT_PRIORITY and not late
-        occupancy = URGENT_OCCUPANCY if urgent else OCCUPANCY
+        until_s = time.monotonic() + patience_s(call)
         while True:
-            view = await self.find(call, occupancy)
+            await self._sampler.sample(call.service, call.deadline, call.tried)
             now = time.monotonic()
+            is_last = now + PAUSE_S > until_s
+            max_pace = math.inf if is_last else MAX_PACE
+            view = pool.select_with_room(now, OCCUPANCY, call.tried, max_pace)
             if view is not None:
                 return pool.started(view, now)
             if not pool.is_serving:
                 raise requests.refused(
                     verdicts.Reason.NO_TARGET, "no target is serving"
                 )
-            if now + PAUSE_S > until_s:
+            if is_last:
                 raise requests.refused(
                     verdicts.Reason.QUEUE_FULL, "no probed target had room in time"
                 )
@@ -98,12 +99,12 @@
     return call.age_s(now) + usual_s > call.rule.objective_ms / 1000
 
 
-def patience_s(call: requests.Call, late: bool) -> float:
+def patience_s(call: requests.Call) -> float:
     """Return how long a request looks for room, in seconds."""
     now = time.monotonic()
     usual_s = call.service.pool.usual_s or 0.0
     left_s = call.deadline - now - usual_s
-    if late or call.rule.objective_ms is None:
+    if is_late(call, now) or call.rule.objective_ms is None:
         return max(0.0, min(LATE_PATIENCE_S, left_s))
     room_s = call.rule.objective_ms / 1000 - call.age_s(now) - ROOM_FACTOR * usual_s
     return max(0.0, min(max(MIN_PATIENCE_S, room_s), left_s))
