commands: explain a failed request from the logs

Ruled out: a query over the network; on-call engineers have files only. Before / after: the cut-off case failed first, since the end of a stream without an error was not logged as a lost source. Conclusion: the three kinds are found by id.

--- a/coltsfootchute/commands/apps.py
+++ b/coltsfootchute/commands/apps.py
@@ -5,7 +5,13 @@
 import cyclopts
 
 import coltsfootchute
-from coltsfootchute.commands import checks, declarations, documents, statuses
+from coltsfootchute.commands import (
+    checks,
+    declarations,
+    documents,
+    explanations,
+    statuses,
+)
 
 __all__ = ["build"]
 
@@ -30,6 +36,7 @@
     app.command(_build_section())
     app.command(statuses.status)
     app.command(statuses.targets)
+    app.command(explanations.explain)
     return app
 
 
--- /dev/null
+++ b/coltsfootchute/commands/tests/test_explanations.py
@@ -0,0 +1,108 @@
+"""From the id of a failed request to its cause, by logs of a run with the fault."""
+
+import asyncio
+import io
+import json
+import sys
+
+import loguru
+import msgspec
+import pytest
+
+from coltsfootchute import logs, settings
+from coltsfootchute.commands import explanations, main
+from coltsfootchute.entry.tests import stands, test_declared
+
+ENTRY = {"api": "127.0.0.1:0", "peer": "127.0.0.1:0", "control": ["127.0.0.1:1"]}
+INSTANCE = {"name": "e1", "failure_domain": "a"}
+CFG = settings.parse(
+    json.dumps({"instance": INSTANCE, "log": {"format": "json"}, "entry": ENTRY})
+)
+
+
+@pytest.fixture
+def stream():
+    """Return the log of the entry, as a collector gets it."""
+    found = io.StringIO()
+    logs.configure(CFG, found)
+    yield found
+    loguru.logger.remove()
+    loguru.logger.add(sys.stderr)
+
+
+def cause_of(stream, request_id="r1"):
+    lines = explanations.read_lines(["noise", *stream.getvalue().splitlines()])
+    return explanations.find_cause(lines, request_id)
+
+
+def at(load, pace=100):
+    """Return a script of a target that reports its load."""
+
+    async def script(target, head, reader, writer):
+        headers = f"{test_declared.SEALED}X-Load: {load},{pace}\r\n"
+        await test_declared.echo(headers=headers)(target, head, reader, writer)
+
+    return script
+
+
+def test_a_refusal_at_overload_is_explained(stream):
+    """A request that found all targets full must not look like a broken target."""
+
+    async def play(stage):
+        answer = await test_declared.ask(stage)
+        assert answer.refusal == "not_run queue_full 503"
+
+    samples = {"per_target_s": 1000, "wait_s": 1}
+    test_declared.play_declared(play, at("8,3,8"), samples=samples)
+    lines, cause = cause_of(stream)
+    assert cause.startswith("overload")
+    assert {"waiting", "tokens", "left_s"} <= lines[-1].fields.keys()
+
+
+def test_a_failure_of_a_target_that_died_is_explained(stream):
+    async def play(stage):
+        answer = await test_declared.ask(stage, "/order/1", "POST", b"one")
+        assert answer.status == 502
+        stage.control.publish(removed_target_id="t0")
+        await stands.until(lambda: not stage.entry.view.targets)
+
+    test_declared.play_declared(play, stands.close_after(reset=True))
+    lines, cause = cause_of(stream)
+    assert "broke the connection" in cause
+    assert lines[-1].fields["tried"] == ["t0"]
+    assert lines[-1].fields["loads"]
+
+
+def test_a_failure_through_an_entry_that_was_cut_off_is_explained(stream):
+    """The engineer must see that the entry acted on an old register."""
+
+    async def play(stage):
+        stage.control.feed.close()
+        await stage.targets[0].stop()
+        stage.control.server.close()
+        await asyncio.sleep(0.3)
+        answer = await test_declared.ask(stage)
+        assert answer.status == 503
+
+    test_declared.play_declared(play, test_declared.echo())
+    lines, cause = cause_of(stream)
+    assert cause.startswith("the target was gone but still registered")
+    assert cause.endswith("may have been behind")
+    assert "feed: source lost" in [line.message for line in lines]
+
+
+def test_the_command_reads_files_and_refuses_unknown_ids(tmp_path, capsys):
+    file = tmp_path / "e1.log"
+    line = {
+        "time": "2026-01-01T00:00:01.000+00:00",
+        "instance": "e1",
+        "message": "entry: failed",
+        "fields": {"request": "r9", "reason": "target_timeout"},
+    }
+    file.write_text(f"12.0 host {msgspec.json.encode(line).decode()}\nother {{\n")
+    assert main.main(["explain", "r9", str(file)]) == 0
+    assert "cause: the target was slow" in capsys.readouterr().out
+    assert main.main(["explain", "r9", str(file), "--json"]) == 0
+    assert msgspec.json.decode(capsys.readouterr().out)["lines"]
+    assert main.main(["explain", "nobody", str(file)]) == 1
+    assert main.main(["explain", "r9", str(tmp_path / "none")]) == 1
--- /dev/null
+++ b/coltsfootchute/entry/tests/test_placements.py
@@ -0,0 +1,104 @@
+"""Room at targets by fresh reports."""
+
+import asyncio
+import random
+import types
+
+import pytest
+
+from coltsfootchute import balancing, ids
+from coltsfootchute.balancing import samples
+from coltsfootchute.entry import placements, pools
+
+
+def make_pool(*loads, slots=4):
+    """Return a pool whose targets just reported (requests, pace)."""
+    settings = balancing.PoolSettings(policy="sampled", samples_per_s=100)
+    domain = ids.FailureDomain("a")
+    pool = balancing.Pool(ids.ServiceName("s"), settings, domain, 1, random.Random(1))
+    targets = [
+        balancing.Target(ids.TargetId(f"t{n}"), f"{n}:1", domain, slots)
+        for n in range(len(loads))
+    ]
+    pool.update_targets(targets, 100.0)
+    for view, (requests, pace) in zip(pool.all_views, loads, strict=True):
+        view.reported(balancing.LoadReport(requests, None, pace), 100.0)
+    return pool
+
+
+def test_a_target_that_would_fill_up_gets_nothing():
+    """Targets slow down when nearly all slots are in use, so a queue never drains."""
+    assert make_pool((3, 1)).select_with_room(100.0, 0.8) is None
+    found = make_pool((3, 1), (2, 1)).select_with_room(100.0, 0.8)
+    assert found.target.target_id == "t1"
+
+
+def test_a_slow_machine_is_left_out_while_there_is_time():
+    pool = make_pool((0, 5.0), (2, 1.0))
+    assert pool.select_with_room(100.0, 0.8, (), 2.0).target.target_id == "t1"
+    alone = make_pool((0, 5.0))
+    assert alone.select_with_room(100.0, 0.8, (), 2.0) is None
+    assert alone.select_with_room(100.0, 0.8).target.target_id == "t0"
+
+
+def test_reports_count_requests_since_and_their_ends():
+    """A report that came with a response must not count that request twice."""
+    pool = make_pool((0, 1))
+    view = pool.all_views[0]
+    token = pool.started(view, 100.0)
+    assert view.sampled_load() == 1
+    pool.responded(token, 100.01, balancing.LoadReport(3, None, 1.0))
+    pool.finished(token, balancing.Outcome.OK, 100.01)
+    assert view.sampled_load() == 2
+
+
+def test_without_any_report_all_targets_are_eligible():
+    """Targets that tell no load must get requests all the same."""
+    pool = make_pool((3, 1))
+    assert pool.select_with_room(200.0, 0.8) is not None
+
+
+def test_the_rate_of_probes_is_bounded():
+    budget = samples.SampleBudget(10)
+    granted = sum(budget.take(4, n / 100) for n in range(1000))
+    assert granted <= 10 * (10 + 1)
+
+
+@pytest.mark.parametrize(
+    ("age_s", "expected"), [(0.0, 0.18), (0.15, 0.03), (1.0, 0.15)]
+)
+def test_patience_ends_when_the_objective_is_out_of_reach(age_s, expected):
+    """A request must not look for room beyond the time of a useful answer."""
+    pool = types.SimpleNamespace(usual_s=0.1)
+    call = types.SimpleNamespace(
+        service=types.SimpleNamespace(pool=pool),
+        rule=types.SimpleNamespace(objective_ms=300),
+        age_s=lambda now: age_s,
+        deadline=1e12,
+    )
+    assert placements.patience_s(call) == pytest.approx(expected)
+
+
+def test_a_request_waits_for_room_and_is_refused_early():
+    async def play():
+        pool = make_pool((4, 1))
+
+        class Sampler:
+            async def sample(self, service, deadline_s, tried):
+                for view in pool.all_views:
+                    view.reported(balancing.LoadReport(4, None, 1.0), clock())
+
+        clock = asyncio.get_running_loop().time
+        call = types.SimpleNamespace(
+            service=types.SimpleNamespace(pool=pool),
+            rule=types.SimpleNamespace(objective_ms=50),
+            age_s=lambda now: 0.0,
+            deadline=clock() + 5,
+            tried=[],
+        )
+        started = clock()
+        with pytest.raises(pools.RefusedError, match="had room"):
+            await placements.Placer(Sampler()).place(call)
+        assert clock() - started < 1
+
+    asyncio.run(play())
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -356,14 +356,16 @@
             self._note_lost(address, exc)
         except grpclib.exceptions.StreamTerminatedError as exc:
             self._note_lost(address, exc)
+        else:
+            self._note_lost(address, None)
 
-    def _note_lost(self, address: str, exc: Exception) -> None:
+    def _note_lost(self, address: str, exc: Exception | None) -> None:
         logs.note(
             "feed",
             "source lost",
             routine=address != self._source,
             source=address,
-            error=repr(exc),
+            error="the stream ended" if exc is None else repr(exc),
             revision=self._view.revision,
         )
         self._source = ""
