--- a/coltsfootchute/commands/tests/test_explanations.py
+++ b/coltsfootchute/commands/tests/test_explanations.py
@@ -1,6 +1,5 @@
 """From the id of a failed request to its cause, by logs of a run with the fault."""
 
-import asyncio
 import io
 import json
 import sys
@@ -80,7 +79,7 @@
         stage.control.feed.close()
         await stage.targets[0].stop()
         stage.control.server.close()
-        await asyncio.sleep(0.3)
+        await stands.until(lambda: "source lost" in stream.getvalue())
         answer = await test_declared.ask(stage)
         assert answer.status == 503
 
