--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -213,10 +213,14 @@
 
         Notes
         -----
-        Random eligible targets without a fresh report, all but one of them of the
+        Random eligible targets without a fresh report or an open probe, all but one of them of the
         entry's own failure domain if there are enough. Takes from the budget.
         """
-        found = [v for v in self._eligible(now, exclude) if not v.is_sampled(now)]
+        found = [
+            view
+            for view in self._eligible(now, exclude)
+            if not view.is_sampled(now) and view.probed_s == math.inf
+        ]
         self._rng.shuffle(found)
         domain = self._failure_domain
         near = [v for v in found if v.target.failure_domain == domain]
@@ -300,19 +304,22 @@
         Returns
         -------
         views.TargetView or None
-            Any eligible target if there is no fresh report at all; None if no
-            target with a fresh report has room.
+            None if no target with a fresh report has room. One without a report
+            counts if the pace does not matter or no probe is left.
         """
         self._restore_excess(now)
-        found = self._eligible(now, exclude)
-        sampled = [view for view in found if view.is_sampled(now)]
-        if sampled:
-            found = [
-                view
-                for view in sampled
-                if view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
-                and view.sampled_pace <= max_pace
-            ]
+        eligible = self._eligible(now, exclude)
+        found = [
+            view
+            for view in eligible
+            if view.is_sampled(now)
+            and view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
+            and view.sampled_pace <= max_pace
+        ]
+        if not found:
+            found = [view for view in eligible if not view.is_sampled(now)]
+            if found and max_pace < math.inf and self._samples.has(now):
+                return None
         return self._policy.select(found, now, self._rng)
 
     def select(
--- a/coltsfootchute/balancing/samples.py
+++ b/coltsfootchute/balancing/samples.py
@@ -30,6 +30,17 @@
         unused = self._at is None
         self._tokens = per_s if unused else min(self._tokens, per_s)
 
+    def has(self, now: float) -> bool:
+        """Tell whether a probe may be sent."""
+        self._earn(now)
+        return self._tokens >= 1
+
+    def _earn(self, now: float) -> None:
+        if self._at is not None:
+            earned = (now - self._at) * self._per_s
+            self._tokens = min(self._per_s, self._tokens + max(0.0, earned))
+        self._at = now
+
     def take(self, wanted: int, now: float) -> int:
         """Take tokens for some probes.
 
@@ -45,10 +56,7 @@
         int
             How many may be sent.
         """
-        if self._at is not None:
-            earned = (now - self._at) * self._per_s
-            self._tokens = min(self._per_s, self._tokens + max(0.0, earned))
-        self._at = now
+        self._earn(now)
         granted = min(wanted, int(self._tokens))
         self._tokens -= granted
         return granted
--- a/coltsfootchute/entry/placements.py
+++ b/coltsfootchute/entry/placements.py
@@ -64,7 +64,7 @@
         pool.deposit()
         until_s = time.monotonic() + patience_s(call)
         while True:
-            await self._sampler.sample(call.service, call.deadline, call.tried)
+            probed = await self._sampler.sample(call.service, call.deadline, call.tried)
             now = time.monotonic()
             is_last = now + PAUSE_S > until_s
             max_pace = math.inf if is_last else MAX_PACE
@@ -79,7 +79,8 @@
                 raise requests.refused(
                     verdicts.Reason.QUEUE_FULL, "no probed target had room in time"
                 )
-            await asyncio.sleep(PAUSE_S * random.uniform(0.7, 1.3))
+            if not probed:
+                await asyncio.sleep(PAUSE_S * random.uniform(0.7, 1.3))
 
     async def find(
         self, call: requests.Call, occupancy: float = SPARE_OCCUPANCY
--- a/coltsfootchute/entry/samplers.py
+++ b/coltsfootchute/entry/samplers.py
@@ -56,7 +56,7 @@
         service: pools.Service,
         deadline_s: float,
         tried: collections.abc.Collection[ids.TargetId] = (),
-    ) -> None:
+    ) -> int:
         """Refresh the load of a few targets.
 
         Parameters
@@ -67,20 +67,26 @@
             Time by which the request must be answered.
         tried
             Targets that the request does not go to any more.
+
+        Returns
+        -------
+        int
+            Number of targets that were asked.
         """
         now = time.monotonic()
         if not self._cfg.per_target_s or not service.health_path:
-            return
+            return 0
         if deadline_s - now < MIN_LEFT_S:
-            return
+            return 0
         views = service.pool.candidates(self._cfg.fan_out, now, tried)
         tasks = [asyncio.ensure_future(self._probe(service, view)) for view in views]
         if not tasks:
-            return
+            return 0
         self._probes.update(tasks)
         for task in tasks:
             task.add_done_callback(self._probes.discard)
         await asyncio.wait(tasks, timeout=self._cfg.wait_s)
+        return len(tasks)
 
     async def close(self) -> None:
         """End the probes that are under way."""
@@ -111,9 +117,9 @@
             loguru.logger.debug("entry: probe of {} failed: {!r}", address, exc)
             return
         finally:
+            view.probed_s = math.inf
             attempt.finish()
-        view.probed_s = math.inf
         report = attempt.headers.get(self._names.load)
-        load = report and loads.FORMATS[self._names.load_format](report)
-        if load:
-            view.reported(load, time.monotonic())
+        load = loads.FORMATS[self._names.load_format](report) if report else None
+        # A target that tells no load is taken for idle: it does answer.
+        view.reported(load or loads.LoadReport(0.0), time.monotonic())
--- a/coltsfootchute/entry/tests/test_declared.py
+++ b/coltsfootchute/entry/tests/test_declared.py
@@ -245,6 +245,17 @@
     play_declared(play, at(500), at(100), samples=samples)
 
 
+def test_a_service_that_tells_no_load_is_served():
+    """Targets without load reports must not look busy for ever."""
+
+    async def play(stage):
+        for _ in range(3):
+            assert (await ask(stage)).status == 200
+
+    samples = {"per_target_s": 1000, "wait_s": 1}
+    play_declared(play, echo(), samples=samples)
+
+
 def test_the_burst_of_retries_is_divided_among_the_entries():
     """All entries together must keep the bound on second attempts."""
 
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -142,7 +142,7 @@
     """
 
     per_target_s: typing.Annotated[float, msgspec.Meta(ge=0, le=1000)] = 0.0
-    fan_out: typing.Annotated[int, msgspec.Meta(ge=1, le=16)] = 4
+    fan_out: typing.Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
     wait_s: typing.Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.03
 
 
--- a/tests/scenario_language/entries.py
+++ b/tests/scenario_language/entries.py
@@ -68,6 +68,7 @@
         self.client._leader = world.control_names[0]
         self.client._connect = self._connect
         self._watcher._control = controls
+        self._watcher._seeds = controls
         self._watcher._watch = self._watch
 
     def begin(self):
