balancing: fewer probes a request while the budget is low

An entry of the zone with most callers has 25 reads/s and spends 4 probes on each, with 48 probes/s allowed: without probes left, the few targets with a fresh report counted as all there were, and requests were refused as if there was no room. The report of an entry has its own time limit again.

--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -213,9 +213,11 @@
 
         Notes
         -----
-        Random eligible targets without a fresh report or an open probe, all but one of them of the
-        entry's own failure domain if there are enough. Takes from the budget.
+        Random eligible targets without a fresh report or an open probe, all but one
+        of them of the entry's own failure domain if there are enough. Takes from the
+        budget, and asks fewer targets while little of it is left.
         """
+        count = self._samples.scale(count, now)
         found = [
             view
             for view in self._eligible(now, exclude)
--- a/coltsfootchute/balancing/samples.py
+++ b/coltsfootchute/balancing/samples.py
@@ -35,6 +35,18 @@
         self._earn(now)
         return self._tokens >= 1
 
+    def scale(self, wanted: int, now: float) -> int:
+        """Return how many probes to use for one request, at least one.
+
+        A request with fewer probes is served better than one that follows a request
+        with many and has none.
+        """
+        self._earn(now)
+        if not self._per_s:
+            return 1
+        part = 2 * self._tokens / self._per_s
+        return max(1, min(wanted, round(wanted * part)))
+
     def _earn(self, now: float) -> None:
         if self._at is not None:
             earned = (now - self._at) * self._per_s
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -44,6 +44,7 @@
 STOP_LIMIT_S = NEWS_S + MAX_KEEP_S + FINISH_LIMIT_S + SETTLE_LIMIT_S
 REPORT_CHANGED_S = 0.5
 REPORT_UNCHANGED_S = 1.5
+REPORT_LIMIT_S = 1.0
 BACKLOG = 1024
 API_SHUTDOWN_S = 0.5
 
@@ -331,7 +332,7 @@
 
     async def _send_report(self) -> None:
         request = coltsfootchute_pb2.ReportRequest(instance=self.own_instance())
-        await self.client.call("Report", request, REPORT_CHANGED_S, repeatable=True)
+        await self.client.call("Report", request, REPORT_LIMIT_S, repeatable=True)
 
 
 def _split(address: str) -> tuple[str, int]:
