--- a/coltsfootchute/balancing/__init__.py
+++ b/coltsfootchute/balancing/__init__.py
@@ -2,9 +2,10 @@
 
 from coltsfootchute.balancing.admissions import Admission, Grant, Ticket
 from coltsfootchute.balancing.loads import LoadReport
-from coltsfootchute.balancing.pools import Pool, PoolSettings
+from coltsfootchute.balancing.pools import Pool
 from coltsfootchute.balancing.probes import ProbePermit, ProbeShares
 from coltsfootchute.balancing.quarantines import CrashGuard, CrashReport
+from coltsfootchute.balancing.target_sets import PoolSettings
 from coltsfootchute.balancing.views import (
     AttemptKind,
     Outcome,
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -1,9 +1,7 @@
-"""The targets of one service, as one entry selects among them."""
+"""Selection, budgets and the queue of one service in one entry."""
 
 import collections.abc
-import dataclasses
 import itertools
-import math
 import random
 
 from coltsfootchute import ids, verdicts
@@ -12,16 +10,15 @@
     budgets,
     ejections,
     hedges,
-    limits,
     loads,
     policies,
     probes,
     quarantines,
-    samples,
+    target_sets,
     views,
 )
 
-__all__ = ["Pool", "PoolSettings"]
+__all__ = ["Pool"]
 
 # How often a request that waits for a faster target is looked at again.
 SLOW_WAIT_S = 0.005
@@ -31,36 +28,7 @@
 USUAL_FALL = 0.06
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolSettings:
-    """The part of a section that selection needs.
-
-    Parameters
-    ----------
-    policy
-        Name in `policies.POLICIES`.
-    retry_budget_percent
-        Retries and hedges over requests, 0 to 100.
-    queue_length, queue_wait_s
-        Bounds of the admission queue.
-    retry_burst
-        Retries and hedges of this entry beyond the percentage.
-    shares_burst
-        Whether the burst is a part of one that all entries share.
-    samples_per_s
-        Probes per target and second that this entry may send before requests.
-    """
-
-    policy: str = "expected_wait"
-    retry_budget_percent: float = 10.0
-    queue_length: int = 64
-    queue_wait_s: float = 0.2
-    retry_burst: float = budgets.MAX_TOKENS
-    shares_burst: bool = False
-    samples_per_s: float = 0.0
-
-
-class Pool:
+class Pool(target_sets.TargetSet):
     """Selection, limits, budgets and queue of one service in one entry.
 
     Retries and hedges don't queue: they use a target that has room, or none.
@@ -118,44 +86,31 @@
     def __init__(
         self,
         service: ids.ServiceName,
-        settings: PoolSettings,
+        settings: target_sets.PoolSettings,
         failure_domain: ids.FailureDomain,
         slots_share: float,
         rng: random.Random,
     ):
+        super().__init__(settings, failure_domain, slots_share, rng)
         self.service = service
         wait_s = settings.queue_wait_s
         self.admission = admissions.Admission(settings.queue_length, wait_s)
-        self.probes = probes.ProbeShares()
         self.crashes = quarantines.CrashGuard()
-        self._settings = settings
-        self._failure_domain = failure_domain
-        self._slots_share = slots_share
-        self._rng = rng
-        self._policy = policies.POLICIES[settings.policy](failure_domain)
         self._budget = budgets.TokenBudget(
             settings.retry_budget_percent,
             settings.retry_burst,
             is_full=not settings.shares_burst,
         )
         self._hedge_delay = hedges.HedgeDelay()
-        self._samples = samples.SampleBudget(0.0)
         # Usual response time of a target with room; None before the first response.
         self.usual_s: float | None = None
-        self._views: dict[ids.TargetId, views.TargetView] = {}
-        self._in_use_changed = False
 
     @property
     def retry_tokens(self) -> float:
         """Retries and hedges that the budget allows at the moment."""
         return self._budget.tokens
 
-    @property
-    def all_views(self) -> list[views.TargetView]:
-        """Views of all targets, for status and metrics."""
-        return list(self._views.values())
-
-    def update_settings(self, settings: PoolSettings) -> None:
+    def update_settings(self, settings: target_sets.PoolSettings) -> None:
         """Apply a new revision of the section; measurements are kept."""
         if settings.policy != self._settings.policy:
             policy = policies.POLICIES[settings.policy]
@@ -165,77 +120,6 @@
         self._settings = settings
         self._samples.change(settings.samples_per_s * len(self._views))
 
-    def update_share(self, slots_share: float) -> None:
-        """Apply a new share, when entries come or go."""
-        self._slots_share = slots_share
-        for view in self._views.values():
-            view.limit.rebound(limits.share_of(view.slots, slots_share))
-
-    def update_targets(
-        self, targets: collections.abc.Iterable[views.Target], now: float
-    ) -> None:
-        """Apply the register's targets of this service.
-
-        A target with a new incarnation starts without history. Attempts on
-        targets that left are still finished normally.
-        """
-        kept = {target.target_id: target for target in targets}
-        for gone in self._views.keys() - kept.keys():
-            del self._views[gone]
-            self.probes.forget(gone)
-        self._in_use_changed = True
-        typical_s = self._typical_latency_s(now)
-        for target_id, target in kept.items():
-            view = self._views.get(target_id)
-            if view is None or view.target.incarnation != target.incarnation:
-                share = limits.share_of(target.slots, self._slots_share)
-                self._views[target_id] = views.TargetView(target, share, typical_s)
-            else:
-                self._update_view(view, target)
-        self._samples.change(self._settings.samples_per_s * len(self._views))
-
-    def candidates(
-        self,
-        count: int,
-        now: float,
-        exclude: collections.abc.Collection[ids.TargetId] = (),
-    ) -> list[views.TargetView]:
-        """Return targets to probe before a request is sent.
-
-        Parameters
-        ----------
-        count
-            Most targets to return.
-        now
-            Time.
-        exclude
-            Targets that this request has tried.
-
-        Notes
-        -----
-        Random eligible targets without a fresh report or an open probe, all but one
-        of them of the entry's own failure domain if there are enough. Takes from the
-        budget, and asks fewer targets while little of it is left.
-        """
-        count = self._samples.scale(count, now)
-        found = [
-            view
-            for view in self._eligible(now, exclude)
-            if not view.is_sampled(now) and view.probed_s == math.inf
-        ]
-        self._rng.shuffle(found)
-        domain = self._failure_domain
-        near = [v for v in found if v.target.failure_domain == domain]
-        far = [v for v in found if v.target.failure_domain != domain]
-        chosen = [*near[: count - 1], *far, *near[count - 1 :]][:count]
-        return chosen[: self._samples.take(len(chosen), now)]
-
-    def draining(self, target_id: ids.TargetId) -> None:
-        """Send no new work to a target until its next incarnation."""
-        if target_id in self._views:
-            self._views[target_id].is_draining = True
-            self._in_use_changed = True
-
     def admit(
         self, priority: int, deadline_s: float, now: float, is_first: bool = True
     ) -> views.TargetView | admissions.Ticket | verdicts.Refusal:
@@ -278,52 +162,6 @@
         """Count a request, which earns a part of a retry."""
         self._budget.deposit()
 
-    @property
-    def is_serving(self) -> bool:
-        """Whether any target takes requests, with or without room."""
-        return bool(self._in_use())
-
-    def select_with_room(
-        self,
-        now: float,
-        occupancy: float,
-        exclude: collections.abc.Collection[ids.TargetId] = (),
-        max_pace: float = math.inf,
-    ) -> views.TargetView | None:
-        """Select a target whose fresh report shows room.
-
-        Parameters
-        ----------
-        now
-            Time.
-        occupancy
-            Part of the slots that may be in use with the request added.
-        exclude
-            Targets that this request has tried.
-        max_pace
-            Targets on machines that are slower at the moment are left out.
-
-        Returns
-        -------
-        views.TargetView or None
-            None if no target with a fresh report has room. One without a report
-            counts if the pace does not matter or no probe is left.
-        """
-        self._restore_excess(now)
-        eligible = self._eligible(now, exclude)
-        found = [
-            view
-            for view in eligible
-            if view.is_sampled(now)
-            and view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
-            and view.sampled_pace <= max_pace
-        ]
-        if not found:
-            found = [view for view in eligible if not view.is_sampled(now)]
-            if found and max_pace < math.inf and self._samples.has(now):
-                return None
-        return self._policy.select(found, now, self._rng)
-
     def select(
         self,
         now: float,
@@ -485,17 +323,6 @@
         if view is not None and is_ok:
             view.last_response_s = now
 
-    def _eligible(self, now, exclude) -> list[views.TargetView]:
-        open_views = [
-            view
-            for target_id, view in self._views.items()
-            if view.has_room(now)
-            and not view.is_ejected(now)
-            and target_id not in exclude
-        ]
-        serving = [view for view in open_views if view.is_serving()]
-        return serving or [view for view in open_views if view.is_suspect()]
-
     def _failed(self, token, outcome, now) -> None:
         view = token.view
         if outcome is views.Outcome.SHED:
@@ -507,25 +334,3 @@
         in_use = self._in_use()
         if view in in_use and ejections.may_eject(in_use, now):
             view.eject(now)
-
-    def _in_use(self) -> list[views.TargetView]:
-        return [v for v in self._views.values() if v.is_serving() or v.is_suspect()]
-
-    def _restore_excess(self, now: float) -> None:
-        if self._in_use_changed:
-            self._in_use_changed = False
-            ejections.restore_excess(self._in_use(), now)
-
-    def _update_view(self, view: views.TargetView, target: views.Target) -> None:
-        view.target = target
-        if max(1, target.slots) != view.slots:
-            view.slots = max(1, target.slots)
-            view.limit.rebound(limits.share_of(view.slots, self._slots_share))
-
-    def _typical_latency_s(self, now: float) -> float:
-        known = sorted(view.latency_s(now) for view in self._views.values())
-        return known[len(known) // 2] if known else 0.0
-
-    def _capacity(self, now: float) -> int:
-        usable = (v for v in self._views.values() if not v.is_ejected(now))
-        return max(1, sum(view.limit.current() for view in usable))
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -12,6 +12,7 @@
     clients,
     descriptions,
     metrics,
+    operations,
     operators,
     watches,
 )
@@ -23,10 +24,6 @@
 MAX_BODY_BYTES = 1 << 20
 READ_LIMIT_S = 3.0
 CHANGE_LIMIT_S = 5.0
-# A target that gets no response within a second turns to another instance.
-REPORT_LIMIT_S = 0.9
-# An operator that gets no response within a second turns to another instance.
-DECLARATION_LIMIT_S = 0.9
 
 _Handler = typing.Callable[
     [aiohttp.web.Request], typing.Awaitable[aiohttp.web.Response]
@@ -123,6 +120,7 @@
         self._own = own
         self._keep_s = keep_s
         self._turn = 0
+        self.operations = operations.Operations(view, client, own)
 
     @property
     def view(self) -> watches.View:
@@ -130,9 +128,9 @@
         return self._view
 
     @property
-    def client(self) -> clients.ControlClient:
-        """The Control client."""
-        return self._client
+    def keep_s(self) -> float:
+        """Seconds for which callers may keep an address response."""
+        return self._keep_s
 
     def own(self) -> coltsfootchute_pb2.Instance:
         """Return this instance with its present state."""
@@ -186,7 +184,7 @@
 
     async def declaration(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return the declaration in force as it was submitted."""
-        found = await self.read_declaration()
+        found = await self.operations.read_declaration()
         if not found.version:
             return _error(404, "no_declaration", "nothing was declared yet")
         return aiohttp.web.Response(
@@ -201,50 +199,9 @@
         except errors.DocumentError as exc:
             problems = [{"path": p, "reason": r} for p, r in exc.problems]
             return _json({"error": "invalid", "errors": problems}, 400)
-        outcome = await self.submit_declaration(declared, submitted)
+        outcome = await self.operations.submit_declaration(declared, submitted)
         return _json({"version": outcome.version, "applied": outcome.applied})
 
-    async def read_declaration(self) -> coltsfootchute_pb2.Declaration:
-        """Return the newest declaration; version 0 if there is none.
-
-        Raises
-        ------
-        coltsfootchute.errors.ColtsfootchuteError
-            If the leader did not reply, so that the newest one is not known.
-        """
-        request = coltsfootchute_pb2.ReadDeclarationRequest()
-        reply = await self._client.call(
-            "ReadDeclaration", request, DECLARATION_LIMIT_S, repeatable=True
-        )
-        return reply.declaration
-
-    async def submit_declaration(
-        self, declared: declarations.Declaration, submitted: bytes
-    ) -> coltsfootchute_pb2.DeclarationOutcome:
-        """Commit a checked declaration.
-
-        Parameters
-        ----------
-        declared
-            The declaration.
-        submitted
-            What the operator sent, for later reads.
-
-        Raises
-        ------
-        coltsfootchute.errors.ColtsfootchuteError
-            If it may not be in force; it can be sent again.
-        """
-        message = coltsfootchute_pb2.Declaration(
-            version=declared.version,
-            document=declarations.encode(declared),
-            submitted=submitted,
-        )
-        reply = await self._client.call(
-            "Declare", message, DECLARATION_LIMIT_S, repeatable=True
-        )
-        return reply.outcome
-
     async def sections(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return all sections in force."""
         reply = await self._read("")
@@ -312,71 +269,6 @@
         kind = coltsfootchute_pb2.TargetCommand.KIND_ANNOUNCE
         return await self._command(kind, target)
 
-    async def report_target(
-        self, target: coltsfootchute_pb2.Target
-    ) -> coltsfootchute_pb2.AnnouncementOutcome | None:
-        """Take the periodic report of a target.
-
-        Parameters
-        ----------
-        target
-            The target; in state draining if it is leaving.
-
-        Returns
-        -------
-        AnnouncementOutcome or None
-            None if the report holds no news; then only the lease is renewed.
-
-        Raises
-        ------
-        coltsfootchute.errors.ColtsfootchuteError
-            If the report may be lost; the target must turn to another instance.
-        """
-        if self._holds(target):
-            self._client.renew_in_background(target.target_id, target.incarnation)
-            return None
-        return await self.change_target(
-            coltsfootchute_pb2.TargetCommand.KIND_ANNOUNCE, target, REPORT_LIMIT_S
-        )
-
-    def _holds(self, target: coltsfootchute_pb2.Target) -> bool:
-        known = self._view.targets.get(target.target_id)
-        if not self._is_registered(target.target_id, target.incarnation):
-            return False
-        told = (target.address, list(target.services), target.slots, target.state)
-        held = (known.address, list(known.services), known.slots, known.state)
-        # A draining target stays draining, whatever a late report says.
-        drains = known.state == coltsfootchute_pb2.TARGET_STATE_DRAINING
-        return told == held or (drains and told[:3] == held[:3])
-
-    async def change_target(
-        self,
-        kind: int,
-        target: coltsfootchute_pb2.Target,
-        limit_s: float = CHANGE_LIMIT_S,
-    ) -> coltsfootchute_pb2.AnnouncementOutcome:
-        """Commit a command for a target.
-
-        Raises
-        ------
-        coltsfootchute.errors.ColtsfootchuteError
-            If it may not be in force; it can be sent again.
-        """
-        command = coltsfootchute_pb2.TargetCommand(kind=kind, target=target)
-        message = coltsfootchute_pb2.AnnounceRequest(command=command)
-        # Register commands are idempotent for the same incarnation.
-        reply = await self._client.call("Announce", message, limit_s, repeatable=True)
-        return reply.outcome
-
-    def entries(self) -> list[coltsfootchute_pb2.Instance]:
-        """Return the entries that callers should use, nearest not considered."""
-        return addresses.usable(list(self._view.instances.values()))
-
-    @property
-    def keep_s(self) -> float:
-        """Seconds for which callers may keep an address response."""
-        return self._keep_s
-
     async def retire(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Drain or withdraw a target."""
         body = _INCARNATION.decode(await request.read())
@@ -388,7 +280,7 @@
     async def _command(
         self, kind: int, target: coltsfootchute_pb2.Target
     ) -> aiohttp.web.Response:
-        outcome = await self.change_target(kind, target)
+        outcome = await self.operations.change_target(kind, target, CHANGE_LIMIT_S)
         if outcome.status in _ANNOUNCEMENT_ERRORS:
             status, name = _ANNOUNCEMENT_ERRORS[outcome.status]
             detail = f"incarnation {outcome.incarnation} is known"
@@ -407,7 +299,7 @@
         """
         body = _INCARNATION.decode(await request.read())
         target_id = request.match_info["id"]
-        if self._is_registered(target_id, body.incarnation):
+        if self.operations.is_registered(target_id, body.incarnation):
             self._client.renew_in_background(target_id, body.incarnation)
             return _json(msgspec.to_builtins(TargetLeaseTimes()))
         if await self._client.renew(target_id, body.incarnation):
@@ -418,12 +310,6 @@
             return _error(409, "old_incarnation", detail)
         return _error(404, "unknown_target", _UNANNOUNCED)
 
-    def _is_registered(self, target_id: str, incarnation: int) -> bool:
-        known = self._view.targets.get(target_id)
-        if known is None or known.incarnation != incarnation:
-            return False
-        return self._client.renewals_arrive and not self._own().stale
-
     async def targets(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return the register with the leases, as the leader knows them."""
         reply = await self._client.status(READ_LIMIT_S)
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -259,8 +259,9 @@
     ) -> None:
         if message.control_addresses:
             addresses = list(message.control_addresses)
-            self.change_control(addresses)
             self.feed.set_control_addresses(addresses)
+            if self._cfg.entry.follow_members:
+                self.change_control(addresses)
         self.services.refresh(touched)
         if message.has_instances:
             self.services.refresh_share()
@@ -295,7 +296,7 @@
         """
         if cfg.entry is not None:
             self._watcher.change_seeds(cfg.entry.control)
-            if not self.view.control_addresses:
+            if not (cfg.entry.follow_members and self.view.control_addresses):
                 self.change_control(cfg.entry.control)
 
     def change_control(self, addresses: list[str]) -> None:
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -158,6 +158,9 @@
         A second address of the `api` listener.
     control
         Addresses of control instances.
+    follow_members
+        Whether to use the control instances that the feed names in place of those of
+        the settings, which then matter at the start only.
     keep_s
         Seconds for which callers may keep an address response.
     stop_s
@@ -181,6 +184,7 @@
     control: typing.Annotated[list[Address], msgspec.Meta(min_length=1)]
     calls: Address | None = None
     directory: Address | None = None
+    follow_members: bool = False
     keep_s: typing.Annotated[float, msgspec.Meta(ge=0.1, le=300)] = 5.0
     stop_s: typing.Annotated[float, msgspec.Meta(ge=1, le=3600)] | None = None
     retry_after_s: typing.Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
