--- /dev/null
+++ b/tests/end_to_end/test_reloads.py
@@ -0,0 +1,57 @@
+"""A process that gets SIGHUP, or whose settings file changes, serves on."""
+
+import asyncio
+import json
+import signal
+import sys
+
+from coltsfootchute.entry.tests import stands
+
+LIMIT_S = 60
+
+
+async def line_with(process, text):
+    """Return the next line of the process's log that has a text."""
+    async with asyncio.timeout(LIMIT_S):
+        while line := (await process.stderr.readline()).decode():
+            if text in line:
+                return line
+    raise AssertionError(f"the process ended without {text!r}")
+
+
+def write(path, control):
+    address = "127.0.0.1:0"
+    entry = {"calls": address, "api": address, "peer": address, "stop_s": 1}
+    instance = {"name": "e9", "failure_domain": "fd-a"}
+    document = {"instance": instance, "entry": {**entry, "control": control}}
+    path.write_text(json.dumps(document))
+
+
+def test_sighup_and_a_changed_file_do_not_end_the_process(tmp_path):
+    """SIGHUP must not cut the requests in progress, and new addresses must count."""
+
+    async def play(stage):
+        path = tmp_path / "entry.json"
+        write(path, ["127.0.0.1:9"])
+        command = [sys.executable, "-m", "coltsfootchute.commands.main", "entry"]
+        process = await asyncio.create_subprocess_exec(
+            *command, str(path), stderr=asyncio.subprocess.PIPE
+        )
+        try:
+            await line_with(process, "calls at")
+            process.send_signal(signal.SIGHUP)
+            await line_with(process, "process: reloads")
+            write(path, [stage.control.address])
+            await line_with(process, "process: reloads")
+            await line_with(process, "feed: source found")
+            path.write_text("{")
+            await line_with(process, "process: keeps its settings")
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(LIMIT_S):
+                assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+    stands.run(play)
