entry: report to the instance that is watched

Entries report to the leader that they know, so a frozen one keeps their reports for the whole time limit; any control instance takes a report. Ruled out: the change itself being late; the entries had the revision from the feed of another instance. Change: reports go to the instance whose feed is watched, and to the leader or any other one only if it does not take them. The test failed first, with a leader that accepts connections and never answers.

--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -239,6 +239,28 @@
         reply = await self.call("Claim", command, limit_s)
         return reply.outcome
 
+    async def report(
+        self, request: coltsfootchute_pb2.ReportRequest, source: str, limit_s: float
+    ) -> None:
+        """Report to the instance whose feed is watched, else to any other one.
+
+        Any control instance takes a report. The watched one has just shown that it
+        runs, while the leader may be frozen.
+
+        Raises
+        ------
+        coltsfootchute.errors.ColtsfootchuteError
+            If no instance took it.
+        """
+        if source in self._addresses:
+            deadline = asyncio.get_running_loop().time() + limit_s / 2
+            try:
+                if await self._try(source, "Report", request, deadline) is not None:
+                    return
+            except errors.OutcomeUnknownError as exc:
+                loguru.logger.debug("entry: {} took no report: {}", source, exc)
+        await self.call("Report", request, limit_s / 2, repeatable=True)
+
     def settle(self, command: coltsfootchute_pb2.SettleCommand) -> None:
         """Send a settlement or a release until it is acknowledged."""
         self.resend("Settle", command)
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -333,7 +333,7 @@
 
     async def _send_report(self) -> None:
         request = coltsfootchute_pb2.ReportRequest(instance=self.own_instance())
-        await self.client.call("Report", request, REPORT_LIMIT_S, repeatable=True)
+        await self.client.report(request, self._watcher.source, REPORT_LIMIT_S)
 
 
 def _split(address: str) -> tuple[str, int]:
--- a/coltsfootchute/entry/tests/test_declared.py
+++ b/coltsfootchute/entry/tests/test_declared.py
@@ -287,6 +287,24 @@
     play_declared(play, *lost, retries=retries, services=("lone",))
 
 
+def test_reports_go_to_the_instance_that_is_watched():
+    """A frozen leader must not keep the news of an entry from the others."""
+
+    async def play(stage):
+        silent = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
+        port = silent.sockets[0].getsockname()[1]
+        client = stage.entry.client
+        client._leader = f"127.0.0.1:{port}"
+        stage.control.reports.clear()
+        started = time.monotonic()
+        await stage.entry._send_report()
+        assert time.monotonic() - started < daemons.REPORT_LIMIT_S / 2
+        assert [report.name for report in stage.control.reports] == ["e1"]
+        silent.close()
+
+    play_declared(play, echo())
+
+
 def test_new_control_instances_are_learned_from_the_feed():
     """An entry must find control after all instances of its settings have left."""
 
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -38,6 +38,12 @@
 # Callers give up an instance that has not read a request for 1 s.
 FIRST_NEWS_S = 0.8
 
+_ENDS = (
+    OSError,
+    TimeoutError,
+    grpclib.exceptions.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+)
 Listener = typing.Callable[[coltsfootchute_pb2.FeedMessage, set[str]], None]
 
 
@@ -84,8 +90,7 @@
         self.instances: dict[str, coltsfootchute_pb2.Instance] = {}
         self.proof_at = float("-inf")
         # When the loop ran last, and when it went on after a freeze.
-        self.alive_at = clock()
-        self.thawed_at = float("-inf")
+        self.alive_at, self.thawed_at = clock(), float("-inf")
         self._news = asyncio.Event()
         self._begun = asyncio.Event()
         self.listener = listener
@@ -193,11 +198,9 @@
         touched = set(self.tables)
         for target in self.targets.values():
             touched.update(target.services)
-        self.sections.clear()
-        self.tables.clear()
         self.routes = None
-        self.health_paths.clear()
-        self.targets.clear()
+        for kept in (self.sections, self.tables, self.health_paths, self.targets):
+            kept.clear()
         self.quarantines.clear()
         return touched
 
@@ -286,8 +289,8 @@
         self._next_peer = 0
         self._freezes = 0
         self._foreign: set[str] = set()
-        # The source of the last message, while it is watched.
-        self._source = ""
+        # Address of the source of the last message, while it is watched.
+        self.source = ""
 
     def change_seeds(self, seeds: list[str]) -> None:
         """Remember the control instances of the settings."""
@@ -311,7 +314,7 @@
                 await freezes
 
     async def _watch_round(self) -> None:
-        for address, limit_s in self._sources():
+        for address, limit_s in self.sources():
             await self._watch_safely(address, limit_s)
 
     def _sources(self) -> collections.abc.Iterator[tuple[str, float | None]]:
@@ -352,27 +355,25 @@
         try:
             async with asyncio.timeout(limit_s):
                 await self._watch(address)
-        except (OSError, TimeoutError, grpclib.exceptions.GRPCError) as exc:
-            self._note_lost(address, exc)
-        except grpclib.exceptions.StreamTerminatedError as exc:
-            self._note_lost(address, exc)
-        else:
-            self._note_lost(address, None)
-
-    def _note_lost(self, address: str, exc: Exception | None) -> None:
+            reason = "the stream ended"
+        except _ENDS as exc:
+            reason = repr(exc)
+        self._note_lost(address, reason)
+
+    def _note_lost(self, address: str, reason: str) -> None:
         logs.note(
             "feed",
             "source lost",
-            routine=address != self._source,
+            routine=address != self.source,
             source=address,
-            error="the stream ended" if exc is None else repr(exc),
+            error=reason,
             revision=self._view.revision,
         )
-        self._source = ""
+        self.source = ""
 
     def _note_found(self, address: str) -> None:
-        if address != self._source:
-            self._source = address
+        if address != self.source:
+            self.source = address
             logs.note("feed", "source found", source=address)
 
     async def _watch(self, address: str) -> None:
