entry: repair a name in the watcher

Ruled out: the report to the watched instance; its test passed before. Change: the method has its name again. Before / after: the tests of watches, declared routes and the adapter pass.

--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -314,7 +314,7 @@
                 await freezes
 
     async def _watch_round(self) -> None:
-        for address, limit_s in self.sources():
+        for address, limit_s in self._sources():
             await self._watch_safely(address, limit_s)
 
     def _sources(self) -> collections.abc.Iterator[tuple[str, float | None]]:
