entry: read the id of a request in one place

Cause: a read-through of the whole change found that Call.request_id and Calls._id_of read the same header with the same lines. Ruled out: reading it from the call only; refused requests have none.

--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -91,10 +91,18 @@
             return await self._handle(request)
         except ConnectionError:
             # The caller is gone; an answer can't be written.
-            logs.note("entry", "the caller left", request=self._id_of(request))
+            logs.note(
+                "entry",
+                "the caller left",
+                request=requests.request_id_of(request, self._names),
+            )
             return answers.CLOSED
         except asyncio.CancelledError:
-            logs.note("entry", "the caller left", request=self._id_of(request))
+            logs.note(
+                "entry",
+                "the caller left",
+                request=requests.request_id_of(request, self._names),
+            )
             raise
         except Exception:
             # A reset says nothing about whether the request ran, which is right
@@ -106,11 +114,6 @@
             if self.is_closing and not self.in_progress:
                 self.idle.set()
 
-    def _id_of(self, request: aiohttp.web.BaseRequest) -> tuple[str, str] | None:
-        name = self._names.request_id
-        value = request.headers.get(name) if name else None
-        return None if value is None else (name, value)
-
     async def close(self, limit_s: float) -> None:
         """Wait until no call is in progress; answers close their connections."""
         self.is_closing = True
@@ -127,7 +130,7 @@
             logs.note(
                 "entry",
                 "refused",
-                request=self._id_of(request),
+                request=requests.request_id_of(request, self._names),
                 reason=exc.refusal.reason.value,
                 detail=exc.refusal.detail,
                 revision=self._view.revision,
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -18,6 +18,7 @@
     "parse_key",
     "read_body",
     "refused",
+    "request_id_of",
     "rule_of",
     "split_target",
 ]
@@ -95,6 +96,15 @@
     return path, query
 
 
+def request_id_of(
+    request: aiohttp.web.BaseRequest, names: settings.HeaderSettings
+) -> tuple[str, str] | None:
+    """Return name and value of the header that identifies a request."""
+    name = names.request_id
+    value = request.headers.get(name) if name else None
+    return None if value is None else (name, value)
+
+
 def rule_of(route: declarations.Route, limits: declarations.Limits) -> sections.Rule:
     """Return the rule by which the requests of a route are treated."""
     repeatable = route.guarantee == "repeatable"
@@ -247,9 +257,7 @@
     @property
     def request_id(self) -> tuple[str, str] | None:
         """Name and value of the header that identifies the request, if it has one."""
-        name = self._names.request_id
-        value = self.request.headers.get(name) if name else None
-        return None if value is None else (name, value)
+        return request_id_of(self.request, self._names)
 
     @property
     def has_attempts(self) -> bool:
