--- a/coltsfootchute/commands/main.py
+++ b/coltsfootchute/commands/main.py
@@ -66,11 +66,13 @@
 
 
 def _prepare(role: str) -> None:
-    """Import the control role without what it has no use for."""
-    if role == "control":
-        from coltsfootchute.control import imports
+    """Import a role without what it has no use for."""
+    from coltsfootchute import imports
 
-        imports.load()
+    if role == "control":
+        imports.load_control()
+    else:
+        imports.load_entry()
 
 
 def _run_command(args: list[str]) -> None:
--- a/coltsfootchute/control/__init__.py
+++ b/coltsfootchute/control/__init__.py
@@ -2,7 +2,7 @@
 
 The daemon is imported from `coltsfootchute.control.daemons`, so that an entry can
 use the feed without loading the rest. The names here are loaded on first use:
-`coltsfootchute.control.imports` has to run before anything imports asyncio.
+`coltsfootchute.imports.load_control` has to run before anything imports asyncio.
 """
 
 import importlib
--- a/coltsfootchute/control/__main__.py
+++ b/coltsfootchute/control/__main__.py
@@ -2,8 +2,7 @@
 
 import sys
 
-from coltsfootchute import errors
-from coltsfootchute.control import imports
+from coltsfootchute import errors, imports
 
 
 def main(args: list[str]) -> int:
@@ -11,7 +10,7 @@
     if len(args) != 1:
         print("usage: python -m coltsfootchute.control SETTINGS", file=sys.stderr)
         return 2
-    imports.load()
+    imports.load_control()
     from coltsfootchute import settings
     from coltsfootchute.control import daemons
 
--- /dev/null
+++ b/coltsfootchute/entry/counters.py
@@ -0,0 +1,161 @@
+"""Counters, gauges and histograms of the entry role, in plain numbers.
+
+prometheus_client takes about 4 MB, which each entry would hold for a page that is
+fetched now and then. So the entry counts in plain numbers, and the library is loaded
+when the page is fetched first.
+"""
+
+import bisect
+import collections.abc
+import enum
+import typing
+
+__all__ = ["Family", "Histogram", "Kind", "Number", "exposition"]
+
+
+class Kind(enum.Enum):
+    """Kinds of metrics."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+class Number:
+    """A counter or a gauge."""
+
+    __slots__ = ("value",)
+
+    def __init__(self):
+        self.value = 0.0
+
+    def inc(self, amount: float = 1.0) -> None:
+        """Add to the number."""
+        self.value += amount
+
+    def dec(self, amount: float = 1.0) -> None:
+        """Take from the number."""
+        self.value -= amount
+
+    def set(self, value: float) -> None:
+        """Replace the number."""
+        self.value = float(value)
+
+
+class Histogram:
+    """Counts of observations by upper bounds; O(log n) for n bounds.
+
+    Parameters
+    ----------
+    bounds
+        Upper bounds of the buckets, ascending.
+    """
+
+    __slots__ = ("_bounds", "_counts", "_sum")
+
+    def __init__(self, bounds: collections.abc.Sequence[float]):
+        self._bounds = bounds
+        self._counts = [0] * (len(bounds) + 1)
+        self._sum = 0.0
+
+    def observe(self, value: float) -> None:
+        """Count an observation."""
+        self._counts[bisect.bisect_left(self._bounds, value)] += 1
+        self._sum += value
+
+    @property
+    def sum(self) -> float:
+        """Sum of the observations."""
+        return self._sum
+
+    def buckets(self) -> list[tuple[str, float]]:
+        """Return each upper bound with the number of observations up to it."""
+        found, total = [], 0
+        names = [*(str(float(bound)) for bound in self._bounds), "+Inf"]
+        for name, count in zip(names, self._counts, strict=True):
+            total += count
+            found.append((name, float(total)))
+        return found
+
+
+class Family:
+    """The metrics of one name, one for each combination of label values.
+
+    Parameters
+    ----------
+    kind
+        What is counted.
+    name, text
+        As shown on the page.
+    label_names
+        Names of the labels.
+    bounds
+        Upper bounds of the buckets of a histogram.
+    """
+
+    def __init__(
+        self,
+        kind: Kind,
+        name: str,
+        text: str,
+        label_names: collections.abc.Sequence[str] = (),
+        bounds: collections.abc.Sequence[float] = (),
+    ):
+        self.name = name
+        self._kind = kind
+        self._text = text
+        self._label_names = label_names
+        self._bounds = bounds
+        self._children: dict[tuple[str, ...], typing.Any] = {}
+
+    def labels(self, *values: str) -> typing.Any:
+        """Return the `Number` or `Histogram` of some label values."""
+        child = self._children.get(values)
+        if child is None:
+            is_histogram = self._kind is Kind.HISTOGRAM
+            child = Histogram(self._bounds) if is_histogram else Number()
+            self._children[values] = child
+        return child
+
+    def total(self) -> float:
+        """Return the sum over all label values of a counter or gauge."""
+        return sum(child.value for child in self._children.values())
+
+    def collect(self) -> typing.Any:
+        """Return the family as prometheus_client takes it."""
+        import prometheus_client.core
+
+        core = prometheus_client.core
+        if self._kind is Kind.HISTOGRAM:
+            family = core.HistogramMetricFamily
+        elif self._kind is Kind.COUNTER:
+            family = core.CounterMetricFamily
+        else:
+            family = core.GaugeMetricFamily
+        found = family(self.name, self._text, labels=self._label_names)
+        for values, child in self._children.items():
+            if self._kind is Kind.HISTOGRAM:
+                found.add_metric(values, child.buckets(), child.sum)
+            else:
+                found.add_metric(values, child.value)
+        return found
+
+
+class _Collector:
+    """Hands families to prometheus_client."""
+
+    def __init__(self, families: collections.abc.Sequence[Family]):
+        self._families = families
+
+    def collect(self) -> collections.abc.Iterator[typing.Any]:
+        """Return the families."""
+        return (family.collect() for family in self._families)
+
+
+def exposition(families: collections.abc.Sequence[Family]) -> bytes:
+    """Return families in the text format of Prometheus."""
+    import prometheus_client
+
+    registry = prometheus_client.CollectorRegistry()
+    registry.register(_Collector(families))
+    return prometheus_client.generate_latest(registry)
--- a/coltsfootchute/entry/metrics.py
+++ b/coltsfootchute/entry/metrics.py
@@ -1,8 +1,7 @@
 """Metrics of the entry role."""
 
-import prometheus_client
-
 from coltsfootchute import verdicts
+from coltsfootchute.entry import counters
 
 __all__ = ["CallMeter", "Metrics"]
 
@@ -28,73 +27,72 @@
 
 
 class Metrics:
-    """All metrics, in a registry of their own."""
+    """All metrics of one entry."""
 
     def __init__(self):
-        self.registry = registry = prometheus_client.CollectorRegistry()
-        self.refusals = prometheus_client.Counter(
-            "coltsfootchute_refusals",
-            "Requests that the entry refused.",
-            ["reason"],
-            registry=registry,
+        self.families: list[counters.Family] = []
+        self.refusals = self._count(
+            "coltsfootchute_refusals", "Requests that the entry refused.", ["reason"]
         )
-        self.retries = prometheus_client.Counter(
+        self.retries = self._count(
             "coltsfootchute_retries",
             "Attempts that followed a failed one, by its reason.",
             ["reason"],
-            registry=registry,
         )
         for reason in verdicts.Reason:
             self.refusals.labels(reason.value)
             self.retries.labels(reason.value)
-        self.attempts = prometheus_client.Counter(
-            "coltsfootchute_attempts",
-            "Attempts by verdict.",
-            ["service", "verdict"],
-            registry=registry,
+        self.attempts = self._count(
+            "coltsfootchute_attempts", "Attempts by verdict.", ["service", "verdict"]
         )
-        self.hedges = prometheus_client.Counter(
+        self.hedges = self._count(
             "coltsfootchute_hedges",
             "Second attempts sent before the first one responded.",
             ["service"],
-            registry=registry,
         )
-        self.truncated = prometheus_client.Counter(
+        self.truncated = self._count(
             "coltsfootchute_truncated_answers",
             "Answers that ended early because the target's response did.",
-            registry=registry,
-        )
-        self.probe_seconds = prometheus_client.Counter(
+        ).labels()
+        self.probe_seconds = self._count(
             "coltsfootchute_probe_seconds",
             "Time spent on probes of quiet targets.",
             ["service"],
-            registry=registry,
         )
-        self.latency = prometheus_client.Histogram(
-            "coltsfootchute_call_seconds",
-            "Time from the request head to the end of the answer.",
-            ["service"],
-            buckets=BUCKETS_S,
-            registry=registry,
+        self.latency = self._add(
+            counters.Family(
+                counters.Kind.HISTOGRAM,
+                "coltsfootchute_call_seconds",
+                "Time from the request head to the end of the answer.",
+                ["service"],
+                BUCKETS_S,
+            )
         )
-        self.in_flight = prometheus_client.Gauge(
-            "coltsfootchute_calls_in_flight",
-            "Calls in progress.",
-            ["service"],
-            registry=registry,
+        self.in_flight = self._gauge(
+            "coltsfootchute_calls_in_flight", "Calls in progress.", ["service"]
         )
-        self.stale = prometheus_client.Gauge(
+        self.stale = self._gauge(
             "coltsfootchute_stale",
             "1 while the entry can't prove that its state is current.",
-            registry=registry,
-        )
-        self.revision = prometheus_client.Gauge(
+        ).labels()
+        self.revision = self._gauge(
             "coltsfootchute_revision_in_force",
             "Log index of the last change in force.",
-            registry=registry,
-        )
+        ).labels()
         self._meters: dict[str, CallMeter] = {}
 
+    def _add(self, family: counters.Family) -> counters.Family:
+        self.families.append(family)
+        return family
+
+    def _count(self, name, text, label_names=()) -> counters.Family:
+        kind = counters.Kind.COUNTER
+        return self._add(counters.Family(kind, name, text, label_names))
+
+    def _gauge(self, name, text, label_names=()) -> counters.Family:
+        kind = counters.Kind.GAUGE
+        return self._add(counters.Family(kind, name, text, label_names))
+
     def meter(self, service: str) -> CallMeter:
         """Return the metrics of a service."""
         found = self._meters.get(service)
@@ -104,4 +102,4 @@
 
     def exposition(self) -> bytes:
         """Return all metrics in the text format."""
-        return prometheus_client.generate_latest(self.registry)
+        return counters.exposition(self.families)
--- a/coltsfootchute/entry/tests/test_measurements.py
+++ b/coltsfootchute/entry/tests/test_measurements.py
@@ -38,7 +38,7 @@
         assert not stage.targets[1].heads
         assert len(stage.control.probe_requests) == 1
         # Operators compare the counter with the budget.
-        spent_s = stage.entry.metrics.probe_seconds.labels("shop")._value.get()
+        spent_s = stage.entry.metrics.probe_seconds.labels("shop").value
         assert 0 < spent_s <= SHARE_S
 
     section = {"measuring_budget_ms_per_s": budget}
--- a/coltsfootchute/control/tests/test_imports.py
+++ b/coltsfootchute/tests/test_imports.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from coltsfootchute.control import imports
+from coltsfootchute import imports
 
 ALLOWED_PACKAGES = {
     "coltsfootchute",
@@ -26,7 +26,7 @@
 }
 # Created by compiled modules, or by the build of the interpreter.
 GENERATED = ("_cython_", "cython_runtime", "__mp_main__", "_sysconfigdata")
-UNUSED_LIBRARIES = {"_ssl", "_bz2", "_lzma", "email", *imports.OPTIONAL_MODULES}
+UNUSED_LIBRARIES = {"_ssl", "_bz2", "_lzma", "email", *imports.CONTROL_OPTIONAL_MODULES}
 
 PROGRAM = """
 import sys
--- a/tests/scenario_language/facts.py
+++ b/tests/scenario_language/facts.py
@@ -113,18 +113,13 @@
 @facts.register("retries")
 def retries(world, entry):
     """Return how often an entry sent a request again."""
-    return int(_total(world.entries[entry].metrics.retries))
-
-
-def _total(counter):
-    found = (s for metric in counter.collect() for s in metric.samples)
-    return sum(s.value for s in found if s.name.endswith("_total"))
+    return int(world.entries[entry].metrics.retries.total())
 
 
 @facts.register("hedges")
 def hedges(world, entry):
     """Return the number of hedges that an entry sent."""
-    return int(world.entries[entry].metrics.meter(users.SERVICE).hedges._value.get())
+    return int(world.entries[entry].metrics.meter(users.SERVICE).hedges.value)
 
 
 @facts.register("quarantines")
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -47,7 +47,7 @@
 
 def test_operations_page_has_each_metric_and_reason():
     text = (DOCS / "OPERATIONS.md").read_text()
-    families = [family.name for family in metrics.Metrics().registry.collect()]
+    families = [family.name for family in metrics.Metrics().families]
     assert [name for name in families if name not in text] == []
     found = set(re.findall(r"`(\w+)`", text))
     assert {reason.value for reason in verdicts.Reason} <= found
