--- a/coltsfootchute/balancing/samples.py
+++ b/coltsfootchute/balancing/samples.py
@@ -30,11 +30,6 @@
         unused = self._at is None
         self._tokens = per_s if unused else min(self._tokens, per_s)
 
-    def has(self, now: float) -> bool:
-        """Tell whether a probe may be sent."""
-        self._earn(now)
-        return self._tokens >= 1
-
     def scale(self, wanted: int, now: float) -> int:
         """Return how many probes to use for one request, at least one.
 
--- a/coltsfootchute/balancing/target_sets.py
+++ b/coltsfootchute/balancing/target_sets.py
@@ -18,6 +18,10 @@
 
 __all__ = ["PoolSettings", "TargetSet"]
 
+# Several requests probe targets in this time, and a probe is given up within half of
+# it, so if no target has reported for longer, targets can't be probed.
+UNMEASURED_S = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolSettings:
@@ -184,8 +188,13 @@
         Returns
         -------
         views.TargetView or None
-            None if no target with a fresh report has room. One without a report
-            counts if the pace does not matter or no probe is left.
+            None if no target with a fresh report has room. Targets without one
+            count only if none has reported for a while.
+
+        Notes
+        -----
+        A target that is chosen without a report is on average as busy and as slow
+        as all targets. Once targets are full, such requests alone keep them full.
         """
         self._restore_excess(now)
         eligible = self._eligible(now, exclude)
@@ -196,12 +205,14 @@
             and view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
             and view.sampled_pace <= max_pace
         ]
-        if not found:
+        if not found and not self._is_measured(now):
             found = [view for view in eligible if not view.is_sampled(now)]
-            if found and max_pace < math.inf and self._samples.has(now):
-                return None
         return self._policy.select(found, now, self._rng)
 
+    def _is_measured(self, now: float) -> bool:
+        """Tell whether targets answer probes at all."""
+        return any(now - v.sampled_s <= UNMEASURED_S for v in self._views.values())
+
     def _eligible(self, now, exclude) -> list[views.TargetView]:
         open_views = [
             view
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -149,7 +149,6 @@
         "_running",
         "_sample",
         "_sample_in_flight",
-        "_sampled_s",
         "_strikes",
         "closed_until_s",
         "ejected_until_s",
@@ -158,6 +157,7 @@
         "last_response_s",
         "limit",
         "probed_s",
+        "sampled_s",
         "slots",
         "target",
     )
@@ -177,7 +177,8 @@
         self._reported_s = -math.inf
         self._sample = loads.LoadReport()
         self._sample_in_flight = 0
-        self._sampled_s = -math.inf
+        # When the target told its load last.
+        self.sampled_s = -math.inf
         # When the unanswered probe was sent.
         self.probed_s = math.inf
         self._errors = 0
@@ -252,11 +253,11 @@
         self._reported_s = now
         self._sample = report
         self._sample_in_flight = self.in_flight
-        self._sampled_s = now
+        self.sampled_s = now
 
     def is_sampled(self, now: float) -> bool:
         """Tell whether the last report still stands for the target's load."""
-        return now - self._sampled_s <= SAMPLE_FRESH_S
+        return now - self.sampled_s <= SAMPLE_FRESH_S
 
     def sampled_load(self) -> float:
         """Return the requests at the target by its last report and since then.
@@ -296,7 +297,7 @@
 
     def describe_load(self, now: float) -> str:
         """Return what is known of the load, for the log."""
-        age_s = now - self._sampled_s
+        age_s = now - self.sampled_s
         seen = "never reported"
         if math.isfinite(age_s):
             load = self._sample.requests(self.slots)
--- a/coltsfootchute/entry/placements.py
+++ b/coltsfootchute/entry/placements.py
@@ -22,6 +22,14 @@
 # Part of a target's slots that may be in use after a request was added. Targets slow
 # down when nearly all are, so a full target answers fewer requests a second.
 OCCUPANCY = 0.8
+# For requests that can't meet their objective any more: they leave room for those
+# that can.
+LATE_OCCUPANCY = 0.6
+# A late request looks for spare room this long; bursts of a few seconds leave some
+# within a second.
+SPARE_PATIENCE_S = 0.8
+# Usual response times that a late request leaves for its answer.
+LATE_ROOM = 2.0
 # For hedges: only targets with spare slots.
 SPARE_OCCUPANCY = 0.55
 # A machine that is slower than this at the moment makes an answer late, so a request
@@ -40,8 +48,11 @@
     Notes
     -----
     Requests wait here rather than in the queues of targets: a queued request can't
-    move to a target that becomes free. One that finds no room in time for its
-    objective is refused as not run, which is cheap for the caller while it is early.
+    move to a target that becomes free. None is sent to a target without a fresh
+    report, since a target that is busy or slow at the moment keeps a slot several
+    times as long; in overload such requests alone would keep the targets full. One
+    that can't meet its objective any more waits for spare room, and is refused as not
+    run when no time is left for its answer.
     """
 
     def __init__(self, sampler: samplers.Sampler):
@@ -62,13 +73,17 @@
         """
         pool = call.service.pool
         pool.deposit()
-        until_s = time.monotonic() + patience_s(call)
+        now = time.monotonic()
+        in_time_s = now + patience_s(call)
+        last_s = call.deadline - LATE_ROOM * (pool.usual_s or 0.0)
+        given_up_s = max(in_time_s, min(in_time_s + SPARE_PATIENCE_S, last_s))
         while True:
             probed = await self._sampler.sample(call.service, call.deadline, call.tried)
             now = time.monotonic()
-            is_last = now + PAUSE_S > until_s
+            is_last = now + PAUSE_S > given_up_s
+            occupancy = OCCUPANCY if now + PAUSE_S <= in_time_s else LATE_OCCUPANCY
             max_pace = math.inf if is_last else MAX_PACE
-            view = pool.select_with_room(now, OCCUPANCY, call.tried, max_pace)
+            view = pool.select_with_room(now, occupancy, call.tried, max_pace)
             if view is not None:
                 return pool.started(view, now)
             if not pool.is_serving:
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -232,8 +232,11 @@
         """Return the share of the targets' slots that an entry may use.
 
         An entry outside of the service's own still gets calls from callers with
-        an older address response, and uses the same share for them.
+        an older address response, and uses the same share for them. Where targets
+        are probed right before, their reports bound what they get.
         """
+        if self._probes(section):
+            return 1.0
         return 1 / min(self._entries, section.entries or self._entries)
 
     def learn_quarantine(self, quarantine: coltsfootchute_pb2.Quarantine) -> None:
@@ -275,8 +278,11 @@
             self._rng,
         )
 
-    def _pool_settings(self, section: sections.Section) -> balancing.PoolSettings:
+    def _probes(self, section: sections.Section) -> bool:
         # Only declared services have no rules.
+        return not section.rules and self._samples.per_target_s > 0
+
+    def _pool_settings(self, section: sections.Section) -> balancing.PoolSettings:
         if section.rules:
             return _pool_settings(section)
         # Until the list of entries is known, an entry saves no retries up.
@@ -287,7 +293,7 @@
             retry_budget_percent=self._retries.percent,
             retry_burst=max(1.0, burst),
             shares_burst=True,
-            policy="sampled" if self._samples.per_target_s else section.policy,
+            policy="sampled" if self._probes(section) else section.policy,
             samples_per_s=self._samples.per_target_s / self._entries,
         )
 
--- a/coltsfootchute/entry/tests/test_placements.py
+++ b/coltsfootchute/entry/tests/test_placements.py
@@ -1,6 +1,7 @@
 """Room at targets by fresh reports."""
 
 import asyncio
+import math
 import random
 import types
 
@@ -53,13 +54,63 @@
 
 
 def test_targets_that_can_not_be_probed_get_requests():
-    """An entry without probes left must not refuse for a few busy targets."""
+    """A service whose targets answer no probe must not be refused."""
+    pool = make_pool((0, 1), (0, 1))
+    for view in pool.all_views:
+        view.sampled_s = 0.0
+    assert pool.select_with_room(100.0, 0.8, (), 2.0) is not None
+
+
+@pytest.mark.parametrize("max_pace", [2.0, math.inf])
+def test_no_request_goes_to_a_target_without_a_fresh_report(max_pace):
+    """In overload, requests sent without a report alone keep all targets full."""
     pool = make_pool((3, 1), (0, 1))
-    known = pool.all_views[1]
-    known._sampled_s = 0.0
-    assert pool.select_with_room(100.0, 0.8, (), 2.0) is None
+    unknown = pool.all_views[1]
+    unknown.sampled_s = 0.0
     pool._samples.take(1000, 100.0)
-    assert pool.select_with_room(100.0, 0.8, (), 2.0) is known
+    assert pool.select_with_room(100.0, 0.8, (), max_pace) is None
+    unknown.reported(balancing.LoadReport(0, None, 1.0), 100.0)
+    assert pool.select_with_room(100.0, 0.8, (), max_pace) is unknown
+
+
+def overloaded_call(pool, clock, *, objective_ms, deadline_s):
+    """Return a call of a service whose targets are full."""
+    return types.SimpleNamespace(
+        service=types.SimpleNamespace(pool=pool),
+        rule=types.SimpleNamespace(objective_ms=objective_ms),
+        age_s=lambda now: 0.0,
+        deadline=clock() + deadline_s,
+        tried=[],
+    )
+
+
+@pytest.mark.parametrize(("load", "is_served"), [(1, True), (2, False)])
+def test_a_late_request_gets_spare_room_only(load, is_served):
+    """Requests that are late anyway must not take the room of those in time."""
+
+    async def play():
+        clock = asyncio.get_running_loop().time
+        pool = make_pool((4, 1))
+
+        class Sampler:
+            async def sample(self, service, deadline_s, tried):
+                # Full at first; some room only after the objective is out of reach.
+                now = clock()
+                requests = load if now > late_s else 4
+                for view in pool.all_views:
+                    view.reported(balancing.LoadReport(requests, None, 1.0), now)
+                return 0
+
+        late_s = clock() + 0.1
+        call = overloaded_call(pool, clock, objective_ms=50, deadline_s=5)
+        if is_served:
+            await placements.Placer(Sampler()).place(call)
+            assert clock() >= late_s
+            return
+        with pytest.raises(pools.RefusedError, match="had room"):
+            await placements.Placer(Sampler()).place(call)
+
+    asyncio.run(play())
 
 
 def test_the_rate_of_probes_is_bounded():
@@ -94,13 +145,7 @@
                 return 0
 
         clock = asyncio.get_running_loop().time
-        call = types.SimpleNamespace(
-            service=types.SimpleNamespace(pool=pool),
-            rule=types.SimpleNamespace(objective_ms=50),
-            age_s=lambda now: 0.0,
-            deadline=clock() + 5,
-            tried=[],
-        )
+        call = overloaded_call(pool, clock, objective_ms=50, deadline_s=5)
         started = clock()
         with pytest.raises(pools.RefusedError, match="had room"):
             await placements.Placer(Sampler()).place(call)
