entry: collect renewals for a part of the lease

Cause: by reading. Entries collect renewals that nobody waits for during 5 s, and targets report every 1.5 s, so up to 6.5 s pass between two renewals of a lease of 6 s on the platform: a healthy target may become suspect or expire. Ruled out: a longer lease; a target that ends without a word would stay in the register for as long.

--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -25,10 +25,6 @@
 # there are no claims, so only those in progress at its loss pile up.
 MAX_RESENDS = 10_000
 RENEW_PERIOD_S = 1.0
-# Renewals that nobody waits for. With leases of 30 s and renewals every 10 s,
-# two batches in a row may be lost before a lease ends.
-BACKGROUND_RENEW_PERIOD_S = 5.0
-
 _RenewalFuture = asyncio.Future[bool]
 _FAILURES = (
     OSError,
@@ -49,6 +45,8 @@
     ----------
     addresses
         Addresses of control instances.
+    renew_s
+        Seconds for which renewals that nobody waits for are collected.
 
     Notes
     -----
@@ -58,7 +56,8 @@
     only a call that is marked as safe to repeat is sent again.
     """
 
-    def __init__(self, addresses: list[str]):
+    def __init__(self, addresses: list[str], renew_s: float = 5.0):
+        self._renew_s = renew_s
         self._addresses = list(addresses)
         self._channels: dict[str, grpclib.client.Channel] = {}
         self._leader = self._addresses[0]
@@ -329,7 +328,7 @@
         if self._background_timer is None:
             loop = asyncio.get_running_loop()
             self._background_timer = loop.call_later(
-                BACKGROUND_RENEW_PERIOD_S, self._send_background
+                self._renew_s, self._send_background
             )
 
     def _send_background(self) -> None:
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -71,7 +71,7 @@
         name = cfg.instance.name
         self.metrics = metrics.Metrics()
         self.view = watches.View(self._learn)
-        self.client = clients.ControlClient(entry.control)
+        self.client = clients.ControlClient(entry.control, entry.renew_s)
         self.services = pools.Services(
             self.view, cfg.instance.failure_domain, entry.retries, entry.samples
         )
--- a/coltsfootchute/entry/tests/test_apis.py
+++ b/coltsfootchute/entry/tests/test_apis.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from coltsfootchute.entry import clients
 from coltsfootchute.entry.tests import stands
 
 pb = stands.pb
@@ -107,9 +106,7 @@
     stands.run(play)
 
 
-def test_a_known_target_is_renewed_without_waiting_for_the_leader(monkeypatch):
-    monkeypatch.setattr(clients, "BACKGROUND_RENEW_PERIOD_S", 0.05)
-
+def test_a_known_target_is_renewed_without_waiting_for_the_leader():
     async def play(stage):
         known = pb.Target(target_id="t8", incarnation=3)
         stage.control.publish(target=known)
@@ -120,6 +117,7 @@
             return (await ask(stage, "POST", "/v1/targets/t8/renew", one))[0]
 
         client = stage.entry.client
+        client._renew_s = 0.05
         stage.control.hang.clear()
         assert await renew() == 200
         await stands.until(lambda: not client.renewals_arrive)
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -161,6 +161,9 @@
     follow_members
         Whether to use the control instances that the feed names in place of those of
         the settings, which then matter at the start only.
+    renew_s
+        Seconds for which renewals of targets that nobody waits for are collected. With
+        the interval at which targets report it must be well below their lease.
     keep_s
         Seconds for which callers may keep an address response.
     stop_s
@@ -185,6 +188,7 @@
     calls: Address | None = None
     directory: Address | None = None
     follow_members: bool = False
+    renew_s: typing.Annotated[float, msgspec.Meta(ge=0.1, le=600)] = 5.0
     keep_s: typing.Annotated[float, msgspec.Meta(ge=0.1, le=300)] = 5.0
     stop_s: typing.Annotated[float, msgspec.Meta(ge=1, le=3600)] | None = None
     retry_after_s: typing.Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
