--- a/coltsfootchute/balancing/target_sets.py
+++ b/coltsfootchute/balancing/target_sets.py
@@ -82,6 +82,8 @@
         self._policy = policies.POLICIES[settings.policy](failure_domain)
         self._samples = samples.SampleBudget(0.0)
         self._views: dict[ids.TargetId, views.TargetView] = {}
+        # Time of the first probe since the last report.
+        self._asked_s = -math.inf
         self._in_use_changed = False
 
     @property
@@ -141,6 +143,8 @@
         of them of the entry's own failure domain if there are enough. Takes from the
         budget, and asks fewer targets while little of it is left.
         """
+        if self._asked_s <= self._reported_s():
+            self._asked_s = now
         count = self._samples.scale(count, now)
         found = [
             view
@@ -209,9 +213,13 @@
             found = [view for view in eligible if not view.is_sampled(now)]
         return self._policy.select(found, now, self._rng)
 
+    def _reported_s(self) -> float:
+        """Return when a target told its load last."""
+        return max((v.sampled_s for v in self._views.values()), default=-math.inf)
+
     def _is_measured(self, now: float) -> bool:
-        """Tell whether targets answer probes at all."""
-        return any(now - v.sampled_s <= UNMEASURED_S for v in self._views.values())
+        """Tell whether targets answer probes, as far as is known."""
+        return now - max(self._reported_s(), self._asked_s) <= UNMEASURED_S
 
     def _eligible(self, now, exclude) -> list[views.TargetView]:
         open_views = [
--- a/coltsfootchute/entry/placements.py
+++ b/coltsfootchute/entry/placements.py
@@ -19,9 +19,10 @@
 LATE_PATIENCE_S = 0.15
 # Of the usual response time, what an answer within the objective needs.
 ROOM_FACTOR = 1.2
-# Part of a target's slots that may be in use after a request was added. Targets slow
-# down when nearly all are, so a full target answers fewer requests a second.
-OCCUPANCY = 0.8
+# Part of a target's slots that may be in use after a request was added: one in ten is
+# left, at least one. Targets slow down when nearly all are in use, and a report is some
+# milliseconds old when it is used.
+OCCUPANCY = 0.9
 # For requests that can't meet their objective any more: they leave room for those
 # that can.
 LATE_OCCUPANCY = 0.6
--- a/coltsfootchute/entry/tests/test_placements.py
+++ b/coltsfootchute/entry/tests/test_placements.py
@@ -61,6 +61,17 @@
     assert pool.select_with_room(100.0, 0.8, (), 2.0) is not None
 
 
+def test_an_entry_that_just_started_waits_for_the_first_reports():
+    """Requests that waited for the routes must not all go to targets at random."""
+    pool = make_pool((0, 1), (0, 1))
+    for view in pool.all_views:
+        view.sampled_s = -math.inf
+    assert pool.candidates(2, 100.0)
+    assert pool.select_with_room(100.02, 0.8) is None
+    # No target answered the probes in time.
+    assert pool.select_with_room(101.5, 0.8) is not None
+
+
 @pytest.mark.parametrize("max_pace", [2.0, math.inf])
 def test_no_request_goes_to_a_target_without_a_fresh_report(max_pace):
     """In overload, requests sent without a report alone keep all targets full."""
