control: outlast a disk that refuses writes

A write that fails (a full disk, for some seconds) ends the control process, and each restart ends at its next write, so an instance that could still answer callers and pass on what it knows is gone as well. Ruled out: trying the same write again, since after a failed sync the pages may be dropped while the next sync reports success; and dropping the write, since the replica has counted on it. Change: the core takes no part in agreement until the folder opens again (twice a second). What was read back is written to a new file and synced first, and a new replica starts from it; entries that were applied before are not applied again.

--- a/coltsfootchute/agreement/stores.py
+++ b/coltsfootchute/agreement/stores.py
@@ -300,6 +300,33 @@
             self._roll(last.high + 1, [], last.sequence + 1)
             self._trim(snapshot.meta.index)
 
+    def rewrite(self, saved: records.SavedState) -> None:
+        """Store the log again after a failure, in a file of its own.
+
+        Parameters
+        ----------
+        saved
+            What was read when the folder was opened.
+
+        Raises
+        ------
+        coltsfootchute.errors.SyncError
+            As for `append`.
+
+        Notes
+        -----
+        After a failed sync the log may be read back from memory although the disk
+        never got it, and another sync of the same file may report success.
+        """
+        self._require_usable()
+        covered = saved.snapshot.meta.index if saved.snapshot else 0
+        first = saved.entries[0].index if saved.entries else covered + 1
+        replaced, self._segments = self._segments, []
+        with self._fatal_errors():
+            reset = [(frames.Kind.RESET, b"")]
+            self._roll(first, saved.entries, replaced[-1].sequence + 1, reset)
+            self._remove([segment.name for segment in replaced])
+
     def _trim(self, covered: int) -> None:
         """Remove the oldest segments if a snapshot covers all their entries."""
         count = 0
--- a/coltsfootchute/agreement/tests/test_stores.py
+++ b/coltsfootchute/agreement/tests/test_stores.py
@@ -118,6 +118,24 @@
         store.save_snapshot(FIRST)
 
 
+def test_a_rewritten_log_survives_a_crash_after_a_failed_sync():
+    """What was read back from memory after a failed sync must become durable."""
+    disk = fakes.MemoryDisk()
+    store = filled(disk)
+    disk.failures = 1
+    with pytest.raises(errors.SyncError):
+        store.append(pb.HardState(term=2), entries(7, 9, term=2))
+    store.close()
+    again = stores.FileStore("f", "a", disk)
+    kept = [entry.index for entry in again.saved.entries]
+    assert kept[-1] == 9, "the failed write is not in memory, so nothing is shown"
+    again.rewrite(again.saved)
+    disk.crash()
+    last = stores.FileStore("f", "a", disk).saved
+    assert [entry.index for entry in last.entries] == kept
+    assert last.hard_state.term == 2
+
+
 def test_an_append_costs_one_sync():
     disk = fakes.MemoryDisk()
     store = filled(disk)
--- a/coltsfootchute/control/cores.py
+++ b/coltsfootchute/control/cores.py
@@ -20,6 +20,8 @@
 
 OUTCOME_TIMEOUT_S = 2.0
 TICK_MIN_S = 0.005
+# A full disk has room again, or a failed one is replaced, within seconds at best.
+REOPEN_S = 0.5
 CLOCK_WARNING_MS = 5_000
 
 
@@ -42,8 +44,15 @@
     timing
         Times of the replicated log.
     on_failure
-        Called with an exception after which the process must not go on, such as a
-        failed sync.
+        Called with an exception after which the process must not go on.
+    reopen
+        Opens the data folder again after a failed write.
+
+    Notes
+    -----
+    While the disk takes no writes, the instance takes no part in agreement, as if it
+    were down; it goes on to pass on what it knows. When the disk works again, it
+    starts over from what is stored.
     """
 
     def __init__(
@@ -52,7 +61,9 @@
         store: agreement.FileStore,
         rng: random.Random,
         timing: agreement.Timing,
+        *,
         on_failure: collections.abc.Callable[[BaseException], None],
+        reopen: collections.abc.Callable[[], agreement.FileStore],
     ):
         self.identity = identity
         self.store = store
@@ -64,11 +75,16 @@
         self._rng = rng
         self._timing = timing
         self._on_failure = on_failure
+        self._reopen = reopen
         self._proposals = proposals.ProposalQueue()
         self._flushing = False
         self._timer: asyncio.TimerHandle | None = None
         self._armed_s = float("inf")
         self._closed = False
+        self._suspended = False
+        self._reopening: asyncio.TimerHandle | None = None
+        # Index of the last entry in the state machine.
+        self._applied = 0
         self._last_role = (agreement.Role.LEARNER, 0)
         self._begin(store.saved)
         store.saved = None
@@ -122,6 +138,8 @@
         coltsfootchute.errors.AgreementError
             If the replica refuses.
         """
+        if self._suspended:
+            raise errors.NotLeaderError("")
         proposed = event(feeds.clock())
         if proposed is not None:
             self._handle(lambda _: proposed.actions)
@@ -135,6 +153,8 @@
         coltsfootchute.errors.AgreementError
             If this instance does not lead, or no other voter is up.
         """
+        if self._suspended:
+            raise errors.NotLeaderError("")
         actions = self.replica.transfer(feeds.clock())
         self._handle(lambda _: actions)
 
@@ -159,10 +179,13 @@
     def _handle(
         self, event: collections.abc.Callable[[float], agreement.Actions]
     ) -> None:
-        if self._closed:
+        if self._closed or self._suspended:
             return
         try:
             self._execute(event(feeds.clock()))
+        except errors.SyncError as exc:
+            self._suspend(exc)
+            return
         except Exception as exc:
             # A partly executed event leaves the replica and its store apart.
             self._fail(exc)
@@ -174,6 +197,35 @@
         self.close()
         self._on_failure(exc)
 
+    # Failed writes.
+
+    def _suspend(self, exc: errors.SyncError) -> None:
+        self._suspended = True
+        self.store.close()
+        logger.error("store: {}; no part in agreement until writes succeed", exc)
+        self.counters["failed_writes"] += 1
+        self._resume_later()
+
+    def _resume_later(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._reopening = loop.call_later(REOPEN_S, self._resume)
+
+    def _resume(self) -> None:
+        try:
+            store = self._reopen()
+        except errors.DamagedStoreError as exc:
+            self._fail(exc)
+            return
+        except (errors.StoreError, OSError) as exc:
+            logger.warning("store: still unusable: {}", exc)
+            self._resume_later()
+            return
+        self.store, self._suspended = store, False
+        self._begin(store.saved)
+        store.saved = None
+        logger.info("store: usable again")
+        self._arm()
+
     # Actions, in the order that `agreement.Actions` demands.
 
     def _execute(self, actions: agreement.Actions) -> None:
@@ -187,11 +239,14 @@
             self._load(actions.snapshot)
         for entry in actions.committed:
             self._apply(entry)
-        if self.replica.wants_snapshot:
+        if self.replica.wants_snapshot and self.replica.applied_index >= self._applied:
             self._save_snapshot()
         self._note_role()
 
     def _load(self, snapshot: agreement.Snapshot) -> None:
+        if snapshot.meta.index < self._applied:
+            return
+        self._applied = snapshot.meta.index
         self.machine = state.Machine()
         if snapshot.data:
             self.machine.load(bytes(snapshot.data))
@@ -207,6 +262,10 @@
         logger.info("store: snapshot at index {} with {} bytes", index, size)
 
     def _apply(self, entry: pb.LogEntry) -> None:
+        if entry.index <= self._applied:
+            # Applied before the disk failed.
+            return
+        self._applied = entry.index
         if entry.kind != pb.ENTRY_KIND_COMMAND:
             self._proposals.applied(entry.index, entry.term, None)
             return
@@ -233,7 +292,8 @@
     @property
     def is_leader(self) -> bool:
         """Whether this instance is the leader and holds its lease now."""
-        return not self._closed and self.replica.can_read(feeds.clock())
+        is_running = not self._closed and not self._suspended
+        return is_running and self.replica.can_read(feeds.clock())
 
     @property
     def leader_address(self) -> str:
@@ -274,7 +334,7 @@
     def _flush(self) -> None:
         """Propose all queued commands with one sync."""
         self._flushing = False
-        if self._closed:
+        if self._closed or self._suspended:
             return
         payloads, futures = self._proposals.take(self._command_ms())
         if not payloads:
@@ -305,5 +365,6 @@
     def close(self) -> None:
         """Handle no more events."""
         self._closed = True
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._reopening):
+            if timer is not None:
+                timer.cancel()
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -82,14 +82,21 @@
         self.failed: asyncio.Future = asyncio.get_running_loop().create_future()
         if self._sock is None:
             self._sock = _bind(cfg.control.peer)
-        store = agreement.FileStore(cfg.control.data, cfg.instance.name)
+        store = self._open_store()
         identity = agreement.Identity(
             member_id=store.member_id,
             name=cfg.instance.name,
             address=_address(self._sock),
             failure_domain=cfg.instance.failure_domain,
         )
-        self.core = cores.Core(identity, store, self._rng, self._timing, self._fail)
+        self.core = cores.Core(
+            identity,
+            store,
+            self._rng,
+            self._timing,
+            on_failure=self._fail,
+            reopen=self._reopen_store,
+        )
         self.duties = duties.Duties(self.core, feeds.clock(), cfg.control.lease_s)
         self.joiner = joins.Joiner(self.core, cfg.control.initial, cfg.control.may_form)
         self.control = services.ControlService(self.core, self.duties)
@@ -110,6 +117,18 @@
             await self._start_metrics(cfg.control.metrics)
         logger.info("control: listens on {}", identity.address)
 
+    def _open_store(self) -> agreement.FileStore:
+        return agreement.FileStore(self.cfg.control.data, self.cfg.instance.name)
+
+    def _reopen_store(self) -> agreement.FileStore:
+        store = self._open_store()
+        try:
+            store.rewrite(store.saved)
+        except errors.SyncError:
+            store.close()
+            raise
+        return store
+
     async def _start_metrics(self, address: str) -> None:
         # aiohttp and prometheus_client cost memory that control does without.
         from coltsfootchute.control import metrics
--- a/tests/scenario_language/controls.py
+++ b/tests/scenario_language/controls.py
@@ -76,9 +76,9 @@
 class Core(cores.Core):
     """A core that records what it applies and when it leads."""
 
-    def __init__(self, control, *args):
+    def __init__(self, control, *args, **hooks):
         self._control = control
-        super().__init__(*args)
+        super().__init__(*args, **hooks)
         self.links = Links(control)
         self.feed._watchers = links.OrderedSet()
 
@@ -107,12 +107,15 @@
         self.world, self.name, self.disk = world, name, disk
         self.process = clocks.Process(world.loop, name)
         self.open_replies, self.open_streams = {}, {}
-        self.store = agreement.FileStore(name, name, disk)
+        self.store = self._open_store()
         self.identity = agreement.Identity(
             self.store.member_id, name, name, f"fd-{name}"
         )
         world.by_member[self.identity.member_id] = self
 
+    def _open_store(self):
+        return agreement.FileStore(self.name, self.name, self.disk)
+
     def begin(self):
         """Start like a daemon does after it opened its folder."""
         self.process.run(self._begin)
@@ -120,7 +123,13 @@
     def _begin(self):
         self.failed = asyncio.get_running_loop().create_future()
         self.core = Core(
-            self, self.identity, self.store, self._rng, self._timing, self._fail
+            self,
+            self.identity,
+            self.store,
+            self._rng,
+            self._timing,
+            on_failure=self._fail,
+            reopen=self._reopen_store,
         )
         self.duties = duties.Duties(self.core, self.world.loop.now)
         self.control = services.ControlService(self.core, self.duties)
