tests: add a soak of real processes under random faults

Cause: faults in series and at once were played in the simulated world only; real processes met one kind of fault each. Change: plans are drawn from a seed (kills of one process or of all control instances, pauses, planned stops, links to control that are cut, delayed or reset), played from outside on the stand-in cluster, and checked against what callers, targets and operators see. Links between callers, entries and targets, disks and clocks are not part of it yet.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 0
 N ?= 2000
 
-.PHONY: test lint demo fuzz bench slopes generate install
+.PHONY: test lint demo fuzz soak bench slopes generate install
 
 install: $(STAMP)
 
@@ -28,6 +28,9 @@
 fuzz: $(STAMP)
 	COLTSFOOTCHUTE_FUZZ_EXAMPLES=$(N) $(PY) -m pytest -q -n $(JOBS) -m fuzz --hypothesis-seed=$(SEED)
 
+soak: $(STAMP)
+	$(PY) -m tests.soak.runs --first $(SEED) --count $(N)
+
 bench: $(STAMP)
 	$(PY) -m benchmarks.bench --write
 
--- /dev/null
+++ b/tests/soak/runs.py
@@ -0,0 +1,248 @@
+"""Soak runs: real processes, faults from outside, and checks of the guarantees.
+
+``python -m tests.soak.runs --first 1 --count 50`` plays fifty seeds. The folder of a
+seed that fails is kept.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import pathlib
+import random
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+import aiohttp
+
+from coltsfootchute import registries
+from coltsfootchute.standins import editors, fleets, links, observers, workloads
+from tests.end_to_end import stages
+from tests.soak import plans
+
+__all__ = ["FAULTS", "play"]
+
+FAULTS = registries.Registry("fault of the soak")
+# R7: an accepted change is in force everywhere after this time.
+IN_FORCE_S = 3.0
+# Time for processes that were started again to be current.
+SETTLE_S = 30.0
+STOP_LIMIT_S = 30.0
+DELAY_S = 0.2
+CHANGE_PAUSE_S = 0.4
+RATE = 30.0
+
+
+class Run:
+    """State of one run.
+
+    Parameters
+    ----------
+    stage
+        The processes.
+    ways
+        Links from each entry to the control instances.
+    """
+
+    def __init__(self, stage: stages.Stage, ways: dict[str, list[links.Link]]):
+        self.stage = stage
+        self.ways = ways
+        self.problems: list[str] = []
+
+    async def end(self, name: str, signum: signal.Signals) -> None:
+        """Signal a process and start it again once it has ended."""
+        process = self.stage.fleet.named(name)
+        process.signal(signum)
+        if await process.wait(STOP_LIMIT_S) is None:
+            self.problems.append(f"{name} still runs {STOP_LIMIT_S:.0f} s after a stop")
+            process.signal(signal.SIGKILL)
+            await process.wait(STOP_LIMIT_S)
+        elif signum is signal.SIGTERM and process.exit_code != 0:
+            self.problems.append(f"{name} ended with status {process.exit_code}")
+
+    def start(self, name: str) -> None:
+        """Start a process again."""
+        self.stage.fleet.restart(self.stage.fleet.named(name))
+
+
+@FAULTS.register("kill")
+async def kill(run: Run, fault: plans.Fault) -> None:
+    """End processes at once; start them again later."""
+    await asyncio.gather(*(run.end(name, signal.SIGKILL) for name in fault.names))
+    await asyncio.sleep(fault.for_s)
+    for name in fault.names:
+        run.start(name)
+
+
+FAULTS.register("herd")(kill)
+
+
+@FAULTS.register("stop")
+async def stop(run: Run, fault: plans.Fault) -> None:
+    """Stop a process as planned and start it again."""
+    for name in fault.names:
+        await run.end(name, signal.SIGTERM)
+        run.start(name)
+
+
+@FAULTS.register("pause")
+async def pause(run: Run, fault: plans.Fault) -> None:
+    """Freeze processes for a time."""
+    processes = [run.stage.fleet.named(name) for name in fault.names]
+    for process in processes:
+        process.signal(signal.SIGSTOP)
+    await asyncio.sleep(fault.for_s)
+    for process in processes:
+        process.signal(signal.SIGCONT)
+
+
+@FAULTS.register("cut")
+async def cut(run: Run, fault: plans.Fault) -> None:
+    """Silence the links of an entry to control, in one direction or both."""
+    directions = [links.Direction(fault.detail)] if fault.detail else []
+    for link in run.ways[fault.names[0]]:
+        link.cut(*directions)
+    await asyncio.sleep(fault.for_s)
+    for link in run.ways[fault.names[0]]:
+        link.heal()
+
+
+@FAULTS.register("delay")
+async def delay(run: Run, fault: plans.Fault) -> None:
+    """Delay what passes between an entry and control."""
+    for link in run.ways[fault.names[0]]:
+        link.delay(DELAY_S)
+    await asyncio.sleep(fault.for_s)
+    for link in run.ways[fault.names[0]]:
+        link.heal()
+
+
+@FAULTS.register("reset")
+async def reset(run: Run, fault: plans.Fault) -> None:
+    """Abort the connections between an entry and control."""
+    await asyncio.gather(*(link.reset() for link in run.ways[fault.names[0]]))
+
+
+async def _inject(run: Run, fault: plans.Fault) -> None:
+    await asyncio.sleep(fault.at_s)
+    await FAULTS[fault.kind](run, fault)
+
+
+async def _edit(editor: editors.Editor, over: asyncio.Event) -> None:
+    # A cancellation would be lost if it met the timeout of a request.
+    while not over.is_set():
+        await editor.propose(SETTLE_S)
+        await asyncio.sleep(CHANGE_PAUSE_S)
+
+
+def _open_session() -> aiohttp.ClientSession:
+    """Return a client that uses its connections until they are closed."""
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+    # aiohttp would send a request again by itself.
+    session._retry_connection = False
+    return session
+
+
+async def _check_end(run: Run, editor: editors.Editor, api_names: list[str]) -> None:
+    """Check what must hold once all faults are over."""
+    stage = run.stage
+    await fleets.until(stage.all_current, "current entries", SETTLE_S)
+    async with observers.Observer(stage.cluster.apis, stage.session) as observer:
+        change = await editor.propose(SETTLE_S)
+        await asyncio.sleep(IN_FORCE_S)
+    samples = [s for found in observer.own.values() for s in found]
+    took_s = observers.in_force_s(samples, api_names, change.index, change.accepted_s)
+    if took_s > IN_FORCE_S:
+        run.problems.append(f"a change is in force after {took_s:.1f} s")
+    run.problems += [
+        f"{process.name} ended by itself with status {process.exit_code}"
+        for process in stage.fleet.ended()
+    ]
+
+
+async def _play(seed: int, sizes: plans.Sizes, folder: pathlib.Path) -> list[str]:
+    plan = plans.draw(seed, sizes)
+    ways: dict[str, list[links.Link]] = {}
+    async with contextlib.AsyncExitStack() as stack:
+
+        async def route(entry: str, addresses: list[str]) -> list[str]:
+            opened = [
+                await stack.enter_async_context(links.Link(address))
+                for address in addresses
+            ]
+            ways[entry] = opened
+            return [link.address for link in opened]
+
+        numbers = (sizes.control, sizes.entries, sizes.targets)
+        stage = await stack.enter_async_context(
+            stages.running(folder, *numbers, route=route)
+        )
+        session = await stack.enter_async_context(_open_session())
+        run = Run(stage, ways)
+        apis = stage.cluster.apis
+        pair = [
+            editors.Editor(name, apis, stage.session, random.Random(f"{seed} {name}"))
+            for name in ("ada", "bob")
+        ]
+        async with (
+            observers.Observer(apis, stage.session) as observer,
+            workloads.Workload(apis, session, rate=RATE, seed=seed) as workload,
+        ):
+            over = asyncio.Event()
+            edits = [asyncio.create_task(_edit(editor, over)) for editor in pair]
+            await asyncio.gather(*(_inject(run, fault) for fault in plan))
+            over.set()
+            ended = await asyncio.gather(*edits, return_exceptions=True)
+            run.problems += [repr(e) for e in ended if isinstance(e, Exception)]
+            await _check_end(run, pair[0], apis)
+            outcomes = await workload.stop()
+        for api, samples in observer.own.items():
+            # An entry that was started again has nothing in force at first.
+            known = [s for s in samples if s.revisions[api]]
+            back = observers.setbacks(known)
+            run.problems += [f"{api} went back: {pair}" for pair in back]
+        accepted = [change for editor in pair for change in editor.accepted]
+        lost = editors.find_lost(accepted, await stage.history())
+        run.problems += [f"accepted change {name} is lost" for name in lost]
+        findings = stage.judge(outcomes)
+        broken = findings.broken(killed=True)
+        run.problems += [f"{name}: {findings}" for name in broken]
+        if not outcomes or not accepted:
+            run.problems.append("no call or no change was made")
+    return run.problems
+
+
+def play(seed: int, sizes: plans.Sizes, folder: pathlib.Path) -> list[str]:
+    """Play a seed; return what was broken."""
+    return asyncio.run(_play(seed, sizes, folder))
+
+
+def main() -> int:
+    """Play some seeds one after the other; return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--count", type=int, default=10)
+    parser.add_argument("--faults", type=int, default=plans.Sizes.faults)
+    args = parser.parse_args()
+    failed = []
+    for seed in range(args.first, args.first + args.count):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        started = time.monotonic()
+        problems = play(seed, plans.Sizes(faults=args.faults), folder)
+        print(
+            f"seed {seed}: {time.monotonic() - started:.0f} s, {problems or 'passed'}"
+        )
+        sys.stdout.flush()
+        if problems:
+            failed.append(seed)
+            print(f"  logs in {folder}")
+        else:
+            shutil.rmtree(folder)
+    print(f"{args.count - len(failed)} passed, {len(failed)} failed: {failed}")
+    return bool(failed)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
