--- /dev/null
+++ b/coltsfootchute/control/tests/clusters.py
@@ -0,0 +1,108 @@
+"""Control instances in one event loop, over loopback."""
+
+import asyncio
+import contextlib
+import socket
+import time
+
+from coltsfootchute import settings
+from coltsfootchute.control import daemons, links
+from coltsfootchute.proto import coltsfootchute_grpc as rpc
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+TIMEOUT_S = 30.0
+DOCUMENT = """{"rules": [{"name": "read", "methods": ["GET"], "path": "/**",
+ "repeatable": true, "deadline_ms": %d}]}"""
+
+
+class Cluster:
+    """Control instances with their data folders and sockets."""
+
+    def __init__(self, folder, names=("a", "b", "c")):
+        self.folder = folder
+        self.sockets = {name: socket.create_server(("127.0.0.1", 0)) for name in names}
+        self.initial = [
+            settings.InitialMember(
+                name=name, address=f"127.0.0.1:{sock.getsockname()[1]}"
+            )
+            for name, sock in self.sockets.items()
+        ]
+        self.daemons = {}
+
+    async def start(self, name, generation=0, metrics=None):
+        sock = self.sockets.pop(name, None)
+        address = next(m.address for m in self.initial if m.name == name)
+        control = settings.ControlSettings(
+            peer=address,
+            data=str(self.folder / f"{name}-{generation}"),
+            initial=self.initial,
+            metrics=metrics,
+        )
+        instance = settings.InstanceSettings(name=name, failure_domain="fd")
+        cfg = settings.Settings(instance=instance, control=control)
+        self.daemons[name] = daemons.Daemon(cfg, sock)
+        await self.daemons[name].start()
+
+    async def stop(self, name):
+        await self.daemons.pop(name).stop()
+
+    async def kill(self, name):
+        """End an instance without its graceful stop."""
+        daemon = self.daemons.pop(name)
+        daemon._stopped = True
+        for task in daemon._tasks:
+            task.cancel()
+        await daemon._close()
+
+    async def leader(self):
+        return await wait_for(
+            lambda: next((n for n, d in self.daemons.items() if d.core.is_leader), None)
+        )
+
+    def voters(self, name):
+        membership = self.daemons[name].core.replica.committed_membership
+        members = membership.members if membership else ()
+        return {m.name: m.member_id for m in members if m.voter}
+
+    async def call(self, method, request):
+        """Call the leader until the outcome is known, as an entry does."""
+        deadline_s = time.monotonic() + TIMEOUT_S
+        while time.monotonic() < deadline_s:
+            address = self.daemons[await self.leader()].address
+            channel = links.open_channel(address)
+            try:
+                reply = await getattr(rpc.ControlStub(channel), method)(request)
+            finally:
+                channel.close()
+            if reply.header.status == pb.REPLY_STATUS_OK:
+                return reply
+        raise AssertionError(f"no outcome of {method} within {TIMEOUT_S} s")
+
+
+async def wait_for(condition):
+    deadline_s = time.monotonic() + TIMEOUT_S
+    while not (value := condition()):
+        assert time.monotonic() < deadline_s, "the condition was not met in time"
+        await asyncio.sleep(0.02)
+    return value
+
+
+@contextlib.asynccontextmanager
+async def running(folder):
+    cluster = Cluster(folder)
+    for name in list(cluster.sockets):
+        await cluster.start(name)
+    try:
+        yield cluster
+    finally:
+        await asyncio.gather(*(cluster.stop(name) for name in list(cluster.daemons)))
+
+
+def proposal(request_id, revision=0, **more):
+    fields = {"section": "s", "team": "t", "author": request_id, **more}
+    return pb.Proposal(
+        document=DOCUMENT % 500,
+        request_id=request_id,
+        expected_revision=revision,
+        **fields,
+    )
--- a/coltsfootchute/control/tests/test_daemons.py
+++ b/coltsfootchute/control/tests/test_daemons.py
@@ -1,11 +1,8 @@
 """Three control instances in one event loop, over loopback."""
 
 import asyncio
-import contextlib
-import errno
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,109 +10,12 @@
 import pytest
 
 from coltsfootchute import settings
-from coltsfootchute.agreement import disks
 from coltsfootchute.control import daemons, links, members
+from coltsfootchute.control.tests import clusters
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 from coltsfootchute.state import outcomes
 
-TIMEOUT_S = 30.0
-DOCUMENT = """{"rules": [{"name": "read", "methods": ["GET"], "path": "/**",
- "repeatable": true, "deadline_ms": %d}]}"""
-
-
-class Cluster:
-    """Control instances with their data folders and sockets."""
-
-    def __init__(self, folder, names=("a", "b", "c")):
-        self.folder = folder
-        self.sockets = {name: socket.create_server(("127.0.0.1", 0)) for name in names}
-        self.initial = [
-            settings.InitialMember(
-                name=name, address=f"127.0.0.1:{sock.getsockname()[1]}"
-            )
-            for name, sock in self.sockets.items()
-        ]
-        self.daemons = {}
-
-    async def start(self, name, generation=0, metrics=None):
-        sock = self.sockets.pop(name, None)
-        address = next(m.address for m in self.initial if m.name == name)
-        control = settings.ControlSettings(
-            peer=address,
-            data=str(self.folder / f"{name}-{generation}"),
-            initial=self.initial,
-            metrics=metrics,
-        )
-        instance = settings.InstanceSettings(name=name, failure_domain="fd")
-        cfg = settings.Settings(instance=instance, control=control)
-        self.daemons[name] = daemons.Daemon(cfg, sock)
-        await self.daemons[name].start()
-
-    async def stop(self, name):
-        await self.daemons.pop(name).stop()
-
-    async def kill(self, name):
-        """End an instance without its graceful stop."""
-        daemon = self.daemons.pop(name)
-        daemon._stopped = True
-        for task in daemon._tasks:
-            task.cancel()
-        await daemon._close()
-
-    async def leader(self):
-        return await wait_for(
-            lambda: next((n for n, d in self.daemons.items() if d.core.is_leader), None)
-        )
-
-    def voters(self, name):
-        membership = self.daemons[name].core.replica.committed_membership
-        members = membership.members if membership else ()
-        return {m.name: m.member_id for m in members if m.voter}
-
-    async def call(self, method, request):
-        """Call the leader until the outcome is known, as an entry does."""
-        deadline_s = time.monotonic() + TIMEOUT_S
-        while time.monotonic() < deadline_s:
-            address = self.daemons[await self.leader()].address
-            channel = links.open_channel(address)
-            try:
-                reply = await getattr(rpc.ControlStub(channel), method)(request)
-            finally:
-                channel.close()
-            if reply.header.status == pb.REPLY_STATUS_OK:
-                return reply
-        raise AssertionError(f"no outcome of {method} within {TIMEOUT_S} s")
-
-
-async def wait_for(condition):
-    deadline_s = time.monotonic() + TIMEOUT_S
-    while not (value := condition()):
-        assert time.monotonic() < deadline_s, "the condition was not met in time"
-        await asyncio.sleep(0.02)
-    return value
-
-
-@contextlib.asynccontextmanager
-async def running(folder):
-    cluster = Cluster(folder)
-    for name in list(cluster.sockets):
-        await cluster.start(name)
-    try:
-        yield cluster
-    finally:
-        await asyncio.gather(*(cluster.stop(name) for name in list(cluster.daemons)))
-
-
-def proposal(request_id, revision=0, **more):
-    fields = {"section": "s", "team": "t", "author": request_id, **more}
-    return pb.Proposal(
-        document=DOCUMENT % 500,
-        request_id=request_id,
-        expected_revision=revision,
-        **fields,
-    )
-
 
 def claim(attempt):
     key = (time.time_ns() // 1_000_000).to_bytes(6, "big") + b"\x70\x00\x80" + bytes(7)
@@ -127,13 +27,13 @@
 async def check_resend_after_stop(cluster, stop):
     """Propose and claim, end the leader, then send the same again to the next one."""
     first_leader = await cluster.leader()
-    accepted = (await cluster.call("Propose", proposal("r1"))).outcome
+    accepted = (await cluster.call("Propose", clusters.proposal("r1"))).outcome
     assert accepted.status == pb.PROPOSAL_STATUS_ACCEPTED
     granted = claim(b"attempt-1")
     reply = await cluster.call("Claim", granted)
     assert reply.outcome.status == pb.CLAIM_STATUS_GRANTED
     await stop(first_leader)
-    resent = (await cluster.call("Propose", proposal("r1"))).outcome
+    resent = (await cluster.call("Propose", clusters.proposal("r1"))).outcome
     assert await cluster.leader() != first_leader
     assert resent == accepted, "the resend got another outcome"
     # The same attempt may go on, another one may not.
@@ -149,7 +49,7 @@
     # Guards against a change that is applied twice or lost with its leader, and a
     # key that is granted to two attempts.
     async def main():
-        async with running(tmp_path) as cluster:
+        async with clusters.running(tmp_path) as cluster:
             await check_resend_after_stop(cluster, getattr(cluster, way))
 
     asyncio.run(main())
@@ -159,62 +59,13 @@
     monkeypatch.setattr(outcomes.OutcomeTable, "find", lambda self, proposal: None)
 
     async def main():
-        async with running(tmp_path) as cluster:
+        async with clusters.running(tmp_path) as cluster:
             await check_resend_after_stop(cluster, cluster.stop)
 
     with pytest.raises(AssertionError, match="another outcome"):
         asyncio.run(main())
 
 
-class FullDisk:
-    """Makes the writes of some instances fail while it is set."""
-
-    def __init__(self, monkeypatch):
-        self.folders = []
-        append = disks.LocalDisk.append
-
-        def refuse(disk, path, data):
-            if any(folder in path for folder in self.folders):
-                raise OSError(errno.ENOSPC, "no space left on device")
-            append(disk, path, data)
-
-        monkeypatch.setattr(disks.LocalDisk, "append", refuse)
-
-
-@pytest.mark.parametrize("of_leader", [True, False])
-def test_a_full_disk_costs_one_vote_and_nothing_else(tmp_path, monkeypatch, of_leader):
-    """A disk without space must not end the process, nor lose what was accepted."""
-
-    async def play():
-        async with running(tmp_path) as cluster:
-            await cluster.call("Propose", proposal("r1"))
-            leader = await cluster.leader()
-            full = FullDisk(monkeypatch)
-            name = leader if of_leader else min(set(cluster.daemons) - {leader})
-            full.folders = [f"{name}-0"]
-            daemon = cluster.daemons[name]
-            channel = links.open_channel(daemon.address)
-            if of_leader:
-                # The leader notices with its next entry; its outcome is unknown.
-                first = rpc.ControlStub(channel).Propose(proposal("r2", 1))
-                await asyncio.gather(first, return_exceptions=True)
-            await cluster.call("Propose", proposal("r2", 1))
-            await cluster.call("Propose", proposal("r3", 2))
-            await wait_for(lambda: daemon.core.counters["failed_writes"])
-            assert await cluster.leader() != name
-            assert not daemon.failed.done()
-            # It still answers about what it knows.
-            assert (await rpc.ControlStub(channel).Status(pb.StatusRequest())).revision
-            channel.close()
-            full.folders = []
-            await cluster.call("Propose", proposal("r4", 3))
-            index = cluster.daemons[await cluster.leader()].core.machine.revision
-            await wait_for(lambda: daemon.core.machine.revision >= index)
-            assert daemon.core.machine.sections.in_force("s").revision == 4
-
-    asyncio.run(play())
-
-
 def test_concurrent_proposals_reach_every_watcher_once(tmp_path):
     # Guards against two accepted changes of one revision, and against followers
     # whose feed misses the change or goes on after a planned stop.
@@ -229,13 +80,13 @@
             channel.close()
 
     async def main():
-        async with running(tmp_path) as cluster:
+        async with clusters.running(tmp_path) as cluster:
             leader = await cluster.leader()
             follower = next(name for name in cluster.daemons if name != leader)
             messages = []
             address = cluster.daemons[follower].address
             watching = asyncio.create_task(watch(address, messages))
-            requests = [proposal(f"r{n}") for n in range(5)]
+            requests = [clusters.proposal(f"r{n}") for n in range(5)]
             replies = await asyncio.gather(
                 *(cluster.call("Propose", request) for request in requests)
             )
@@ -244,12 +95,12 @@
             assert statuses.count(pb.PROPOSAL_STATUS_CONFLICT) == 4
             accepted = statuses.index(pb.PROPOSAL_STATUS_ACCEPTED)
             assert {r.outcome.author for r in replies} == {f"r{accepted}"}
-            await wait_for(lambda: any(m.changes for m in messages))
+            await clusters.wait_for(lambda: any(m.changes for m in messages))
             changes = [change for m in messages for change in m.changes]
             assert [change.section.revision for change in changes] == [1]
             assert all(m.has_proof for m in messages)
             await cluster.stop(follower)
-            await asyncio.wait_for(watching, TIMEOUT_S)
+            await asyncio.wait_for(watching, clusters.TIMEOUT_S)
 
     asyncio.run(main())
 
@@ -258,14 +109,14 @@
     # Guards against a bad document in the log, and a section that another team
     # takes over.
     async def main():
-        async with running(tmp_path) as cluster:
-            bad = proposal("r1")
+        async with clusters.running(tmp_path) as cluster:
+            bad = clusters.proposal("r1")
             bad.document = '{"rules": 7}'
             outcome = (await cluster.call("Propose", bad)).outcome
             assert outcome.status == pb.PROPOSAL_STATUS_INVALID
             assert [error.path for error in outcome.errors] == ["$.rules"]
-            await cluster.call("Propose", proposal("r2"))
-            foreign = proposal("r3", revision=1, team="other")
+            await cluster.call("Propose", clusters.proposal("r2"))
+            foreign = clusters.proposal("r3", revision=1, team="other")
             outcome = (await cluster.call("Propose", foreign)).outcome
             assert outcome.status == pb.PROPOSAL_STATUS_NOT_OWNER
             reply = await cluster.call("ReadSections", pb.ReadSectionsRequest())
@@ -278,19 +129,19 @@
     # Guards against a quorum that the lost member still counts in, and against a
     # repaired instance without the committed changes.
     async def main():
-        async with running(tmp_path) as cluster:
+        async with clusters.running(tmp_path) as cluster:
             leader = await cluster.leader()
             lost = next(name for name in cluster.daemons if name != leader)
             before = cluster.voters(leader)
-            await cluster.call("Propose", proposal("r1"))
+            await cluster.call("Propose", clusters.proposal("r1"))
             await cluster.kill(lost)
             await cluster.start(lost, generation=1)
-            await wait_for(
+            await clusters.wait_for(
                 lambda: cluster.voters(leader).get(lost) not in (None, before[lost])
             )
             assert len(cluster.voters(leader)) == 3
             core = cluster.daemons[lost].core
-            await wait_for(lambda: core.machine.sections.names() == ["s"])
+            await clusters.wait_for(lambda: core.machine.sections.names() == ["s"])
 
     asyncio.run(main())
 
@@ -298,16 +149,16 @@
 def test_removed_instance_joins_again_with_its_data(tmp_path):
     # Guards against an instance that waits for a leader that sends it nothing.
     async def main():
-        async with running(tmp_path) as cluster:
+        async with clusters.running(tmp_path) as cluster:
             leader = await cluster.leader()
             removed = next(name for name in cluster.daemons if name != leader)
             before = cluster.voters(leader)
             await cluster.kill(removed)
             core = cluster.daemons[leader].core
             core.change(lambda now: core.replica.remove_member(before[removed], now))
-            await wait_for(lambda: removed not in cluster.voters(leader))
+            await clusters.wait_for(lambda: removed not in cluster.voters(leader))
             await cluster.start(removed)
-            await wait_for(lambda: cluster.voters(leader) == before)
+            await clusters.wait_for(lambda: cluster.voters(leader) == before)
 
     asyncio.run(main())
 
@@ -315,7 +166,7 @@
 def test_target_and_report_are_known_everywhere(tmp_path):
     # Guards against targets and entries that only some instances know.
     async def main():
-        async with running(tmp_path) as cluster:
+        async with clusters.running(tmp_path) as cluster:
             target = pb.Target(
                 target_id="t1", incarnation=1, address="127.0.0.1:1", services=["s"]
             )
@@ -332,8 +183,12 @@
             await cluster.call("Report", report)
             for daemon in cluster.daemons.values():
                 feed = daemon.core.feed
-                await wait_for(lambda d=daemon: len(d.core.machine.targets) == 1)
-                await wait_for(lambda f=feed: [i.name for i in f.instances] == ["e1"])
+                await clusters.wait_for(
+                    lambda d=daemon: len(d.core.machine.targets) == 1
+                )
+                await clusters.wait_for(
+                    lambda f=feed: [i.name for i in f.instances] == ["e1"]
+                )
 
     asyncio.run(main())
 
@@ -356,14 +211,14 @@
     finally:
         channel.close()
     known = cluster.daemons[other].duties.instances
-    await wait_for(lambda: [i.name for i in known.all()] == ["e1"])
+    await clusters.wait_for(lambda: [i.name for i in known.all()] == ["e1"])
 
 
 def test_a_report_to_one_follower_reaches_the_other(tmp_path):
     # Guards against an entry that is missing in the address responses of entries
     # that watch another follower (a relay only over the links to the leader).
     async def main():
-        async with running(tmp_path) as cluster:
+        async with clusters.running(tmp_path) as cluster:
             await check_relay(cluster)
 
     asyncio.run(main())
@@ -378,9 +233,9 @@
     monkeypatch.setattr(members.MemberLinks, "relay", relay)
 
     async def main():
-        async with running(tmp_path) as cluster:
+        async with clusters.running(tmp_path) as cluster:
             await cluster.leader()
-            monkeypatch.setitem(globals(), "TIMEOUT_S", 2.0)
+            monkeypatch.setitem(globals(), "clusters.TIMEOUT_S", 2.0)
             await check_relay(cluster)
 
     with pytest.raises(AssertionError, match="not met in time"):
@@ -390,7 +245,7 @@
 def test_a_claim_at_a_follower_is_no_unknown_outcome(tmp_path):
     # Guards against an alarm on unknown claims that every lost leader sets off.
     async def main():
-        async with running(tmp_path) as cluster:
+        async with clusters.running(tmp_path) as cluster:
             leader = await cluster.leader()
             follower = next(n for n in cluster.daemons if n != leader)
             channel = links.open_channel(cluster.daemons[follower].address)
@@ -415,7 +270,7 @@
         return data
 
     async def main():
-        cluster = Cluster(tmp_path, names=["a"])
+        cluster = clusters.Cluster(tmp_path, names=["a"])
         await cluster.start("a", metrics="127.0.0.1:0")
         ((_, port),) = cluster.daemons["a"]._metrics.addresses
         try:
@@ -444,7 +299,7 @@
             lines = iter(process.stderr.readline, "")
             assert any("control: leads" in line for line in lines)
             process.send_signal(signal.SIGTERM)
-            assert process.wait(TIMEOUT_S) == 0
+            assert process.wait(clusters.TIMEOUT_S) == 0
         finally:
             process.kill()
             process.stderr.close()
@@ -456,7 +311,7 @@
 
     async def hang(self):
         os.kill(os.getpid(), signal.SIGTERM)
-        await wait_for(lambda: ended)
+        await clusters.wait_for(lambda: ended)
 
     monkeypatch.setattr(daemons.Daemon, "stop", hang)
     monkeypatch.setattr(daemons.os, "_exit", ended.append)
--- /dev/null
+++ b/coltsfootchute/control/tests/test_failed_writes.py
@@ -0,0 +1,61 @@
+"""A control instance whose disk refuses writes for a time."""
+
+import asyncio
+import errno
+
+import pytest
+
+from coltsfootchute.agreement import disks
+from coltsfootchute.control import links
+from coltsfootchute.control.tests import clusters
+from coltsfootchute.proto import coltsfootchute_grpc as rpc
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
+
+
+class FullDisk:
+    """Makes the writes of some instances fail while it is set."""
+
+    def __init__(self, monkeypatch):
+        self.folders = []
+        append = disks.LocalDisk.append
+
+        def refuse(disk, path, data):
+            if any(folder in path for folder in self.folders):
+                raise OSError(errno.ENOSPC, "no space left on device")
+            append(disk, path, data)
+
+        monkeypatch.setattr(disks.LocalDisk, "append", refuse)
+
+
+@pytest.mark.parametrize("of_leader", [True, False])
+def test_a_full_disk_costs_one_vote_and_nothing_else(tmp_path, monkeypatch, of_leader):
+    """A disk without space must not end the process, nor lose what was accepted."""
+
+    async def play():
+        async with clusters.running(tmp_path) as cluster:
+            await cluster.call("Propose", clusters.proposal("r1"))
+            leader = await cluster.leader()
+            full = FullDisk(monkeypatch)
+            name = leader if of_leader else min(set(cluster.daemons) - {leader})
+            full.folders = [f"{name}-0"]
+            daemon = cluster.daemons[name]
+            channel = links.open_channel(daemon.address)
+            if of_leader:
+                # The leader notices with its next entry; its outcome is unknown.
+                first = rpc.ControlStub(channel).Propose(clusters.proposal("r2", 1))
+                await asyncio.gather(first, return_exceptions=True)
+            await cluster.call("Propose", clusters.proposal("r2", 1))
+            await cluster.call("Propose", clusters.proposal("r3", 2))
+            await clusters.wait_for(lambda: daemon.core.counters["failed_writes"])
+            assert await cluster.leader() != name
+            assert not daemon.failed.done()
+            # It still answers about what it knows.
+            assert (await rpc.ControlStub(channel).Status(pb.StatusRequest())).revision
+            channel.close()
+            full.folders = []
+            await cluster.call("Propose", clusters.proposal("r4", 3))
+            index = cluster.daemons[await cluster.leader()].core.machine.revision
+            await clusters.wait_for(lambda: daemon.core.machine.revision >= index)
+            assert daemon.core.machine.sections.in_force("s").revision == 4
+
+    asyncio.run(play())
