control: keep to one identity when the folder opens again

If the folder was emptied while the disk refused writes, it opens with a new member id and an empty log, and the instance would go on under its old id, whose vote may be lost. A stop in that time closes the descriptor of the lock twice, which may be one of another file by then. Change: an instance whose folder has another identity ends; a second close of a store has no effect. Before / after: test_a_folder_that_was_emptied_meanwhile_ends_the_instance and test_a_second_close_releases_nothing fail before and pass after. Conclusion: the code runs only after a failed write.

--- a/coltsfootchute/agreement/stores.py
+++ b/coltsfootchute/agreement/stores.py
@@ -408,9 +408,17 @@
             raise errors.SyncError(f"{self._folder} is unusable after a failure")
 
     def close(self) -> None:
-        """Release the folder; the store can't be used any more."""
+        """Release the folder; the store can't be used any more.
+
+        A second call has no effect.
+        """
         self._is_usable = False
         close = getattr(self._disk, "close", None)
         if close:
             close()
-        self._release()
+        release, self._release = self._release, _nothing
+        release()
+
+
+def _nothing() -> None:
+    """Release a folder that was released before."""
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -122,6 +122,10 @@
 
     def _reopen_store(self) -> agreement.FileStore:
         store = self._open_store()
+        if store.member_id != self.core.identity.member_id:
+            # A vote under the old id could contradict one that was lost.
+            store.close()
+            raise errors.DamagedStoreError("the folder lost its identity")
         try:
             store.rewrite(store.saved)
         except errors.SyncError:
--- a/coltsfootchute/control/tests/test_failed_writes.py
+++ b/coltsfootchute/control/tests/test_failed_writes.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import errno
+import shutil
 
 import pytest
 
-from coltsfootchute.agreement import disks
+from coltsfootchute import errors
+from coltsfootchute.agreement import disks, stores
 from coltsfootchute.control import links
 from coltsfootchute.control.tests import clusters
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
@@ -59,3 +61,35 @@
             assert daemon.core.machine.sections.in_force("s").revision == 4
 
     asyncio.run(play())
+
+
+def test_a_folder_that_was_emptied_meanwhile_ends_the_instance(tmp_path, monkeypatch):
+    """A member without its log must not vote under its old id."""
+
+    async def play():
+        async with clusters.running(tmp_path) as cluster:
+            await cluster.call("Propose", clusters.proposal("r1"))
+            leader = await cluster.leader()
+            name = min(set(cluster.daemons) - {leader})
+            full = FullDisk(monkeypatch)
+            full.folders = [f"{name}-0"]
+            daemon = cluster.daemons[name]
+            await cluster.call("Propose", clusters.proposal("r2", 1))
+            await clusters.wait_for(lambda: daemon.core.counters["failed_writes"])
+            shutil.rmtree(tmp_path / f"{name}-0")
+            full.folders = []
+            await clusters.wait_for(daemon.failed.done)
+            with pytest.raises(errors.DamagedStoreError):
+                raise daemon.failed.exception()
+
+    asyncio.run(play())
+
+
+def test_a_second_close_releases_nothing(tmp_path):
+    """The descriptor of the lock may belong to another file by then."""
+    store = stores.FileStore(str(tmp_path / "data"), "a")
+    store.close()
+    with (tmp_path / "other").open("wb") as other:
+        store.close()
+        other.write(b"kept")
+    assert (tmp_path / "other").read_bytes() == b"kept"
