--- a/coltsfootchute/agreement/stores.py
+++ b/coltsfootchute/agreement/stores.py
@@ -254,7 +254,7 @@
         ------
         coltsfootchute.errors.SyncError
             If writing or syncing failed. What is stored is then unknown: the
-            store refuses all further use, and the process must exit.
+            store refuses all further use; the folder has to be opened again.
         """
         self._require_usable()
         if hard_state:
