entry, control: log the steps of a stop and the requests that it cuts

Cause: after SIGTERM callers lost their connections without an answer, and the entry logged "the caller left" for each, since aiohttp cancels a handler both when the caller's connection is lost and when the server shuts down. The request has no transport in either case, so that does not tell them apart.

Change: a cancellation counts as a cut from the moment at which the daemon begins to abort, and as the caller's leave before. Each cut has a line with the phase of the request, its age, the time left, the targets tried and the time since the stop began. Each step of the stop of an entry and of control has a line with what it still waits for, bytes not yet sent to callers included. coltsfootchute_cut_requests and coltsfootchute_left_requests count by phase, coltsfootchute_stop_ends by the end of requests during a planned stop. `explain` names the cut, and shows the steps of the stop. `Call.is_answering` is derived from the phase; nothing else of routing, retries or stopping changes.

Before / after: without the mark of the daemon the three tests of a cut and the one of `explain` fail.

--- a/coltsfootchute/commands/explanations.py
+++ b/coltsfootchute/commands/explanations.py
@@ -9,7 +9,7 @@
 
 from coltsfootchute.commands import exits, tables
 
-__all__ = ["CAUSES", "explain", "find_cause", "read_lines"]
+__all__ = ["CAUSES", "CUTS", "explain", "find_cause", "read_lines"]
 
 # News that an instance got this long before the end of a request may explain it.
 CONTEXT_S = 5.0
@@ -33,6 +33,14 @@
     "bad_request": "the request is malformed",
 }
 
+# What a request was doing when its entry cut it off.
+CUTS = {
+    "reading_body": "its body was arriving",
+    "waiting": "it waited for a target",
+    "at_target": "a target was at work on it",
+    "answering": "its answer was being written",
+}
+
 
 class _Line(msgspec.Struct):
     time: str
@@ -98,6 +106,8 @@
         cause = f"answered with status {last.fields.get('status')}"
     elif last.message == "entry: the caller left":
         cause = "the caller closed the connection before the answer"
+    elif last.message == "entry: cut off":
+        cause = _cause_of_cut(last, lines)
     tried = last.fields.get("tried", [])
     context = [
         line
@@ -105,7 +115,7 @@
         if line.instance == last.instance
         and "request" not in line.fields
         and 0 <= last.second - line.second <= CONTEXT_S
-        and (line.message.startswith("feed: source") or _concerns(line, tried))
+        and (_is_general(line) or _concerns(line, tried))
     ]
     lost = [line for line in context if line.message == "feed: source lost"]
     age_s = last.fields.get("proof_age_s")
@@ -114,6 +124,37 @@
     return sorted([*context, *own], key=lambda line: line.time), cause
 
 
+def _cause_of_cut(cut: _Line, lines: list[_Line]) -> str:
+    fields = cut.fields
+    doing = CUTS.get(fields.get("phase", ""), "it was in progress")
+    since_s = fields.get("since_stop_s")
+    if since_s is None:
+        return f"the entry ended without a planned stop while {doing}"
+    cause = f"the entry cut the request off {since_s} s after its stop began, while "
+    cause += doing
+    if not fields.get("body_complete", True):
+        cause += "; its body had not arrived whole"
+    late_s = since_s - fields.get("age_s", since_s)
+    if late_s > 0:
+        cause += f"; it was read {late_s:.3f} s after the stop began"
+    waits = [
+        line.fields
+        for line in lines
+        if line.instance == cut.instance
+        and line.message == "entry: requests remain"
+        and 0 <= cut.second - line.second <= CONTEXT_S
+    ]
+    for wait in waits[-1:]:
+        waited_s, limit_s = wait.get("waited_s"), wait.get("limit_s")
+        cause += f"; the entry waited {waited_s} s of {limit_s} s for its requests"
+    return cause
+
+
+def _is_general(line: _Line) -> bool:
+    """Tell whether a line may concern all requests of its instance."""
+    return line.message.startswith("feed: source") or "since_stop_s" in line.fields
+
+
 def _concerns(line: _Line, targets: list[str]) -> bool:
     return line.fields.get("target") in targets
 
--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -118,6 +118,7 @@
             if failure.done():
                 stack.pop_all()
                 raise failure.exception()
+    logs.note("process", "ends")
 
 
 async def _wait_for_any(
@@ -164,6 +165,7 @@
 def _signalled(stopping: asyncio.Event) -> None:
     if stopping.is_set():
         # The second signal ends the process at once, as the operator asked.
+        logs.note("process", "ends at once", by="a second signal")
         os._exit(FORCED_EXIT_CODE)
     stopping.set()
 
--- a/coltsfootchute/commands/tests/test_explanations.py
+++ b/coltsfootchute/commands/tests/test_explanations.py
@@ -1,5 +1,6 @@
 """From the id of a failed request to its cause, by logs of a run with the fault."""
 
+import asyncio
 import io
 import json
 import sys
@@ -90,6 +91,46 @@
     assert "feed: source lost" in [line.message for line in lines]
 
 
+def test_a_request_that_a_stopping_entry_cut_off_is_explained(stream):
+    """The engineer must not look for a fault of the caller."""
+    never = asyncio.Event()
+
+    async def play(stage):
+        asking = asyncio.ensure_future(test_declared.ask(stage))
+        await stands.until(lambda: stage.targets[0].heads)
+        await stage.entry.stop()
+        await asyncio.gather(asking, return_exceptions=True)
+
+    test_declared.play_declared(play, stands.respond(before=never), stop_s=1)
+    lines, cause = cause_of(stream)
+    assert "after its stop began, while a target was at work on it" in cause
+    assert "for its requests" in cause
+    cut = next(line for line in lines if line.message == "entry: cut off")
+    assert cut.fields["tried"] == ["t0"]
+    assert cut.fields["left_s"] > 0
+    steps = [line.message.removeprefix("entry: ") for line in lines]
+    assert steps[-1] == "cut off"
+    assert {
+        "stopping",
+        "accepts no more connections",
+        "closes idle connections",
+    } <= set(steps)
+
+
+def test_a_caller_that_left_is_explained(stream):
+    async def play(stage):
+        _, writer = await stage.connect()
+        writer.write(b"GET /read/1 HTTP/1.1\r\nHost: x\r\nX-Id: r1\r\n\r\n")
+        await stands.until(lambda: stage.targets[0].heads)
+        writer.transport.abort()
+        await stands.until(lambda: "the caller left" in stream.getvalue())
+
+    test_declared.play_declared(play, stands.respond(before=asyncio.Event()))
+    lines, cause = cause_of(stream)
+    assert cause == "the caller closed the connection before the answer"
+    assert lines[-1].fields["phase"] == "at_target"
+
+
 def test_the_command_reads_files_and_refuses_unknown_ids(tmp_path, capsys):
     file = tmp_path / "e1.log"
     line = {
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import socket
+import typing
 
 import grpclib.server
 import uvloop
@@ -67,6 +68,7 @@
         self._proposing: set[asyncio.Task] = set()
         self._metrics = None
         self._stopped = False
+        self._stop_began_s = 0.0
 
     async def start(self) -> None:
         """Open the data folder and listen.
@@ -191,9 +193,13 @@
         if self._stopped:
             return
         self._stopped = True
+        self._stop_began_s = feeds.clock()
+        self._step("stopping", leads=self.core.replica.is_leader)
         await self._transfer()
+        self._step("ends the feeds", watchers=self.core.feed.watchers)
         self.core.feed.close()
         await asyncio.sleep(FEED_END_S if self.core.feed.watchers else 0)
+        self._step("feeds ended", watchers=self.core.feed.watchers)
         for task in [*self._tasks, *self._proposing]:
             task.cancel()
         await asyncio.gather(*self._tasks, *self._proposing, return_exceptions=True)
@@ -202,17 +208,24 @@
                 await self.core.links.flush()
         except TimeoutError:
             logger.debug("control: messages to a peer that is down were dropped")
+        self._step("messages to peers sent")
         await self._close()
 
+    def _step(self, message: str, **fields: typing.Any) -> None:
+        age_s = round(feeds.clock() - self._stop_began_s, 3)
+        logs.note("control", message, since_stop_s=age_s, **fields)
+
     async def _close(self) -> None:
         self.core.close()
         await self.core.links.stop()
+        self._step("links closed")
         if self._metrics is not None:
             await self._metrics.stop()
         self._server.close()
+        self._step("takes no more calls")
         await self._server.wait_closed()
         self.core.store.close()
-        logger.info("control: stopped")
+        self._step("stopped")
 
     async def _transfer(self) -> None:
         """Hand the leadership to another voter, if there is one."""
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -16,10 +16,12 @@
     forwards,
     keys,
     metrics,
+    phases,
     placements,
     pools,
     relays,
     requests,
+    stops,
     watches,
 )
 
@@ -48,6 +50,8 @@
         Takes crash reports.
     meters
         Metrics.
+    stop
+        Takes the requests that end during a stop, or without an answer.
     placer
         Finds targets for requests of declared routes by probes; None for no probes.
     names
@@ -65,6 +69,7 @@
         claims: keys.Claims,
         reporter: crashes.CrashReporter,
         meters: metrics.Metrics,
+        stop: stops.Stop,
         placer: placements.Placer | None = None,
         names: settings.HeaderSettings | None = None,
         retry_after_s: float = answers.RETRY_AFTER_S,
@@ -80,6 +85,7 @@
         self._retry_after_s = retry_after_s
         self._services = services.by_name
         self._claims = claims
+        self._stop = stop
         self.is_closing = False
         self.in_progress = 0
         self.idle = asyncio.Event()
@@ -88,32 +94,31 @@
         """Answer one request of a caller."""
         self.in_progress += 1
         try:
-            return await self._handle(request)
+            written = await self._handle(request)
         except ConnectionError:
-            # The caller is gone; an answer can't be written.
-            logs.note(
-                "entry",
-                "the caller left",
-                request=requests.request_id_of(request, self._names),
-            )
+            # The connection is closed; an answer can't be written.
+            self._note_unanswered(request)
             return answers.CLOSED
         except asyncio.CancelledError:
-            logs.note(
-                "entry",
-                "the caller left",
-                request=requests.request_id_of(request, self._names),
-            )
+            self._note_unanswered(request)
             raise
         except Exception:
             # A reset says nothing about whether the request ran, which is right
             # for a fault of the entry itself.
             loguru.logger.exception("entry: a call failed")
             return answers.abort(request)
+        else:
+            self._stop.answered()
+            return written
         finally:
             self.in_progress -= 1
             if self.is_closing and not self.in_progress:
                 self.idle.set()
 
+    def _note_unanswered(self, request: aiohttp.web.BaseRequest) -> None:
+        request_id = requests.request_id_of(request, self._names)
+        self._stop.unanswered(request, request_id)
+
     async def close(self, limit_s: float) -> None:
         """Wait until no call is in progress; answers close their connections."""
         self.is_closing = True
@@ -136,6 +141,7 @@
                 revision=self._view.revision,
             )
             return await self._refuse(request, exc.refusal)
+        request[stops.CALL] = call
         meter = self._meters.meter(call.service.name)
         meter.in_flight.inc()
         try:
@@ -198,7 +204,9 @@
         self._check_currency(call)
         needs_key = call.rule.key == "required"
         key = requests.parse_key(call.request.headers) if needs_key else None
+        call.phase = phases.Phase.READING_BODY
         call.body = await requests.read_body(call)
+        call.phase = phases.Phase.WAITING
         self._check_quarantine(call)
         service = call.service
         if self._places(call):
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -23,6 +23,7 @@
     placements,
     pools,
     samplers,
+    stops,
     watches,
 )
 from coltsfootchute.proto import coltsfootchute_pb2
@@ -90,6 +91,7 @@
             failure_domain=cfg.instance.failure_domain,
             start_ms=int(time.time() * 1000),
         )
+        self._stop = stops.Stop(self.metrics)
         self._calls: calls.Calls | None = None
         self._forwarder: forwards.Forwarder | None = None
         self._sampler: samplers.Sampler | None = None
@@ -140,6 +142,7 @@
             claims=keys.Claims(self.client, self._cfg.instance.name),
             reporter=crashes.CrashReporter(self.client),
             meters=self.metrics,
+            stop=self._stop,
             placer=placements.Placer(self._sampler) if samples else None,
             names=entry.headers,
             retry_after_s=entry.retry_after_s,
@@ -199,13 +202,30 @@
 
     async def stop(self) -> None:
         """Stop gracefully: leave the address answers, serve on, finish, close."""
-        loguru.logger.info("entry: stopping")
+        self._stop.begin(bound_s=self._stop_bound_s(), **self._progress())
         self._own.state = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
         if self._listener is not None:
             await self._stop_calls()
         await self.client.drain(SETTLE_LIMIT_S)
+        self._stop.step("settlements sent", **self._progress())
+        transports = stops.transports_of(self._calls_server)
         await self.abort()
-        loguru.logger.info("entry: stopped")
+        unsent = stops.unsent_bytes(transports)
+        self._stop.step("stopped", cut=self._stop.cut, unsent_bytes=unsent)
+
+    def _stop_bound_s(self) -> float:
+        if self._cfg.entry.stop_s is not None:
+            return self._cfg.entry.stop_s
+        return NEWS_S + self._cfg.entry.keep_s + FINISH_LIMIT_S + SETTLE_LIMIT_S
+
+    def _progress(self) -> dict[str, int]:
+        """Return what the stop still waits for."""
+        transports = stops.transports_of(self._calls_server)
+        return {
+            "in_progress": self._calls.in_progress if self._calls else 0,
+            "connections": len(transports),
+            "unsent_bytes": stops.unsent_bytes(transports),
+        }
 
     async def _stop_calls(self) -> None:
         stop_s = self._cfg.entry.stop_s
@@ -228,9 +248,18 @@
     async def _finish_calls(self, limit_s: float) -> None:
         self._calls.is_closing = True
         self._listener.close()
+        self._stop.step("accepts no more connections", **self._progress())
         await asyncio.sleep(IDLE_GRACE_S)
+        progress = self._progress()
         self._calls_server.pre_shutdown()
+        idle = progress["connections"] - progress["in_progress"]
+        self._stop.step("closes idle connections", idle=idle, **progress)
+        started = time.monotonic()
         await self._calls.close(limit_s)
+        waited_s = round(time.monotonic() - started, 3)
+        message = "requests remain" if self._calls.in_progress else "requests finished"
+        limits = {"waited_s": waited_s, "limit_s": round(limit_s, 3)}
+        self._stop.step(message, **limits, **self._progress())
 
     async def abort(self) -> None:
         """Close everything at once; requests in progress are cut off."""
@@ -240,16 +269,20 @@
         self._tasks = []
         if self._listener is not None:
             self._listener.close()
+        self._stop.begin_cut()
         if self._calls_server is not None:
             await self._calls_server.shutdown(0.1)
+            self._stop.step("connections closed", cut=self._stop.cut)
         if self._api_runner is not None:
             await self._api_runner.cleanup()
+            self._stop.step("api closed")
         self.feed.close()
         if self._sampler is not None:
             await self._sampler.close()
         if self._peer_server is not None:
             self._peer_server.close()
             await self._peer_server.wait_closed()
+            self._stop.step("peers closed")
         if self._forwarder is not None:
             await self._forwarder.close()
         await self.client.close()
--- a/coltsfootchute/entry/dispatches.py
+++ b/coltsfootchute/entry/dispatches.py
@@ -10,6 +10,7 @@
     forwards,
     keys,
     metrics,
+    phases,
     placements,
     pools,
     races,
@@ -160,6 +161,7 @@
         self, call: requests.Call, error: attempts.AttemptError
     ) -> balancing.Token:
         now = time.monotonic()
+        call.phase = phases.Phase.WAITING
         refusal = verdicts.Refusal(error.verdict, error.reason, error.detail)
         allowed = (
             error.verdict.allows_retry(repeatable=call.rule.repeatable)
@@ -240,6 +242,7 @@
         attempt = attempts.Attempt()
         attempt.request_id = call.request_id
         call.attempts.append(attempt)
+        call.phase = phases.Phase.AT_TARGET
         attempt.revision = self._view.revision
         attempt.started_s = time.monotonic()
         try:
--- a/coltsfootchute/entry/metrics.py
+++ b/coltsfootchute/entry/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of the entry role."""
 
 from coltsfootchute import verdicts
-from coltsfootchute.entry import counters
+from coltsfootchute.entry import counters, phases
 
 __all__ = ["CallMeter", "Metrics"]
 
@@ -54,6 +54,24 @@
             "coltsfootchute_truncated_answers",
             "Answers that ended early because the target's response did.",
         ).labels()
+        self.cut = self._count(
+            "coltsfootchute_cut_requests",
+            "Requests that the entry cut off as it stopped, by what they were doing.",
+            ["phase"],
+        )
+        self.left = self._count(
+            "coltsfootchute_left_requests",
+            "Requests whose callers left before the answer, by what they were doing.",
+            ["phase"],
+        )
+        for phase in phases.Phase:
+            self.cut.labels(phase.value)
+            self.left.labels(phase.value)
+        self.stop_ends = self._count(
+            "coltsfootchute_stop_ends",
+            "Requests that ended after a planned stop began, by how they ended.",
+            ["end"],
+        )
         self.probe_seconds = self._count(
             "coltsfootchute_probe_seconds",
             "Time spent on probes of quiet targets.",
--- a/coltsfootchute/entry/relays.py
+++ b/coltsfootchute/entry/relays.py
@@ -1,7 +1,7 @@
 """Streaming of a target's response to the caller."""
 
 from coltsfootchute import verdicts
-from coltsfootchute.entry import answers, attempts, requests
+from coltsfootchute.entry import answers, attempts, phases, requests
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["ANSWER_KEPT_BYTES", "Relay"]
@@ -72,7 +72,7 @@
         if self._is_stale:
             headers[verdicts.STALE_HEADER] = "1"
         message, payload = attempt.message, attempt.payload
-        call.is_answering = True
+        call.phase = phases.Phase.ANSWERING
         writer = await answers.start_answer(
             call.request,
             message.code,
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -10,7 +10,7 @@
 
 from coltsfootchute import balancing, declarations, sections, settings, verdicts
 from coltsfootchute.balancing import quarantines
-from coltsfootchute.entry import attempts, pools
+from coltsfootchute.entry import attempts, phases, pools
 
 __all__ = [
     "Call",
@@ -172,13 +172,13 @@
         "deadline",
         "digest",
         "headers",
-        "is_answering",
         "is_body_used",
         "is_declared",
         "keep_alive",
         "loads",
         "may_retry",
         "path",
+        "phase",
         "query",
         "request",
         "rule",
@@ -221,7 +221,7 @@
         self.target_line = f"{request.method} {target} HTTP/1.1"
         self.body = attempts.Body(b"", None)
         self.is_body_used = False
-        self.is_answering = False
+        self.phase = phases.Phase.WAITING
         self.attempts: list[attempts.Attempt] = []
         self.tried: list[str] = []
         # What was known of the load of each tried target, for the log.
@@ -230,6 +230,11 @@
         self.digest: bytes | None = None
         self.keep_alive = False
 
+    @property
+    def is_answering(self) -> bool:
+        """Whether the answer may have begun."""
+        return self.phase is phases.Phase.ANSWERING
+
     @property
     def may_have_run(self) -> bool:
         """Whether any attempt may have run."""
--- /dev/null
+++ b/coltsfootchute/entry/stops.py
@@ -0,0 +1,131 @@
+"""Records of an entry's stop: its steps, and the requests that end during it."""
+
+import collections.abc
+import enum
+import time
+import typing
+
+import aiohttp.web
+
+from coltsfootchute import logs
+from coltsfootchute.entry import metrics, phases, requests
+
+__all__ = ["CALL", "End", "Stop", "transports_of", "unsent_bytes"]
+
+# Key of the call in the state of the caller's request.
+CALL = aiohttp.web.RequestKey("call", requests.Call)
+
+
+class End(enum.Enum):
+    """How a request ended that was in progress while the entry stopped."""
+
+    ANSWERED = "answered"
+    CUT = "cut"
+    LEFT = "left"
+
+
+class Stop:
+    """The stop of one entry, as logs and metrics show it.
+
+    Parameters
+    ----------
+    meters
+        Metrics.
+
+    Attributes
+    ----------
+    cut
+        Requests that the entry has cut off.
+    """
+
+    def __init__(self, meters: metrics.Metrics):
+        self._meters = meters
+        self._begun_s: float | None = None
+        self._is_cutting = False
+        self.cut = 0
+
+    def begin(self, **fields: typing.Any) -> None:
+        """Log the start of a planned stop."""
+        self._begun_s = time.monotonic()
+        self.step("stopping", **fields)
+
+    def step(self, message: str, **fields: typing.Any) -> None:
+        """Log a step of a planned stop; nothing if none has begun."""
+        if self._begun_s is not None:
+            logs.note("entry", message, since_stop_s=self._age_s(), **fields)
+
+    def begin_cut(self) -> None:
+        """Count requests that are cancelled from now on as cut off by the entry."""
+        self._is_cutting = True
+
+    def answered(self) -> None:
+        """Count an answered request."""
+        self._count(End.ANSWERED)
+
+    def unanswered(
+        self,
+        request: aiohttp.web.BaseRequest,
+        request_id: tuple[str, str] | None,
+    ) -> None:
+        """Log a request whose connection ended before its answer.
+
+        Parameters
+        ----------
+        request
+            The caller's request, with its call under `CALL` if a rule matched.
+        request_id
+            Name and value of the header that identifies it.
+
+        Notes
+        -----
+        aiohttp cancels a handler both when the caller's connection is lost and when
+        the server shuts down, and in both cases the request has no transport.
+        """
+        call = request.get(CALL)
+        phase = phases.Phase.WAITING if call is None else call.phase
+        fields = {"phase": phase.value, **_state_of(request, call)}
+        if self._begun_s is not None:
+            fields["since_stop_s"] = self._age_s()
+        if self._is_cutting:
+            self.cut += 1
+            self._meters.cut.labels(phase.value).inc()
+            self._count(End.CUT)
+            logs.note("entry", "cut off", request=request_id, **fields)
+        else:
+            self._meters.left.labels(phase.value).inc()
+            self._count(End.LEFT)
+            logs.note("entry", "the caller left", request=request_id, **fields)
+
+    def _count(self, end: End) -> None:
+        if self._begun_s is not None:
+            self._meters.stop_ends.labels(end.value).inc()
+
+    def _age_s(self) -> float:
+        return round(time.monotonic() - self._begun_s, 3)
+
+
+def _state_of(
+    request: aiohttp.web.BaseRequest, call: requests.Call | None
+) -> dict[str, typing.Any]:
+    if call is None:
+        return {}
+    now = time.monotonic()
+    return {
+        "service": call.service.name,
+        "age_s": round(now - call.started_s, 3),
+        "left_s": round(call.deadline - now, 3),
+        "body_bytes": request.content.total_bytes,
+        "body_complete": request.content.is_eof(),
+        "tried": list(call.tried),
+    }
+
+
+def transports_of(server: aiohttp.web.Server | None) -> list[typing.Any]:
+    """Return the transports of a server's open connections."""
+    conns = [] if server is None else server.connections
+    return [conn.transport for conn in conns if conn.transport is not None]
+
+
+def unsent_bytes(transports: collections.abc.Iterable[typing.Any]) -> int:
+    """Return how many bytes were written but not yet taken by the kernel."""
+    return sum(transport.get_write_buffer_size() for transport in transports)
--- a/coltsfootchute/entry/tests/test_daemons.py
+++ b/coltsfootchute/entry/tests/test_daemons.py
@@ -80,3 +80,61 @@
                 await process.wait()
 
     stands.run(play)
+
+
+def numbers(family):
+    """Return the counters of a family by their label, without those at 0."""
+    children = family._children.items()
+    return {labels[0]: child.value for labels, child in children if child.value}
+
+
+@pytest.mark.parametrize("phase", ["reading_body", "at_target", "answering"])
+def test_a_request_that_the_entry_cuts_is_not_taken_for_a_caller_that_left(phase):
+    """A cut that looks like the caller's doing hides a fault of the stop."""
+    never = asyncio.Event()
+
+    async def half(target, head, reader, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 600000\r\n\r\n")
+        writer.write(b"x" * 300_000)
+        await never.wait()
+
+    async def play(stage):
+        meters = stage.entry.metrics
+        if phase == "reading_body":
+            reader, writer = await stage.connect()
+            writer.write(b"PUT /shop/items/1 HTTP/1.1\r\nHost: x\r\n")
+            writer.write(b"Content-Length: 9\r\n\r\nhalf")
+            sending = asyncio.ensure_future(reader.read(-1))
+            await stands.until(lambda: stage.entry._calls.in_progress)
+        else:
+            sending = asyncio.ensure_future(stage.send("GET", "/shop/items/1"))
+            await stands.until(lambda: stage.targets[0].heads)
+        if phase == "answering":
+            # The answer has begun when its first part was read.
+            await asyncio.sleep(0.1)
+        await stage.entry.stop()
+        await asyncio.gather(sending, return_exceptions=True)
+        assert numbers(meters.cut) == {phase: 1}
+        assert numbers(meters.left) == {}
+        assert numbers(meters.stop_ends) == {"cut": 1}
+
+    script = half if phase == "answering" else stands.respond(before=never)
+    stands.run(play, script, stop_s=1)
+
+
+def test_a_caller_that_leaves_a_stopping_entry_is_not_taken_for_cut():
+    async def play(stage):
+        _, writer = await stage.connect()
+        writer.write(b"GET /shop/items/1 HTTP/1.1\r\nHost: x\r\n\r\n")
+        await stands.until(lambda: stage.targets[0].heads)
+        stop = asyncio.ensure_future(stage.entry.stop())
+        await stands.until(lambda: stage.entry._calls.is_closing)
+        writer.transport.abort()
+        meters = stage.entry.metrics
+        await stands.until(lambda: numbers(meters.left))
+        await stop
+        assert numbers(meters.left) == {"at_target": 1}
+        assert numbers(meters.stop_ends) == {"left": 1}
+        assert numbers(meters.cut) == {}
+
+    stands.run(play, stands.respond(before=asyncio.Event()), stop_s=1)
