entry: end a stop by its connections, not by a remembered event

Cause: `Calls.close` waited for an event that was set whenever the number of requests in progress fell to 0 after SIGTERM, and that nothing cleared. An entry with few requests passes through 0 early in its stop, so the wait returned at once and the requests in progress were cut. Besides, aiohttp's `pre_shutdown` marks every connection: bytes that arrive on a marked one are dropped, the rest of an upload included, and idle connections stay open and swallow the requests that come on them. What callers saw: connections that close without an answer while a target is at work (LOST), 3.7 s after SIGTERM where the bound is 6 s; uploads and requests on kept connections that hang until the process ends. Change: the listener's server knows which connections carry a request. A stop closes the others, and ends when no connection is open any more, so an answer that still waits in a buffer is delivered too. The state is looked at again after each wake-up. Conclusion: why it works: a connection is removed only once its last bytes have left or its caller is gone, and the state that is waited for is the state itself.

--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -1,7 +1,6 @@
 """The life of a call: match, admit, claim, send, and answer by the verdict."""
 
 import asyncio
-import contextlib
 import time
 
 import aiohttp.web
@@ -88,7 +87,6 @@
         self._stop = stop
         self.is_closing = False
         self.in_progress = 0
-        self.idle = asyncio.Event()
 
     async def handle(self, request: aiohttp.web.BaseRequest) -> answers.Written:
         """Answer one request of a caller."""
@@ -112,20 +110,11 @@
             return written
         finally:
             self.in_progress -= 1
-            if self.is_closing and not self.in_progress:
-                self.idle.set()
 
     def _note_unanswered(self, request: aiohttp.web.BaseRequest) -> None:
         request_id = requests.request_id_of(request, self._names)
         self._stop.unanswered(request, request_id)
 
-    async def close(self, limit_s: float) -> None:
-        """Wait until no call is in progress; answers close their connections."""
-        self.is_closing = True
-        if self.in_progress:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.idle.wait(), limit_s)
-
     async def _handle(self, request: aiohttp.web.BaseRequest) -> answers.Written:
         started = time.monotonic()
         await self._view.begin()
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -1,6 +1,7 @@
 """The entry role as a daemon."""
 
 import asyncio
+import contextlib
 import time
 import typing
 
@@ -14,6 +15,7 @@
     apis,
     calls,
     clients,
+    connections,
     crashes,
     forwards,
     keys,
@@ -95,7 +97,7 @@
         self._calls: calls.Calls | None = None
         self._forwarder: forwards.Forwarder | None = None
         self._sampler: samplers.Sampler | None = None
-        self._calls_server: aiohttp.web.Server | None = None
+        self._calls_server: connections.Server | None = None
         self._listener: asyncio.Server | None = None
         self._api_runner: aiohttp.web.AppRunner | None = None
         self._extend = extend
@@ -188,12 +190,7 @@
 
     async def _start_calls(self, address: str) -> str:
         host, port = _split(address)
-        self._calls_server = aiohttp.web.Server(
-            self._calls.handle,
-            handler_cancellation=True,
-            auto_decompress=False,
-            access_log=None,
-        )
+        self._calls_server = connections.Server(self._calls.handle)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             self._calls_server, host, port, backlog=BACKLOG
@@ -250,12 +247,12 @@
         self._listener.close()
         self._stop.step("accepts no more connections", **self._progress())
         await asyncio.sleep(IDLE_GRACE_S)
-        progress = self._progress()
-        self._calls_server.pre_shutdown()
-        idle = progress["connections"] - progress["in_progress"]
-        self._stop.step("closes idle connections", idle=idle, **progress)
+        idle = self._calls_server.close_idle()
+        self._stop.step("closes idle connections", idle=idle, **self._progress())
         started = time.monotonic()
-        await self._calls.close(limit_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._calls_server.wait_closed()
         waited_s = round(time.monotonic() - started, 3)
         message = "requests remain" if self._calls.in_progress else "requests finished"
         limits = {"waited_s": waited_s, "limit_s": round(limit_s, 3)}
