entry: end each request by the end of the stop, and take none too late

What callers saw: connections that close without an answer, also for requests that no target had seen. Change: a stop gives every call an earlier deadline, so attempts pass on what is really left, places are looked for in that time only, and a call that is late ends with its answer: 503 if it has not run, else 504. From 0.45 of the bound new requests are refused as not run, at once. Log line and counter of requests that the entry cuts count these calls too, and `explain` tells the time that the stop allows. Conclusion: why it works: the deadline is the one mechanism by which a request ends early, and every wait on its way already heeds it.

--- a/coltsfootchute/commands/explanations.py
+++ b/coltsfootchute/commands/explanations.py
@@ -99,14 +99,15 @@
     if not own:
         return [], f"no line names {request_id}"
     own.sort(key=lambda line: line.time)
-    last = own[-1]
+    cuts = [line for line in own if line.message == "entry: cut off"]
+    last = (cuts or own)[-1]
     reason = last.fields.get("reason", "")
     cause = CAUSES.get(reason, last.message)
     if last.message == "entry: answered":
         cause = f"answered with status {last.fields.get('status')}"
     elif last.message == "entry: the caller left":
         cause = "the caller closed the connection before the answer"
-    elif last.message == "entry: cut off":
+    elif cuts:
         cause = _cause_of_cut(last, lines)
     tried = last.fields.get("tried", [])
     context = [
@@ -137,16 +138,13 @@
     late_s = since_s - fields.get("age_s", since_s)
     if late_s > 0:
         cause += f"; it was read {late_s:.3f} s after the stop began"
-    waits = [
-        line.fields
+    stops = [
+        line.fields["finish_s"]
         for line in lines
-        if line.instance == cut.instance
-        and line.message == "entry: requests remain"
-        and 0 <= cut.second - line.second <= CONTEXT_S
+        if line.instance == cut.instance and "finish_s" in line.fields
     ]
-    for wait in waits[-1:]:
-        waited_s, limit_s = wait.get("waited_s"), wait.get("limit_s")
-        cause += f"; the entry waited {waited_s} s of {limit_s} s for its requests"
+    for finish_s in stops[-1:]:
+        cause += f"; the stop allows {finish_s:.3f} s for its requests"
     return cause
 
 
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -1,6 +1,7 @@
 """The life of a call: match, admit, claim, send, and answer by the verdict."""
 
 import asyncio
+import math
 import time
 
 import aiohttp.web
@@ -85,8 +86,13 @@
         self._services = services.by_name
         self._claims = claims
         self._stop = stop
+        # Whether answers close their connections.
         self.is_closing = False
         self.in_progress = 0
+        self._is_refusing = False
+        # Latest time at which a call ends, on the clock of the loop.
+        self._ends_by_s = math.inf
+        self._limits: dict[requests.Call, asyncio.Timeout] = {}
 
     async def handle(self, request: aiohttp.web.BaseRequest) -> answers.Written:
         """Answer one request of a caller."""
@@ -106,7 +112,7 @@
             loguru.logger.exception("entry: a call failed")
             return answers.abort(request)
         else:
-            self._stop.answered()
+            self._stop.answered(request)
             return written
         finally:
             self.in_progress -= 1
@@ -115,10 +121,29 @@
         request_id = requests.request_id_of(request, self._names)
         self._stop.unanswered(request, request_id)
 
+    def end_by(self, end_s: float) -> None:
+        """Answer all calls by a time, also those that come later.
+
+        Parameters
+        ----------
+        end_s
+            Time on the clock of the loop.
+        """
+        self._ends_by_s = end_s
+        for call, limit in self._limits.items():
+            call.deadline = min(call.deadline, end_s)
+            limit.reschedule(call.deadline)
+
+    def refuse_new(self) -> None:
+        """Refuse calls from now on; answers close their connections."""
+        self.is_closing = True
+        self._is_refusing = True
+
     async def _handle(self, request: aiohttp.web.BaseRequest) -> answers.Written:
         started = time.monotonic()
-        await self._view.begin()
         try:
+            self._check_stopping()
+            await self._view.begin()
             call = self._match(request, started)
         except pools.RefusedError as exc:
             logs.note(
@@ -133,18 +158,27 @@
         request[stops.CALL] = call
         meter = self._meters.meter(call.service.name)
         meter.in_flight.inc()
+        call.deadline = min(call.deadline, self._ends_by_s)
         try:
-            async with asyncio.timeout_at(call.deadline):
-                return await self._serve(call)
+            async with asyncio.timeout_at(call.deadline) as limit:
+                self._limits[call] = limit
+                try:
+                    return await self._serve(call)
+                finally:
+                    del self._limits[call]
         except pools.RefusedError as exc:
             return await self._end(call, exc.refusal)
         except TimeoutError:
-            return await self._end(call, _late(call))
+            return await self._end_late(call)
         finally:
             self._claims.release_unless_run(call)
             meter.in_flight.dec()
             meter.latency.observe(time.monotonic() - started)
 
+    def _check_stopping(self) -> None:
+        if self._is_refusing:
+            raise requests.refused(verdicts.Reason.STOPPING, "the entry is stopping")
+
     def _match(self, request: aiohttp.web.BaseRequest, now: float) -> requests.Call:
         routes = self._view.routes
         if routes is not None:
@@ -279,6 +313,21 @@
     def _is_stale(self) -> bool:
         return self._view.is_stale(watches.clock())
 
+    async def _end_late(self, call: requests.Call) -> answers.Written:
+        is_cut = call.deadline < call.stated_deadline
+        if is_cut:
+            self._stop.cut_off(call.request, call.request_id)
+        if call.may_have_run:
+            reason = verdicts.Reason.TARGET_TIMEOUT
+            limit = "before the entry stopped" if is_cut else "in time"
+            detail = f"no response {limit}"
+        elif is_cut:
+            reason, detail = verdicts.Reason.STOPPING, "the entry stopped"
+        else:
+            reason = verdicts.Reason.DEADLINE
+            detail = "the deadline passed before sending"
+        return await self._end(call, verdicts.Refusal(call.verdict, reason, detail))
+
     async def _end(
         self, call: requests.Call, refusal: verdicts.Refusal
     ) -> answers.Written:
@@ -327,11 +376,3 @@
             retry_after_s=self._retry_after_s,
             status=status,
         )
-
-
-def _late(call: requests.Call) -> verdicts.Refusal:
-    if call.may_have_run:
-        reason, detail = verdicts.Reason.TARGET_TIMEOUT, "no response in time"
-    else:
-        reason, detail = verdicts.Reason.DEADLINE, "the deadline passed before sending"
-    return verdicts.Refusal(call.verdict, reason, detail)
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -40,10 +40,11 @@
 IDLE_GRACE_S = 0.2
 SETTLE_LIMIT_S = 5.0
 MAX_KEEP_S = 300.0
-# Parts of the time for a planned stop: until no more connections are taken, and
-# until what is still in progress is cut off.
-ACCEPT_PART = 0.55
-FINISH_PART = 0.9
+# Parts of the time for a planned stop: until no more requests are taken, until those
+# in progress are answered, and until the answers have left.
+ACCEPT_PART = 0.45
+FINISH_PART = 0.88
+DELIVER_PART = 0.93
 STOP_LIMIT_S = NEWS_S + MAX_KEEP_S + FINISH_LIMIT_S + SETTLE_LIMIT_S
 REPORT_CHANGED_S = 0.5
 REPORT_UNCHANGED_S = 1.5
@@ -52,6 +53,14 @@
 API_SHUTDOWN_S = 0.5
 
 
+class _StopTimes(typing.NamedTuple):
+    """When the steps of a planned stop end, in seconds since it began."""
+
+    accept_s: float  # Requests are taken.
+    finish_s: float  # Calls in progress are answered.
+    deliver_s: float  # Answers have left.
+
+
 class Daemon:
     """The entry role of one instance.
 
@@ -199,10 +208,12 @@
 
     async def stop(self) -> None:
         """Stop gracefully: leave the address answers, serve on, finish, close."""
-        self._stop.begin(bound_s=self._stop_bound_s(), **self._progress())
+        began_s = asyncio.get_running_loop().time()
+        times = self._stop_times()
+        self._stop.begin(**times._asdict(), **self._progress())
         self._own.state = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
         if self._listener is not None:
-            await self._stop_calls()
+            await self._stop_calls(began_s, times)
         await self.client.drain(SETTLE_LIMIT_S)
         self._stop.step("settlements sent", **self._progress())
         transports = stops.transports_of(self._calls_server)
@@ -210,11 +221,6 @@
         unsent = stops.unsent_bytes(transports)
         self._stop.step("stopped", cut=self._stop.cut, unsent_bytes=unsent)
 
-    def _stop_bound_s(self) -> float:
-        if self._cfg.entry.stop_s is not None:
-            return self._cfg.entry.stop_s
-        return NEWS_S + self._cfg.entry.keep_s + FINISH_LIMIT_S + SETTLE_LIMIT_S
-
     def _progress(self) -> dict[str, int]:
         """Return what the stop still waits for."""
         transports = stops.transports_of(self._calls_server)
@@ -224,39 +230,37 @@
             "unsent_bytes": stops.unsent_bytes(transports),
         }
 
-    async def _stop_calls(self) -> None:
+    def _stop_times(self) -> _StopTimes:
         stop_s = self._cfg.entry.stop_s
-        if stop_s is None:
-            accept_s, finish_s = NEWS_S + self._cfg.entry.keep_s, FINISH_LIMIT_S
-        else:
+        if stop_s is not None:
+            parts = (ACCEPT_PART, FINISH_PART, DELIVER_PART)
+            return _StopTimes(*(part * stop_s for part in parts))
+        accept_s = NEWS_S + self._cfg.entry.keep_s
+        finish_s = accept_s + FINISH_LIMIT_S
+        return _StopTimes(accept_s, finish_s, finish_s + SETTLE_LIMIT_S)
+
+    async def _stop_calls(self, began_s: float, times: _StopTimes) -> None:
+        if self._cfg.entry.stop_s is not None:
             # Callers that hear of the stop late lose their connection after their
             # next answer.
             self._calls.is_closing = True
-            accept_s = stop_s * ACCEPT_PART
-            finish_s = stop_s * (FINISH_PART - ACCEPT_PART) - IDLE_GRACE_S
-        accepts_until = asyncio.get_running_loop().time() + accept_s
+        self._calls.end_by(began_s + times.finish_s)
         try:
             await self._send_report()
         except errors.ColtsfootchuteError as exc:
             loguru.logger.warning("entry: the stop was not reported: {}", exc)
-        await asyncio.sleep(accepts_until - asyncio.get_running_loop().time())
-        await self._finish_calls(finish_s)
-
-    async def _finish_calls(self, limit_s: float) -> None:
-        self._calls.is_closing = True
+        await asyncio.sleep(_left_s(began_s + times.accept_s))
+        self._calls.refuse_new()
         self._listener.close()
         self._stop.step("accepts no more connections", **self._progress())
         await asyncio.sleep(IDLE_GRACE_S)
-        idle = self._calls_server.close_idle()
-        self._stop.step("closes idle connections", idle=idle, **self._progress())
-        started = time.monotonic()
+        closed = self._calls_server.close_idle()
+        self._stop.step("closes idle connections", idle=closed, **self._progress())
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(limit_s):
+            async with asyncio.timeout_at(began_s + times.deliver_s):
                 await self._calls_server.wait_closed()
-        waited_s = round(time.monotonic() - started, 3)
         message = "requests remain" if self._calls.in_progress else "requests finished"
-        limits = {"waited_s": waited_s, "limit_s": round(limit_s, 3)}
-        self._stop.step(message, **limits, **self._progress())
+        self._stop.step(message, **self._progress())
 
     async def abort(self) -> None:
         """Close everything at once; requests in progress are cut off."""
@@ -374,3 +378,7 @@
 def _bound(server: typing.Any, address: str) -> str:
     host = address.rpartition(":")[0]
     return f"{host}:{server.sockets[0].getsockname()[1]}"
+
+
+def _left_s(until_s: float) -> float:
+    return max(0.0, until_s - asyncio.get_running_loop().time())
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -184,6 +184,7 @@
         "rule",
         "service",
         "started_s",
+        "stated_deadline",
         "target_line",
         "tried",
     )
@@ -211,7 +212,9 @@
         asked_ms = _number(headers, names.deadline, 0)
         full_ms = service.longest_deadline(rule.name, asked_ms)
         self._waited_before_s = (full_ms - asked_ms) / 1000 if asked_ms else 0.0
-        self.deadline = now + _deadline_s(headers, names.deadline, rule)
+        self.stated_deadline = now + _deadline_s(headers, names.deadline, rule)
+        # Earlier than the stated one if the entry stops before it.
+        self.deadline = self.stated_deadline
         depth = _number(headers, verdicts.DEPTH_HEADER, 0)
         if depth > MAX_DEPTH:
             raise refused(verdicts.Reason.TOO_DEEP, f"calls are nested {depth} deep")
--- a/coltsfootchute/entry/stops.py
+++ b/coltsfootchute/entry/stops.py
@@ -14,6 +14,7 @@
 
 # Key of the call in the state of the caller's request.
 CALL = aiohttp.web.RequestKey("call", requests.Call)
+_IS_CUT = aiohttp.web.RequestKey("is_cut", bool)
 
 
 class End(enum.Enum):
@@ -58,9 +59,21 @@
         """Count requests that are cancelled from now on as cut off by the entry."""
         self._is_cutting = True
 
-    def answered(self) -> None:
-        """Count an answered request."""
-        self._count(End.ANSWERED)
+    def answered(self, request: aiohttp.web.BaseRequest) -> None:
+        """Count an answered request, unless it was counted as cut off."""
+        if not request.get(_IS_CUT, False):
+            self._count(End.ANSWERED)
+
+    def cut_off(
+        self, request: aiohttp.web.BaseRequest, request_id: tuple[str, str] | None
+    ) -> None:
+        """Log a request that the entry ends before its deadline."""
+        phase, fields = self._describe(request)
+        request[_IS_CUT] = True
+        self.cut += 1
+        self._meters.cut.labels(phase.value).inc()
+        self._count(End.CUT)
+        logs.note("entry", "cut off", request=request_id, **fields)
 
     def unanswered(
         self,
@@ -81,20 +94,23 @@
         aiohttp cancels a handler both when the caller's connection is lost and when
         the server shuts down, and in both cases the request has no transport.
         """
+        if self._is_cutting:
+            self.cut_off(request, request_id)
+            return
+        phase, fields = self._describe(request)
+        self._meters.left.labels(phase.value).inc()
+        self._count(End.LEFT)
+        logs.note("entry", "the caller left", request=request_id, **fields)
+
+    def _describe(
+        self, request: aiohttp.web.BaseRequest
+    ) -> tuple[phases.Phase, dict[str, typing.Any]]:
         call = request.get(CALL)
         phase = phases.Phase.WAITING if call is None else call.phase
         fields = {"phase": phase.value, **_state_of(request, call)}
         if self._begun_s is not None:
             fields["since_stop_s"] = self._age_s()
-        if self._is_cutting:
-            self.cut += 1
-            self._meters.cut.labels(phase.value).inc()
-            self._count(End.CUT)
-            logs.note("entry", "cut off", request=request_id, **fields)
-        else:
-            self._meters.left.labels(phase.value).inc()
-            self._count(End.LEFT)
-            logs.note("entry", "the caller left", request=request_id, **fields)
+        return phase, fields
 
     def _count(self, end: End) -> None:
         if self._begun_s is not None:
@@ -113,7 +129,7 @@
     return {
         "service": call.service.name,
         "age_s": round(now - call.started_s, 3),
-        "left_s": round(call.deadline - now, 3),
+        "left_s": round(call.stated_deadline - now, 3),
         "body_bytes": request.content.total_bytes,
         "body_complete": request.content.is_eof(),
         "tried": list(call.tried),
--- a/coltsfootchute/entry/tests/test_stops.py
+++ b/coltsfootchute/entry/tests/test_stops.py
@@ -113,6 +113,37 @@
     stands.run(with_one_in_progress, script, stop_s=STOP_S)
 
 
+def test_a_request_on_a_kept_connection_after_the_listener_closed_is_not_run():
+    async def play(stage):
+        reader, writer = await stage.connect()
+        writer.write(GET)
+        await reader.readuntil(b"whole")
+        stop = await stopping(stage)
+        await stands.until(lambda: not accepts(stage))
+        seen = len(stage.targets[0].heads)
+        writer.write(GET)
+        raw = await reads(reader, STOP_S)
+        assert raw, "the request got no answer"
+        answer = stands.Answer(raw)
+        assert answer.refusal == "not_run stopping 503"
+        assert answer.headers["connection"] == "close"
+        assert len(stage.targets[0].heads) == seen
+        writer.close()
+        await stop
+
+    stands.run(play, stands.respond(b"whole"), stop_s=STOP_S)
+
+
+def test_a_request_that_outlasts_the_stop_is_answered_before_its_connection_closes():
+    async def play(stage):
+        stop = await stopping(stage)
+        answer = await stage.send("GET", "/shop/items/1")
+        assert answer.refusal == "may_have_run target_timeout 504"
+        await stop
+
+    stands.run(play, slow_after_first(60), stop_s=STOP_S)
+
+
 def test_a_stop_waits_until_a_slow_caller_has_its_whole_answer():
     size = 32 << 20
 
