entry: wait for control within the bound of the stop

Cause: after its requests a stopping entry waited up to 5 s for control to acknowledge settlements, whatever was left of the bound of the stop. What callers saw: nothing by itself; the process is killed at the end of its grace time in place of a planned end. Change: the wait is a part of the bound. Before / after: the test failed and passes.

--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -41,10 +41,11 @@
 SETTLE_LIMIT_S = 5.0
 MAX_KEEP_S = 300.0
 # Parts of the time for a planned stop: until no more requests are taken, until those
-# in progress are answered, and until the answers have left.
+# in progress are answered, until the answers have left, and until control has replied.
 ACCEPT_PART = 0.45
 FINISH_PART = 0.88
 DELIVER_PART = 0.93
+SETTLE_PART = 0.96
 STOP_LIMIT_S = NEWS_S + MAX_KEEP_S + FINISH_LIMIT_S + SETTLE_LIMIT_S
 REPORT_CHANGED_S = 0.5
 REPORT_UNCHANGED_S = 1.5
@@ -59,6 +60,7 @@
     accept_s: float  # Requests are taken.
     finish_s: float  # Calls in progress are answered.
     deliver_s: float  # Answers have left.
+    settle_s: float  # Control has replied to what it was sent.
 
 
 class Daemon:
@@ -214,7 +216,8 @@
         self._own.state = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
         if self._listener is not None:
             await self._stop_calls(began_s, times)
-        await self.client.drain(SETTLE_LIMIT_S)
+        settle_s = min(SETTLE_LIMIT_S, _left_s(began_s + times.settle_s))
+        await self.client.drain(settle_s)
         self._stop.step("settlements sent", **self._progress())
         transports = stops.transports_of(self._calls_server)
         await self.abort()
@@ -233,11 +236,12 @@
     def _stop_times(self) -> _StopTimes:
         stop_s = self._cfg.entry.stop_s
         if stop_s is not None:
-            parts = (ACCEPT_PART, FINISH_PART, DELIVER_PART)
+            parts = (ACCEPT_PART, FINISH_PART, DELIVER_PART, SETTLE_PART)
             return _StopTimes(*(part * stop_s for part in parts))
         accept_s = NEWS_S + self._cfg.entry.keep_s
         finish_s = accept_s + FINISH_LIMIT_S
-        return _StopTimes(accept_s, finish_s, finish_s + SETTLE_LIMIT_S)
+        settle_s = finish_s + SETTLE_LIMIT_S
+        return _StopTimes(accept_s, finish_s, settle_s, settle_s)
 
     async def _stop_calls(self, began_s: float, times: _StopTimes) -> None:
         if self._cfg.entry.stop_s is not None:
--- a/coltsfootchute/entry/tests/test_stops.py
+++ b/coltsfootchute/entry/tests/test_stops.py
@@ -162,3 +162,15 @@
         await stop
 
     stands.run(play, stands.respond(b"x" * size), stop_s=STOP_S)
+
+
+def test_a_stop_ends_within_its_bound_while_control_does_not_reply():
+    async def play(stage):
+        stage.entry.client.resend("Settle", stands.pb.SettleCommand())
+        stage.control.refused_settlements = 1 << 20
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await stage.entry.stop()
+        assert loop.time() - began < STOP_S
+
+    stands.run(play, stands.respond(b"whole"), stop_s=STOP_S)
