agreement: make durable what a store reads when it is opened

Cause: a process that is killed between a write and its sync reads the write back from memory when it starts again. The replica counts such entries and votes as stored: it acknowledges them to the leader without writing them again. A loss of power after that takes them, although a majority was counted with them and the change was acknowledged.

Ruled out: a loss of power alone. Nothing is sent before its sync, and the random faults of test_invariants lose power at each restart, so that they never read anything that was not durable.

Change: opening syncs the folder and the last file of the log before they are read. It costs two syncs at a start.

Conclusion: fixed for files and names. A sync that reports success after a failed one is handled by `rewrite`, as before.

--- a/coltsfootchute/agreement/stores.py
+++ b/coltsfootchute/agreement/stores.py
@@ -75,7 +75,9 @@
     Notes
     -----
     An append costs one write and one sync. Opening reads the snapshot and the
-    entries since the snapshot before it.
+    entries since the snapshot before it, and makes durable what it reads: a
+    process may have been killed before its sync, and a replica acknowledges what
+    it starts from without writing it again.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self._disk.make_folder(folder)
         self._release = self._disk.lock(self._path(LOCK))
         try:
+            self._sync_folder()
             self.member_id = self._open_identity(name)
             self.saved: records.SavedState | None = self._load()
         except OSError as exc:
@@ -167,6 +170,8 @@
         covered = snapshot.meta.index if snapshot else 0
         names = self._names(LOG_PREFIX)
         self._segments = sorted(map(Segment, names), key=lambda s: s.sequence)
+        if self._segments:
+            self._sync(self._segments[-1].name)
         entries: list[pb.LogEntry] = []
         for segment in self._segments:
             is_last = segment is self._segments[-1]
--- a/coltsfootchute/agreement/tests/test_stores.py
+++ b/coltsfootchute/agreement/tests/test_stores.py
@@ -136,6 +136,65 @@
     assert last.hard_state.term == 2
 
 
+def killed(disk, step, event):
+    """Run an event in which the process is killed, its files as they were."""
+    disk.crash_at = step
+    try:
+        event()
+    except KeyboardInterrupt:
+        return True
+    finally:
+        disk.crash_at = float("inf")
+    return False
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_an_entry_read_after_a_kill_before_its_sync_survives_a_crash(seed):
+    """A replica acknowledges what it started from without writing it again."""
+    disk = fakes.MemoryDisk(random.Random(seed))
+    store = filled(disk)
+    assert killed(disk, 1, lambda: store.append(None, entries(7, 9, term=2)))
+    assert disk.has_unsynced()
+    read = stores.FileStore("f", "a", disk).saved
+    assert read.entries[-1].index == 9, "the write was not read back"
+    disk.crash()
+    assert stores.FileStore("f", "a", disk).saved == read
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_vote_read_after_a_kill_before_its_sync_survives_a_crash(seed):
+    disk = fakes.MemoryDisk(random.Random(seed))
+    store = filled(disk)
+    vote = pb.HardState(term=3, voted_for="c")
+    assert killed(disk, 1, lambda: store.append(vote, []))
+    assert stores.FileStore("f", "a", disk).saved.hard_state == vote
+    disk.crash()
+    assert stores.FileStore("f", "a", disk).saved.hard_state == vote
+
+
+@pytest.mark.parametrize("received", [True, False])
+def test_a_crash_after_a_kill_at_any_step_of_a_snapshot_loses_nothing(received):
+    """Names without a sync of their folder may be lost after they were read."""
+    meta = pb.SnapshotMeta(index=5, term=3 if received else 2)
+    snapshot = records.Snapshot(meta, b"state")
+    reached = set()
+    for step, seed in itertools.product(range(14), range(12)):
+        disk = fakes.MemoryDisk(random.Random(seed))
+        store = filled(disk)
+        if received:
+            write = lambda s=store: s.append(  # noqa: E731
+                pb.HardState(term=3), entries(6, 7, term=3), snapshot
+            )
+        else:
+            write = lambda s=store: s.save_snapshot(snapshot)  # noqa: E731
+        was_killed = killed(disk, step, write)
+        read = stores.FileStore("f", "a", disk).saved
+        reached.add((was_killed, read.snapshot == snapshot))
+        disk.crash()
+        assert stores.FileStore("f", "a", disk).saved == read
+    assert reached >= {(True, False), (True, True)}
+
+
 def test_an_append_costs_one_sync():
     disk = fakes.MemoryDisk()
     store = filled(disk)
