agreement: open a store whose replaced log reappears torn

Cause: after a failed write the log is stored again in a file of its own, and the old file is removed without a sync of the folder. After a loss of power the old file may be there again with the torn end that made the write fail. Only the last file may be torn, so the store refuses to open and the control instance ends at each start. With two lost disks beside it, no majority is left and what was acknowledged can't be read.

Ruled out: a sync of the folder after the removal alone would leave a loss of power between the two.

Change: the files before the last one with a reset are not read. The reset says that they were replaced, and its file repeats the hard state.

Conclusion: damage in a file from the last reset on is refused as before.

--- a/coltsfootchute/agreement/stores.py
+++ b/coltsfootchute/agreement/stores.py
@@ -173,9 +173,8 @@
         if self._segments:
             self._sync(self._segments[-1].name)
         entries: list[pb.LogEntry] = []
-        for segment in self._segments:
-            is_last = segment is self._segments[-1]
-            for kind, data in self._frames(segment.name, may_be_torn=is_last):
+        for segment, contents in self._read_segments():
+            for kind, data in contents:
                 if kind == frames.Kind.HARD_STATE:
                     self._hard_state = pb.HardState.FromString(data)
                     continue
@@ -191,6 +190,21 @@
             self._roll(covered + 1, [])
         return records.SavedState(hard_state, snapshot, entries)
 
+    def _read_segments(self) -> list[tuple[Segment, list[frames.FrameT]]]:
+        """Return the segments from the last reset on, with their frames.
+
+        Those before it were replaced. They may reappear after a crash, with the
+        torn end that made the store write the log again.
+        """
+        found = []
+        for segment in reversed(self._segments):
+            is_last = segment is self._segments[-1]
+            contents = self._frames(segment.name, may_be_torn=is_last)
+            found.append((segment, contents))
+            if any(kind == frames.Kind.RESET for kind, _ in contents):
+                break
+        return found[::-1]
+
     def _load_snapshot(self) -> records.Snapshot | None:
         """Read the latest snapshot and remove those before it."""
         names = self._names(SNAPSHOT_PREFIX)
--- a/coltsfootchute/agreement/tests/test_stores.py
+++ b/coltsfootchute/agreement/tests/test_stores.py
@@ -195,6 +195,24 @@
     assert reached >= {(True, False), (True, True)}
 
 
+@pytest.mark.parametrize("seed", range(24))
+def test_a_replaced_log_with_a_torn_end_may_reappear(seed):
+    """The removal of a log whose last write failed may be lost in a crash."""
+    disk = fakes.MemoryDisk(random.Random(seed))
+    store = filled(disk)
+    file = disk.files[log_path(disk)]
+    stored = len(file)
+    disk.failures = 1
+    with pytest.raises(errors.SyncError):
+        store.append(None, entries(7, 9, term=2))
+    again = stores.FileStore("f", "a", disk)
+    kept = again.saved.entries
+    disk.synced[id(file)] = stored  # A sync after a failed one proves nothing.
+    again.rewrite(again.saved)
+    disk.crash()
+    assert stores.FileStore("f", "a", disk).saved.entries == kept
+
+
 def test_an_append_costs_one_sync():
     disk = fakes.MemoryDisk()
     store = filled(disk)
