agreement: remove a silent voter that leaves an even number of voters

Cause: a control instance that was replaced by one at another address kept its vote for good, since only an instance of the same name takes the place of another. Five voters became six, of which four have to be up. With two more disks lost at once, three were left: no leader, no read of the declaration, no change. Callers saw a system that stayed down and had lost what it acknowledged.

One voter less bears as many losses there, so this never costs safety or availability, and it needs no setting for the number of voters. An instance that returns asks to join again, as before. A learner on its way means that an even number is a step of a replacement; then nothing is removed.

Conclusion: fixed for voters. A learner that never returns from another address still takes one of the eight places.

--- a/coltsfootchute/agreement/memberships.py
+++ b/coltsfootchute/agreement/memberships.py
@@ -10,6 +10,7 @@
     "MEMBERS_MAX",
     "History",
     "find",
+    "has_surplus_voter",
     "is_voter",
     "quorum",
     "replaced",
@@ -161,6 +162,19 @@
     return voters // 2 + 1
 
 
+def has_surplus_voter(membership: pb.Membership) -> bool:
+    """Return whether one voter less bears as many losses, and none is on its way.
+
+    Parameters
+    ----------
+    membership
+        The membership. With a learner in it, an even number of voters is a step
+        towards the odd number after it.
+    """
+    voters = sum(member.voter for member in membership.members)
+    return voters == len(membership.members) and voters % 2 == 0
+
+
 def replaced(membership: pb.Membership, member: pb.Member) -> list[pb.Member]:
     """Return the other members with a member's instance name.
 
--- a/coltsfootchute/agreement/replicas.py
+++ b/coltsfootchute/agreement/replicas.py
@@ -235,13 +235,17 @@
         return self._change(changed, now)
 
     def advance_membership(self, now: float) -> records.Proposed | None:
-        """Propose the next step of bringing in learners, if one is due.
+        """Propose the next change of the membership, if one is due.
 
-        The daemon calls it on the leader about once a second. For a learner
-        that has caught up it removes the lost members with the same instance
-        name, one at a time, then promotes the learner. A member that still
+        The daemon calls it on the leader again and again. For a learner that
+        has caught up it removes the lost members with the same instance name,
+        one at a time, then promotes the learner. A member that still
         acknowledges is not removed: two instances have the same name then.
 
+        Without learners, it removes a silent voter from an even number of
+        voters, such as one that an instance of another name has replaced. The
+        rest bears as many losses without it, and it is not one of them any more.
+
         Parameters
         ----------
         now
@@ -266,7 +270,10 @@
             if lost:
                 return self.remove_member(lost[0].member_id, now)
             return self.promote(learner.member_id, now)
-        return None
+        silent = lead.silent_voter(now)
+        if silent is None or not memberships.has_surplus_voter(self.membership):
+            return None
+        return self.remove_member(silent, now)
 
     def _is_up(self, member_id: str, now: float) -> bool:
         """Whether a member is the leader or acknowledged lately."""
--- a/coltsfootchute/agreement/replication.py
+++ b/coltsfootchute/agreement/replication.py
@@ -214,6 +214,24 @@
             return False
         return now - progress.acked_at < self._timing.recent_s
 
+    def silent_voter(self, now: float) -> str | None:
+        """Return the voter that is silent for the longest time, or `None`.
+
+        Parameters
+        ----------
+        now
+            Time in seconds. A voter that never acknowledged counts as silent from
+            the election on.
+        """
+        heard_at = {
+            voter: max(self.progress[voter].acked_at, self.elected_at)
+            for voter in sorted(self._voters)
+        }
+        silent = min(heard_at, key=heard_at.get, default=None)
+        if silent is None or now - heard_at[silent] < self._timing.silent_s:
+            return None
+        return silent
+
     def is_caught_up(self, member_id: str, index: int, now: float) -> bool:
         """Return whether a member is up and has stored the log up to an index.
 
--- a/coltsfootchute/agreement/tests/test_memberships.py
+++ b/coltsfootchute/agreement/tests/test_memberships.py
@@ -47,6 +47,75 @@
     assert all(i.applied == [b"x", b"y"] for i in network.running())
 
 
+@pytest.mark.parametrize("planned", [True, False])
+@pytest.mark.parametrize("seed", range(5))
+def test_two_disks_may_be_lost_after_an_instance_was_replaced_by_another(planned, seed):
+    """A voter that is gone for good must not count as one that is lost later."""
+    network = fakes.Network("abcde", seed)
+    network.propose(b"x")
+    if planned:
+        network.add("f")
+        network.wait_for_repair("f")
+        network.kill("a")
+    else:
+        network.kill("a")
+        network.add("f")
+        network.wait_for_repair("f")
+    network.run(8)
+    network.propose(b"y")
+    network.repairs = False
+    for name in "bc":
+        network.lose_disk(name)
+    network.propose(b"z")
+    network.repairs = True
+    for name in "bc":
+        network.wait_for_repair(name)
+    network.settle()
+    assert sorted(voters(network).values()) == list("bcdef")
+    assert all(i.applied == [b"x", b"y", b"z"] for i in network.running())
+
+
+def test_a_voter_that_was_silent_for_long_joins_again():
+    network = fakes.Network("abcdef", seed=11)
+    silent = next(i for i in network.running() if i is not network.wait_for_leader())
+    network.isolate(silent.name)
+    network.run(8)
+    assert not network.is_voter(silent.name) and len(voters(network)) == 5
+    network.propose(b"x")
+    network.heal()
+    network.wait_for_repair(silent.name)
+    network.settle()
+    assert silent.applied == [b"x"]
+
+
+def test_a_silent_voter_of_an_odd_number_keeps_its_vote():
+    network = fakes.Network("abcde", seed=12)
+    silent = next(i for i in network.running() if i is not network.wait_for_leader())
+    network.isolate(silent.name)
+    network.run(30)
+    assert network.is_voter(silent.name)
+
+
+def test_a_silent_voter_keeps_its_vote_while_a_learner_is_on_its_way():
+    network = fakes.Network("abcde", seed=13)
+    network.propose(b"x")
+    learner = network.lose_disk("a")
+    old_id = next(iter(network.lost_ids))
+    assert network.run(10, lambda: network.leader and old_id not in voters(network))
+    network.kill("a")
+    network.repairs = False
+    network.run(2)
+    network.repairs = True
+    silent = next(i for i in network.running() if i is not network.leader)
+    network.isolate(silent.name)
+    network.run(30)
+    assert not network.is_voter("a") and network.is_voter(silent.name)
+    network.heal()
+    network.restart("a")
+    assert network.instances["a"] is learner
+    network.wait_for_repair("a")
+
+
 def test_a_learner_does_not_stand_in_for_a_voter_just_before_the_promotion():
     network = fakes.Network("abc", seed=5)
     network.propose(b"x")
