control: ask the known members too when this instance was removed

Cause: an instance that finds itself out of the cluster asked only the instances in its settings to let it in. Those are three addresses at most, and may be gone for good after replacements; then the instance stays out although it knows the other members from its own log. It also asked every 3 s only, half of the time after which a returned instance counts again. With silent voters being removed from an even number, more instances come back this way.

Ruled out: an instance with an empty disk knows no members, so that it depends on its settings as before.

Change: it asks the members in its log and those in its settings, every second while it hears no leader.

Before / after: test_daemons.py:: test_removed_instance_finds_the_others_without_its_seeds failed after 30 s, passes now.

--- a/coltsfootchute/control/joins.py
+++ b/coltsfootchute/control/joins.py
@@ -18,7 +18,7 @@
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.2
 RETRY_MAX_S = 2.0
-CHECK_INTERVAL_S = 3.0
+CHECK_INTERVAL_S = 1.0
 # A first start waits for the slowest member; the log repeats why only this often.
 LOG_INTERVAL_TRIES = 30
 
@@ -134,19 +134,27 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             if self._core.replica.leader_id:
                 continue
-            for reply in (await self._ask_all()).values():
+            replies = await self._ask(self._known_addresses())
+            for reply in replies.values():
                 if self._was_removed(reply):
                     address = reply.leader_address or reply.member.address
                     detail = await self._ask_to_join(address)
                     logger.info("agreement: removed by the others: {}", detail)
                     break
 
+    def _known_addresses(self) -> dict[str, str]:
+        """Return the other members as last known, and those to join, by name."""
+        members = self._core.replica.membership.members
+        own_name = self._core.identity.name
+        known = {m.name: m.address for m in members if m.name != own_name}
+        return known | self._others
+
     def _was_removed(self, reply: pb.HelloReply) -> bool:
         present = self._core.replica.membership
         return formations.was_removed(self._core.identity, present, reply)
 
     async def _step(self) -> str:
-        replies = await self._ask_all()
+        replies = await self._ask(self._others)
         if self._core.replica.membership is not None:
             return "formed meanwhile"
         decision = formations.decide(
@@ -169,17 +177,17 @@
         present = pb.HardState(term=replica.term, voted_for=replica.voted_for)
         self._core.form(formations.first_state(membership, present))
 
-    async def _ask_all(self) -> dict[str, pb.HelloReply]:
-        names = list(self._others)
-        replies = await asyncio.gather(*(self._hello(name) for name in names))
-        found = {n: r for n, r in zip(names, replies, strict=True) if r is not None}
+    async def _ask(self, addresses: dict[str, str]) -> dict[str, pb.HelloReply]:
+        hellos = (self._hello(address) for address in addresses.values())
+        replies = zip(addresses, await asyncio.gather(*hellos), strict=True)
+        found = {name: reply for name, reply in replies if reply is not None}
         for reply in found.values():
             self._core.links.introduce([reply.member, *reply.membership.members])
         return found
 
-    async def _hello(self, name: str) -> pb.HelloReply | None:
+    async def _hello(self, address: str) -> pb.HelloReply | None:
         request = pb.HelloRequest(member=self._core.identity.member())
-        return await _call(self._others[name], "Hello", request)
+        return await _call(address, "Hello", request)
 
     async def _distribute(self, membership: pb.Membership) -> None:
         """Send the first membership to all others once.
--- a/coltsfootchute/control/tests/test_daemons.py
+++ b/coltsfootchute/control/tests/test_daemons.py
@@ -190,6 +190,24 @@
     asyncio.run(main())
 
 
+def test_removed_instance_finds_the_others_without_its_seeds(tmp_path):
+    # Guards against an instance that asks only addresses that are gone for good.
+    async def main():
+        async with clusters.running(tmp_path) as cluster:
+            leader = await cluster.leader()
+            removed = next(name for name in cluster.daemons if name != leader)
+            before = cluster.voters(leader)
+            await cluster.kill(removed)
+            core = cluster.daemons[leader].core
+            core.change(lambda now: core.replica.remove_member(before[removed], now))
+            await clusters.wait_for(lambda: removed not in cluster.voters(leader))
+            cluster.initial = [m for m in cluster.initial if m.name == removed]
+            await cluster.start(removed)
+            await clusters.wait_for(lambda: cluster.voters(leader) == before)
+
+    asyncio.run(main())
+
+
 def test_target_and_report_are_known_everywhere(tmp_path):
     # Guards against targets and entries that only some instances know.
     async def main():
