agreement: kill processes without a loss of power in the random faults

Cause: the random faults lost power at each restart, so a process never read what an earlier one had written without a sync.

Change: a restart may keep the files as they were, and all instances may lose power at once. The test demands that unsynced data was read at least once.

--- a/coltsfootchute/agreement/tests/fakes.py
+++ b/coltsfootchute/agreement/tests/fakes.py
@@ -325,9 +325,13 @@
     def kill(self, name):
         self.instances[name].up = False
 
-    def restart(self, name):
+    def restart(self, name, power_lost=True):
         instance = self.instances[name]
-        instance.disk.crash()
+        instance.disk.crash_at = math.inf
+        if power_lost:
+            instance.disk.crash()
+        elif instance.disk.has_unsynced():
+            self.reached.add("unsynced data read")
         with contextlib.suppress(errors.SyncError):  # The process exits again.
             instance.restart()
 
--- a/coltsfootchute/agreement/tests/test_invariants.py
+++ b/coltsfootchute/agreement/tests/test_invariants.py
@@ -80,10 +80,17 @@
         self.network.instances[self.name(position)].disk.failures = 1
         self.propose(1, 0.5)
 
-    @stateful.rule(position=POSITIONS)
-    def restart(self, position):
+    @stateful.rule(position=POSITIONS, power_lost=st.booleans())
+    def restart(self, position, power_lost):
         if not self.network.instances[self.name(position)].up:
-            self.network.restart(self.name(position))
+            self.network.restart(self.name(position), power_lost)
+
+    @stateful.rule()
+    def lose_power_everywhere(self):
+        for name in self.names:
+            self.network.kill(name)
+        for name in self.names:
+            self.network.restart(name)
 
     @stateful.rule(position=POSITIONS)
     def lose_disk(self, position):
@@ -172,6 +179,7 @@
         "leader replaced",
         "snapshot received",
         "sync failed",
+        "unsynced data read",
     }
 
 
