control: log the voters when the membership changes

Cause: logs showed a join, but neither the removal of a lost member nor the vote of a new one, so the state of a replacement could only be seen in the status.

Change: the leader logs the names of the voters with each change that it proposes.

--- a/coltsfootchute/control/duties.py
+++ b/coltsfootchute/control/duties.py
@@ -104,9 +104,14 @@
         if not self._core.is_leader:
             return
         try:
-            self._core.change(self._core.replica.advance_membership)
+            proposed = self._core.change(self._core.replica.advance_membership)
         except errors.AgreementError as exc:
             logger.debug("agreement: the membership does not advance: {}", exc)
+            return
+        if proposed is not None:
+            members = self._core.replica.membership.members
+            voters = ", ".join(sorted(m.name for m in members if m.voter))
+            logger.info("agreement: the voters become {}", voters)
 
     def publish_instances(self, now: float) -> None:
         """Pass the list of instances to the feed, once it is complete."""
