entry, control: serve the metrics of a process at one address

Control served its metrics only with `control.metrics`, and a process with both roles had no address with the metrics of both.

Change: the setting `metrics` names an address at which a process serves the metrics of all its roles. It closes last, so that the end of a stop can be seen. An address in use is logged and costs the metrics only. prometheus_client stays unloaded until the first fetch, and aiohttp without the setting.

--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -10,7 +10,7 @@
 
 import uvloop
 
-from coltsfootchute import errors, logs, settings
+from coltsfootchute import errors, expositions, logs, settings
 
 __all__ = ["Source", "run", "run_source"]
 
@@ -100,6 +100,9 @@
     logs.note("process", "starts", roles=names, settings=source.path)
     async with contextlib.AsyncExitStack() as stack:
         failures, daemons = [], []
+        # The listener closes last, so that the end of a stop can still be seen.
+        listener = expositions.Listener(cfg.metrics)
+        stack.push_async_callback(listener.stop)
         for name in names:
             daemon = _daemon(name, cfg, extend)
             await daemon.start()
@@ -108,6 +111,7 @@
             # control for its claims.
             stack.push_async_callback(daemon.stop)
             failures += [daemon.failed] if hasattr(daemon, "failed") else []
+        await listener.start([daemon.exposition for daemon in daemons])
         reloads = asyncio.ensure_future(_reload(source, changed, daemons))
         stack.callback(reloads.cancel)
         await _wait_for_any(stopping, failures)
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -11,7 +11,7 @@
 import uvloop
 from loguru import logger
 
-from coltsfootchute import agreement, errors, logs, settings
+from coltsfootchute import agreement, errors, expositions, logs, settings
 from coltsfootchute.control import (
     cores,
     duties,
@@ -146,6 +146,13 @@
         self._metrics = metrics.MetricsServer(self.control.status, self.core.feed)
         await self._metrics.start(host, port)
 
+    def exposition(self) -> bytes:
+        """Return the metrics in the text format of Prometheus."""
+        # prometheus_client costs memory that control does without until then.
+        from coltsfootchute.control import metrics
+
+        return metrics.exposition(self.control.status)
+
     @property
     def address(self) -> str:
         """Address of the peer listener."""
@@ -265,6 +272,8 @@
 async def _serve(cfg: settings.Settings) -> None:
     daemon = Daemon(cfg)
     await daemon.start()
+    listener = expositions.Listener(cfg.metrics)
+    await listener.start([daemon.exposition])
     stop = asyncio.Event()
 
     def on_signal() -> None:
@@ -281,6 +290,7 @@
     if daemon.failed.done():
         raise daemon.failed.exception()
     await daemon.stop()
+    await listener.stop()
 
 
 def run(cfg: settings.Settings) -> None:
--- a/coltsfootchute/control/metrics.py
+++ b/coltsfootchute/control/metrics.py
@@ -10,10 +10,11 @@
 import prometheus_client.core
 from aiohttp import web
 
+from coltsfootchute import expositions
 from coltsfootchute.control import feeds
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
-__all__ = ["MetricsServer"]
+__all__ = ["MetricsServer", "exposition"]
 
 PREFIX = "coltsfootchute_control"
 STALE_S = 3.0
@@ -44,6 +45,19 @@
         yield core.GaugeMetricFamily(f"{PREFIX}_leader", text, value=leads)
 
 
+def exposition(status: collections.abc.Callable[[], pb.StatusReply]) -> bytes:
+    """Return the metrics of a control instance in the text format of Prometheus.
+
+    Parameters
+    ----------
+    status
+        Returns what `Control.Status` answers.
+    """
+    registry = prometheus_client.CollectorRegistry()
+    registry.register(_Collector(status))
+    return prometheus_client.generate_latest(registry)
+
+
 class MetricsServer:
     """Listener for ``/metrics``, ``/healthz`` and ``/readyz``.
 
@@ -59,8 +73,7 @@
         self, status: collections.abc.Callable[[], pb.StatusReply], feed: feeds.Feed
     ):
         self._feed = feed
-        self._registry = prometheus_client.CollectorRegistry()
-        self._registry.register(_Collector(status))
+        self._status = status
         app = web.Application()
         app.router.add_get("/metrics", self._metrics)
         app.router.add_get("/healthz", self._healthz)
@@ -82,9 +95,8 @@
         await self._runner.cleanup()
 
     async def _metrics(self, request: web.Request) -> web.Response:
-        body = prometheus_client.generate_latest(self._registry)
-        kind = prometheus_client.CONTENT_TYPE_LATEST
-        return web.Response(body=body, headers={"Content-Type": kind})
+        headers = {"Content-Type": expositions.CONTENT_TYPE}
+        return web.Response(body=exposition(self._status), headers=headers)
 
     async def _healthz(self, request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
--- a/coltsfootchute/entry/__main__.py
+++ b/coltsfootchute/entry/__main__.py
@@ -8,7 +8,7 @@
 import aiomisc
 import uvloop
 
-from coltsfootchute import errors, logs, settings
+from coltsfootchute import errors, expositions, logs, settings
 from coltsfootchute.entry import daemons
 
 __all__ = ["main"]
@@ -20,6 +20,7 @@
     """Runs a daemon from the start of the entrypoint until a signal."""
 
     daemon: daemons.Daemon
+    listener: expositions.Listener
 
     async def start(self) -> None:
         """Start the daemon; signals are handled before it can be seen."""
@@ -27,10 +28,12 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self._signal)
         await self.daemon.start()
+        await self.listener.start([self.daemon.exposition])
 
     async def stop(self, exception: Exception | None = None) -> None:
         """Stop the daemon gracefully."""
         await self.daemon.stop()
+        await self.listener.stop()
 
     def _signal(self) -> None:
         if self.signalled.is_set():
@@ -62,7 +65,8 @@
         return 2
     logs.configure(cfg)
     asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
-    service = EntryService(daemon=daemons.Daemon(cfg))
+    listener = expositions.Listener(cfg.metrics)
+    service = EntryService(daemon=daemons.Daemon(cfg), listener=listener)
     with aiomisc.entrypoint(
         service,
         catch_signals=(),
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -6,7 +6,7 @@
 import loguru
 import msgspec
 
-from coltsfootchute import declarations, errors
+from coltsfootchute import declarations, errors, expositions
 from coltsfootchute.entry import (
     addresses,
     clients,
@@ -326,13 +326,15 @@
 
     async def metrics(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return the metrics in the text format."""
+        headers = {"Content-Type": expositions.CONTENT_TYPE}
+        return aiohttp.web.Response(body=self.exposition(), headers=headers)
+
+    def exposition(self) -> bytes:
+        """Return the metrics in the text format of Prometheus."""
         own = self._own()
         self._meters.stale.set(own.stale)
         self._meters.revision.set(own.revision)
-        return aiohttp.web.Response(
-            body=self._meters.exposition(),
-            headers={"Content-Type": "text/plain; version=0.0.4; charset=utf-8"},
-        )
+        return self._meters.exposition()
 
     async def healthz(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Tell that the process responds."""
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -136,6 +136,10 @@
         self._own.revision = self.view.revision
         return self._own
 
+    def exposition(self) -> bytes:
+        """Return the metrics in the text format of Prometheus."""
+        return self._api.exposition()
+
     async def start(self) -> None:
         """Open the listeners and start to watch.
 
--- /dev/null
+++ b/coltsfootchute/expositions.py
@@ -0,0 +1,78 @@
+"""Listener for the metrics of all roles of a process."""
+
+import collections.abc
+import typing
+
+from coltsfootchute import logs
+
+__all__ = ["CONTENT_TYPE", "Listener"]
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+SHUTDOWN_S = 0.5
+
+Source = collections.abc.Callable[[], bytes]
+
+
+class Listener:
+    """Serves ``/metrics`` at the address of the settings.
+
+    Parameters
+    ----------
+    address
+        IP number and port; None for no listener.
+    """
+
+    def __init__(self, address: str | None):
+        self._address = address
+        self._sources: list[Source] = []
+        self._runner: typing.Any = None
+
+    @property
+    def addresses(self) -> list[tuple[str, int]]:
+        """The bound addresses; none if there is no listener."""
+        bound = self._runner.addresses if self._runner is not None else []
+        return [address[:2] for address in bound]
+
+    async def start(self, sources: collections.abc.Iterable[Source]) -> None:
+        """Listen.
+
+        Parameters
+        ----------
+        sources
+            Return the metrics of one role each, in the text format of Prometheus.
+
+        Notes
+        -----
+        A role does its work without metrics, so an address that is in use is
+        logged only.
+        """
+        if self._address is None:
+            return
+        # aiohttp costs memory that a control process does without.
+        from aiohttp import web
+
+        self._sources = list(sources)
+        app = web.Application()
+        app.router.add_get("/metrics", self._metrics)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=SHUTDOWN_S)
+        await self._runner.setup()
+        host, _, port = self._address.rpartition(":")
+        try:
+            await web.TCPSite(self._runner, host.strip("[]"), int(port)).start()
+        except OSError as exc:
+            logs.note(
+                "process", "serves no metrics", address=self._address, error=str(exc)
+            )
+        else:
+            logs.note("process", "serves metrics", addresses=self.addresses)
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _metrics(self, request: typing.Any) -> typing.Any:
+        from aiohttp import web
+
+        body = b"".join(source() for source in self._sources)
+        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE})
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -206,12 +206,22 @@
 
 
 class Settings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """Settings of one instance with one role or both."""
+    """Settings of one instance with one role or both.
+
+    Parameters
+    ----------
+    instance, control, entry, log
+        The parts.
+    metrics
+        IP number and port at which the process serves the metrics of its roles, if
+        wanted.
+    """
 
     instance: InstanceSettings
     control: ControlSettings | None = None
     entry: EntrySettings | None = None
     log: LogSettings = LogSettings()
+    metrics: Address | None = None
 
 
 def parse(text: str) -> Settings:
@@ -302,6 +312,8 @@
 
 def _listeners(cfg: Settings) -> list[tuple[str, str]]:
     listeners = []
+    if cfg.metrics is not None:
+        listeners.append(("$.metrics", cfg.metrics))
     if cfg.control is not None:
         listeners.append(("$.control.peer", cfg.control.peer))
         if cfg.control.metrics is not None:
--- a/coltsfootchute/settings/tests/test_schemas.py
+++ b/coltsfootchute/settings/tests/test_schemas.py
@@ -43,6 +43,8 @@
         ("control.initial", [], "$.control.initial"),
         ("control.initial", [{"name": "i1"}], "$.control.initial[0].address"),
         ("control.metrics", "127.0.0.1:7001", "$.control.metrics"),
+        ("metrics", "127.0.0.1:7001", "$.control.peer"),
+        ("metrics", "localhost:1", "$.metrics"),
         ("control.data", None, "$.control.data"),
     ],
 )
