process: let a repeated SIGTERM not end a planned stop

Cause: a second SIGTERM ended the process at once, with requests in progress cut off. Signals come in series and overlap: a supervisor that repeats SIGTERM within the bound of the stop, or two plans that meet on one instance, took away what the first signal had promised. What callers saw: connections that close without an answer. Change: SIGTERM is a wish that can be repeated; SIGINT during a stop ends the process at once, for an operator at a terminal, and SIGKILL always does. The three copies of the handler become one. Conclusion: the stand-in fleet, which used the second SIGTERM to end its entries, now sends SIGINT.

--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -10,11 +10,10 @@
 
 import uvloop
 
-from coltsfootchute import errors, expositions, logs, settings
+from coltsfootchute import errors, expositions, logs, settings, signals
 
 __all__ = ["Source", "run", "run_source"]
 
-FORCED_EXIT_CODE = 1
 # A settings file may change without a signal.
 FILE_CHECK_S = 1.0
 
@@ -91,10 +90,8 @@
     source: Source,
     extend: typing.Any,
 ) -> None:
-    stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, _signalled, stopping)
+    stopping = signals.stop_requested(loop)
     changed = asyncio.Event()
     loop.add_signal_handler(signal.SIGHUP, changed.set)
     logs.note("process", "starts", roles=names, settings=source.path)
@@ -166,14 +163,6 @@
     return found.st_mtime_ns, found.st_size
 
 
-def _signalled(stopping: asyncio.Event) -> None:
-    if stopping.is_set():
-        # The second signal ends the process at once, as the operator asked.
-        logs.note("process", "ends at once", by="a second signal")
-        os._exit(FORCED_EXIT_CODE)
-    stopping.set()
-
-
 def _daemon(name: str, cfg: settings.Settings, extend: typing.Any) -> typing.Any:
     # The control role must not load what only the entry needs.
     if name == "control":
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -1,9 +1,7 @@
 """The control role: start, running, and the graceful stop."""
 
 import asyncio
-import os
 import random
-import signal
 import socket
 import typing
 
@@ -11,7 +9,7 @@
 import uvloop
 from loguru import logger
 
-from coltsfootchute import agreement, errors, expositions, logs, settings
+from coltsfootchute import agreement, errors, expositions, logs, settings, signals
 from coltsfootchute.control import (
     cores,
     duties,
@@ -274,16 +272,7 @@
     await daemon.start()
     listener = expositions.Listener(cfg.metrics)
     await listener.start([daemon.exposition])
-    stop = asyncio.Event()
-
-    def on_signal() -> None:
-        if stop.is_set():
-            os._exit(1)
-        stop.set()
-
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
+    stop = signals.stop_requested(asyncio.get_running_loop())
     stopping = asyncio.create_task(stop.wait())
     await asyncio.wait([stopping, daemon.failed], return_when=asyncio.FIRST_COMPLETED)
     stopping.cancel()
@@ -294,7 +283,7 @@
 
 
 def run(cfg: settings.Settings) -> None:
-    """Run the control role until SIGTERM or SIGINT; a second signal ends at once.
+    """Run the control role until SIGTERM or SIGINT; SIGINT after that ends at once.
 
     Parameters
     ----------
--- a/coltsfootchute/entry/__main__.py
+++ b/coltsfootchute/entry/__main__.py
@@ -1,20 +1,16 @@
 """Run the entry role: ``python -m coltsfootchute.entry SETTINGS``."""
 
 import asyncio
-import os
-import signal
 import sys
 
 import aiomisc
 import uvloop
 
-from coltsfootchute import errors, expositions, logs, settings
+from coltsfootchute import errors, expositions, logs, settings, signals
 from coltsfootchute.entry import daemons
 
 __all__ = ["main"]
 
-SECOND_SIGNAL_STATUS = 1
-
 
 class EntryService(aiomisc.Service):
     """Runs a daemon from the start of the entrypoint until a signal."""
@@ -24,9 +20,7 @@
 
     async def start(self) -> None:
         """Start the daemon; signals are handled before it can be seen."""
-        self.signalled = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self._signal)
+        self.signalled = signals.stop_requested(self.loop)
         await self.daemon.start()
         await self.listener.start([self.daemon.exposition])
 
@@ -35,12 +29,6 @@
         await self.daemon.stop()
         await self.listener.stop()
 
-    def _signal(self) -> None:
-        if self.signalled.is_set():
-            # The operator asks again: end at once, requests in progress included.
-            os._exit(SECOND_SIGNAL_STATUS)
-        self.signalled.set()
-
 
 def main(path: str) -> int:
     """Run until SIGTERM.
--- a/coltsfootchute/standins/fleets.py
+++ b/coltsfootchute/standins/fleets.py
@@ -19,8 +19,8 @@
 __all__ = ["Fleet", "Process", "StartError", "free_ports", "until"]
 
 POLL_S = 0.05
-# An entry ends at once on the second SIGTERM.
-SECOND_SIGNAL_S = 0.5
+# A stopping process ends at once on SIGINT.
+FORCED_STOP_S = 0.5
 STOP_TIMEOUT_S = 5.0
 PORTS = range(10_000, 32_000)
 PORTS_PER_PROCESS = 1000
@@ -180,13 +180,13 @@
         return [p for p in self.processes if p.exit_code is not None]
 
     async def stop(self) -> None:
-        """End all processes: SIGTERM, once more, then SIGKILL."""
+        """End all processes: SIGTERM, SIGINT, then SIGKILL."""
         for process in self.processes:
             # A stopped process handles no other signal but SIGKILL.
             process.signal(signal.SIGCONT)
         for signum, timeout_s in (
-            (signal.SIGTERM, SECOND_SIGNAL_S),
-            (signal.SIGTERM, STOP_TIMEOUT_S),
+            (signal.SIGTERM, FORCED_STOP_S),
+            (signal.SIGINT, STOP_TIMEOUT_S),
             (signal.SIGKILL, STOP_TIMEOUT_S),
         ):
             running = [p for p in self.processes if p.exit_code is None]
