entry: show how much of an upload a cut request had read

Cause: a line of a cut upload named the bytes that were read, but not how many its head announced. Change: `body_length` stands beside `body_bytes`.

--- a/coltsfootchute/commands/tests/test_explanations.py
+++ b/coltsfootchute/commands/tests/test_explanations.py
@@ -117,6 +117,46 @@
     } <= set(steps)
 
 
+def test_an_upload_that_a_stopping_entry_cut_off_is_explained(stream):
+    async def play(stage):
+        reader, writer = await stage.connect()
+        head = b"PUT /read/1 HTTP/1.1\r\nHost: x\r\nX-Id: r1\r\n"
+        writer.write(head + b"Content-Length: 9\r\n\r\nhalf")
+        await stands.until(lambda: stage.entry._calls.in_progress)
+        await stage.entry.stop()
+        answer = stands.Answer(await reader.read())
+        assert answer.refusal == "not_run stopping 503"
+        writer.close()
+
+    test_declared.play_declared(play, test_declared.echo(), stop_s=1)
+    _, cause = cause_of(stream)
+    assert "while its body was arriving; its body had not arrived whole" in cause
+
+
+def test_a_stop_that_ended_early_is_named_with_the_time_that_it_left_unused():
+    """The engineer must see that the entry did not wait for its requests."""
+    rows = [
+        ("01.0", "stopping", {"finish_s": 2.64}),
+        ("01.2", "cut off", {"request": "r1", "phase": "at_target", "age_s": 0.5}),
+    ]
+    texts = [
+        msgspec.json.encode(
+            {
+                "time": f"2026-01-01T00:00:{second}00+00:00",
+                "instance": "e1",
+                "message": f"entry: {message}",
+                "fields": {"since_stop_s": 2.0, **fields},
+            }
+        ).decode()
+        for second, message, fields in rows
+    ]
+    lines, cause = explanations.find_cause(explanations.read_lines(texts), "r1")
+    assert len(lines) == 2
+    assert "2.0 s after its stop began" in cause
+    assert cause.endswith("the stop allows 2.640 s for its requests")
+    assert "it was read 1.500 s after the stop began" in cause
+
+
 def test_a_caller_that_left_is_explained(stream):
     async def play(stage):
         _, writer = await stage.connect()
--- a/coltsfootchute/control/tests/test_daemons.py
+++ b/coltsfootchute/control/tests/test_daemons.py
@@ -7,6 +7,7 @@
 import sys
 import time
 
+import loguru
 import pytest
 
 from coltsfootchute import settings
@@ -305,6 +306,30 @@
     asyncio.run(main())
 
 
+def test_a_stop_logs_what_it_waits_for(tmp_path):
+    # Guards against a process that hangs in its stop without a trace of where.
+    messages = []
+
+    async def main():
+        cluster = clusters.Cluster(tmp_path, names=["a"])
+        await cluster.start("a")
+        await cluster.leader()
+        sink = loguru.logger.add(lambda m: messages.append(m.record), level="INFO")
+        try:
+            await cluster.stop("a")
+        finally:
+            loguru.logger.remove(sink)
+
+    asyncio.run(main())
+    noted = [record for record in messages if "fields" in record["extra"]]
+    steps = [record["message"] for record in noted]
+    names = ("stopping", "ends the feeds", "feeds ended", "messages to peers sent")
+    names += ("links closed", "takes no more calls", "stopped")
+    assert steps == [f"control: {name}" for name in names]
+    ages = [record["extra"]["fields"]["since_stop_s"] for record in noted]
+    assert ages == sorted(ages)
+
+
 def test_metrics_are_served_if_set(tmp_path):
     # Guards against an instance that reports ready without proof of currency.
     async def get(port, path):
--- a/coltsfootchute/entry/stops.py
+++ b/coltsfootchute/entry/stops.py
@@ -131,6 +131,7 @@
         "age_s": round(now - call.started_s, 3),
         "left_s": round(call.stated_deadline - now, 3),
         "body_bytes": request.content.total_bytes,
+        "body_length": request.content_length,
         "body_complete": request.content.is_eof(),
         "tried": list(call.tried),
     }
