tests: give the requests of a bounded stop longer deadlines than the stop

Cause: test_a_stop_that_was_idle_once_does_not_cut_later_requests left 0.16 s between the end of its request and that of the stop, and failed once with 504 beside other suites (load 18 on 8 cores). What is required is the same.

--- a/coltsfootchute/entry/tests/test_bounded_stops.py
+++ b/coltsfootchute/entry/tests/test_bounded_stops.py
@@ -6,6 +6,8 @@
 from coltsfootchute.entry.tests import stands
 
 STOP_S = 4.0
+# Deadlines do not end requests before the stop does.
+RULES = [{**rule, "deadline_ms": 60_000} for rule in stands.RULES]
 GET = b"GET /shop/items/1 HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -54,7 +56,9 @@
         await stop
 
     # Longer than connections are accepted, and shorter than the whole stop.
-    stands.run(play, slow_after_first(0.68 * STOP_S), stop_s=STOP_S)
+    stands.run(
+        play, slow_after_first(0.68 * STOP_S), stop_s=STOP_S, section={"rules": RULES}
+    )
 
 
 def test_closing_idle_connections_does_not_drop_the_rest_of_an_upload():
@@ -74,7 +78,7 @@
         writer.close()
         await stop
 
-    stands.run(play, stands.respond(b"whole"), stop_s=STOP_S)
+    stands.run(play, stands.respond(b"whole"), stop_s=STOP_S, section={"rules": RULES})
 
 
 def test_an_idle_connection_is_closed_instead_of_swallowing_requests():
@@ -110,7 +114,7 @@
         with contextlib.suppress(ConnectionError):
             await last
 
-    stands.run(with_one_in_progress, script, stop_s=STOP_S)
+    stands.run(with_one_in_progress, script, stop_s=STOP_S, section={"rules": RULES})
 
 
 def test_a_request_on_a_kept_connection_after_the_listener_closed_is_not_run():
@@ -131,7 +135,7 @@
         writer.close()
         await stop
 
-    stands.run(play, stands.respond(b"whole"), stop_s=STOP_S)
+    stands.run(play, stands.respond(b"whole"), stop_s=STOP_S, section={"rules": RULES})
 
 
 def test_a_request_that_outlasts_the_stop_is_answered_before_its_connection_closes():
@@ -141,7 +145,7 @@
         assert answer.refusal == "may_have_run target_timeout 504"
         await stop
 
-    stands.run(play, slow_after_first(60), stop_s=STOP_S)
+    stands.run(play, slow_after_first(60), stop_s=STOP_S, section={"rules": RULES})
 
 
 def test_a_stop_waits_until_a_slow_caller_has_its_whole_answer():
@@ -161,7 +165,9 @@
         writer.close()
         await stop
 
-    stands.run(play, stands.respond(b"x" * size), stop_s=STOP_S)
+    stands.run(
+        play, stands.respond(b"x" * size), stop_s=STOP_S, section={"rules": RULES}
+    )
 
 
 def test_a_stop_ends_within_its_bound_while_control_does_not_reply():
@@ -173,4 +179,4 @@
         await stage.entry.stop()
         assert loop.time() - began < STOP_S
 
-    stands.run(play, stands.respond(b"whole"), stop_s=STOP_S)
+    stands.run(play, stands.respond(b"whole"), stop_s=STOP_S, section={"rules": RULES})
