entry: bound what is on its way on a feed

A control instance pings its connections each 2 s and closes one whose ping is not answered within 2 s. HTTP/2 let 4 MiB of a feed be on its way, so on a slow link the ping waits behind a long view in the buffers and the source takes the link for a lost one. Change: a watcher opens its channel with a window of 64 KiB, so that a ping waits for 0.2 s at 2.5 Mbit/s, and a source holds no more than that in its buffers for each watcher. Before / after: test_pings_do_not_wait_behind_a_long_view (300 kB over a link paced to 50 kB/s; the stand-in of control now pings as control does) failed with "the source ended the stream" and passes.

--- a/coltsfootchute/control/parts.py
+++ b/coltsfootchute/control/parts.py
@@ -6,13 +6,16 @@
 import typing
 
 import grpclib.client
+import grpclib.config
 
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
-__all__ = ["PART_BYTES", "Receiver", "clock", "split"]
+__all__ = ["PART_BYTES", "Receiver", "clock", "open_channel", "split"]
 
 # 26 ms on a link of 2.5 Mbit/s, which several streams share.
 PART_BYTES = 8 * 1024
+# Pings of the source wait behind what is on its way: 0.2 s at 2.5 Mbit/s.
+WINDOW_BYTES = 64 * 1024
 
 
 def clock() -> float:
@@ -20,6 +23,15 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def open_channel(host: str, port: int) -> grpclib.client.Channel:
+    """Return a channel for a watcher, with a bound on what is on its way."""
+    config = grpclib.config.Configuration(
+        http2_connection_window_size=WINDOW_BYTES,
+        http2_stream_window_size=WINDOW_BYTES,
+    )
+    return grpclib.client.Channel(host, port, config=config)
+
+
 def split(message: pb.FeedMessage) -> collections.abc.Iterator[pb.FeedMessage]:
     """Return a message in parts, or as it is if it is short.
 
--- a/coltsfootchute/entry/tests/stands.py
+++ b/coltsfootchute/entry/tests/stands.py
@@ -11,6 +11,7 @@
 
 from coltsfootchute import declarations, settings
 from coltsfootchute.control import feeds
+from coltsfootchute.control import links as control_links
 from coltsfootchute.entry import daemons
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
@@ -67,7 +68,9 @@
         self.hang.set()
 
     async def start(self):
-        self.server = grpclib.server.Server([self, feeds.FeedService(self.feed)])
+        handlers = [self, feeds.FeedService(self.feed)]
+        config = control_links.CHANNEL_CONFIG
+        self.server = grpclib.server.Server(handlers, config=config)
         await self.server.start("127.0.0.1", 0)
         port = self.server._server.sockets[0].getsockname()[1]
         self.address = f"127.0.0.1:{port}"
--- a/coltsfootchute/entry/tests/test_watches.py
+++ b/coltsfootchute/entry/tests/test_watches.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import functools
 import json
 import os
 
 import pytest
 
+from coltsfootchute.control import feeds
+from coltsfootchute.control import links as control_links
 from coltsfootchute.entry import watches
 from coltsfootchute.entry.tests import stands
 from coltsfootchute.standins import links
@@ -180,6 +183,34 @@
     asyncio.run(play())
 
 
+def test_pings_do_not_wait_behind_a_long_view():
+    """Guards against a source that takes a slow link for a lost one."""
+    bytes_per_s = 50_000
+    ping_s = control_links.CHANNEL_CONFIG._keepalive_time
+    ping_s += control_links.CHANNEL_CONFIG._keepalive_timeout
+    size = int(1.5 * bytes_per_s * ping_s)
+    ends = []
+
+    async def watch(feed, request, send):
+        try:
+            await feeds.Feed.watch(feed, request, send)
+        finally:
+            ends.append(view.revision)
+
+    async def play():
+        nonlocal view
+        async with watching_over_a_link() as (control, link, view):
+            control.feed.watch = functools.partial(watch, control.feed)
+            link.pace(bytes_per_s, links.Direction.BACKWARD)
+            domain = os.urandom(size // 2).hex()
+            control.publish(target=pb.Target(target_id="t1", failure_domain=domain))
+            await stands.until(lambda: view.targets or ends, 3 * size / bytes_per_s)
+            assert not ends, "the source ended the stream"
+
+    view = None
+    asyncio.run(play())
+
+
 def test_a_process_that_stood_still_is_stale_until_it_hears_again():
     async def play(stage):
         watcher = stage.entry._watcher
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -377,7 +377,7 @@
 
     async def _watch(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        channel = grpclib.client.Channel(host.strip("[]"), int(port))
+        channel = parts.open_channel(host.strip("[]"), int(port))
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await channel.__connect__()
