--- a/coltsfootchute/agreement/logs.py
+++ b/coltsfootchute/agreement/logs.py
@@ -1,6 +1,7 @@
 """The entries in memory that follow the last snapshot."""
 
 import collections.abc
+import itertools
 
 from coltsfootchute import errors
 from coltsfootchute.agreement import memberships, records
@@ -163,7 +164,7 @@
             index -= 1
         return index
 
-    def compact(self, snapshot: records.Snapshot, kept: int) -> None:
+    def compact(self, snapshot: records.Snapshot, kept: int, kept_bytes: int) -> None:
         """Drop entries that a snapshot covers.
 
         Parameters
@@ -171,11 +172,17 @@
         snapshot
             The snapshot, which covers only entries that are held.
         kept
-            Number of entries to keep before the end of the snapshot.
+            Number of entries to keep before the end of the snapshot, at most.
+        kept_bytes
+            Bound of their payloads together.
         """
         self.snapshot = snapshot
         self.history.compact(snapshot.meta)
-        new_base = snapshot.meta.index - kept
+        first = max(snapshot.meta.index - kept, self.base_index) + 1
+        covered = self.between(first, snapshot.meta.index)
+        sizes = itertools.accumulate(len(e.payload) for e in reversed(covered))
+        fitting = sum(1 for _ in itertools.takewhile(kept_bytes.__ge__, sizes))
+        new_base = snapshot.meta.index - fitting
         if new_base > self.base_index:
             term = self.term_at(new_base)
             del self.entries[: new_base - self.base_index]
--- a/coltsfootchute/agreement/records.py
+++ b/coltsfootchute/agreement/records.py
@@ -90,7 +90,8 @@
     pre_vote: bool = True
     snapshot_entries: int = 1000
     snapshot_bytes: int = 4 << 20
-    kept_entries: int = 200
+    kept_entries: int = 200  # Held before a snapshot, for members that lag,
+    kept_bytes: int = 1 << 20  # up to this size.
     chunk_bytes: int = 64 << 10
     append_bytes: int = 256 << 10  # Bound of the entries in one message.
     window_entries: int = 4096  # Entries sent to a follower and not acknowledged.
--- a/coltsfootchute/agreement/replicas.py
+++ b/coltsfootchute/agreement/replicas.py
@@ -326,6 +326,7 @@
             membership=self.log.history.at(index),
         )
         snapshot = records.Snapshot(meta, data)
-        self.log.compact(snapshot, self.timing.kept_entries)
+        timing = self.timing
+        self.log.compact(snapshot, timing.kept_entries, timing.kept_bytes)
         self._applied_bytes = 0
         return snapshot
--- a/coltsfootchute/agreement/tests/test_snapshots.py
+++ b/coltsfootchute/agreement/tests/test_snapshots.py
@@ -55,3 +55,21 @@
     assert incoming.take(second) is None
     assert incoming.take(first) is None
     assert incoming.take(second) == new
+
+
+def test_large_entries_before_a_snapshot_are_not_kept_in_memory():
+    timing = records.Timing(snapshot_bytes=4000, kept_bytes=1000)
+    network = fakes.Network(seed=3, timing=timing)
+    lagging = next(i for i in network.running() if i is not network.wait_for_leader())
+    network.kill(lagging.name)
+    payloads = [b"%100d" % n for n in range(150)]
+    for payload in payloads:
+        network.propose(payload)
+    for instance in network.running():
+        log = instance.replica.log
+        held = log.between(log.base_index + 1, log.snapshot_index)
+        assert log.snapshot_index > 100
+        assert 0 < sum(len(entry.payload) for entry in held) <= 1000
+    network.restart(lagging.name)
+    network.settle()
+    assert lagging.applied == payloads
