entry: name the module of the listener's server after its subject

Cause: connections to targets get a module of their own, and the server of the listener for callers stood under that name.

--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -15,10 +15,10 @@
     apis,
     calls,
     clients,
-    connections,
     crashes,
     forwards,
     keys,
+    listeners,
     measurements,
     metrics,
     operators,
@@ -108,7 +108,7 @@
         self._calls: calls.Calls | None = None
         self._forwarder: forwards.Forwarder | None = None
         self._sampler: samplers.Sampler | None = None
-        self._calls_server: connections.Server | None = None
+        self._calls_server: listeners.Server | None = None
         self._listener: asyncio.Server | None = None
         self._api_runner: aiohttp.web.AppRunner | None = None
         self._extend = extend
@@ -205,7 +205,7 @@
 
     async def _start_calls(self, address: str) -> str:
         host, port = _split(address)
-        self._calls_server = connections.Server(self._calls.handle)
+        self._calls_server = listeners.Server(self._calls.handle)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             self._calls_server, host, port, backlog=BACKLOG
--- a/tests/scenario_language/clocks.py
+++ b/tests/scenario_language/clocks.py
@@ -8,7 +8,7 @@
 import types
 
 from coltsfootchute.agreement import stores
-from coltsfootchute.control import cores, feeds
+from coltsfootchute.control import cores, parts
 from coltsfootchute.entry import (
     calls,
     crashes,
@@ -16,7 +16,7 @@
     dispatches,
     keys,
     pools,
-    watches,
+    stops,
 )
 
 EPOCH_S = 1_800_000_000.0
@@ -149,7 +149,7 @@
         clock_gettime=lambda _: loop.now,
         CLOCK_BOOTTIME=7,
     )
-    timed = (cores, feeds, calls, crashes, daemons, dispatches, pools, watches)
+    timed = (cores, parts, calls, crashes, daemons, dispatches, pools, stops)
     stand_ins = [(module, "time", time) for module in timed]
     # Stores draw member ids from it; their order decides who is asked first.
     entropy = types.SimpleNamespace(
