tests: advance the membership in scenarios as the daemon does

Change: the world starts the daemon's own loop for the membership too. The scenarios and what they demand are unchanged.

--- a/tests/scenario_language/controls.py
+++ b/tests/scenario_language/controls.py
@@ -134,7 +134,8 @@
         self.duties = duties.Duties(self.core, self.world.loop.now)
         self.control = services.ControlService(self.core, self.duties)
         self.core.start()
-        self._tasks = [self.process.spawn(self._run_duties())]
+        running = (self._run_duties(), self._advance_membership())
+        self._tasks = [self.process.spawn(work) for work in running]
 
     def _fail(self, exc):
         self.world.crashes.append((self.name, exc))
