entry: bound the bytes of a response that are no part of a body

Cause: a target may send interim responses, late responses, blank lines, chunk sizes, extensions or garbage in a body without end. aiohttp bounds the lines of one head only. After garbage for a chunk the parser left the reader of the body waiting until the deadline (504 after 1.5 s). Ruled out: the limits of lines and headers; they hold for one head. Change: connections to targets count what is no part of a body, and the responses that wait to be read; the parser gets a read in parts, and readers of a body learn that the parser failed. Beyond the bounds the connection is reset and the attempt fails as one that may have run.

--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -6,13 +6,13 @@
 import typing
 
 import aiohttp
-import aiohttp.client_proto
 import aiohttp.connector
 import aiohttp.http
 import aiohttp.streams
 import multidict
 
 from coltsfootchute import verdicts
+from coltsfootchute.entry import connections
 
 __all__ = [
     "Attempt",
@@ -116,7 +116,7 @@
 
     def __init__(self):
         self._conn: aiohttp.connector.Connection | None = None
-        self._protocol: aiohttp.client_proto.ResponseHandler | None = None
+        self._protocol: connections.TargetConnection | None = None
         self._pump: asyncio.Task[None] | None = None
         self.body_error: AttemptError | None = None
         self.started_s = 0.0
--- /dev/null
+++ b/coltsfootchute/entry/connections.py
@@ -0,0 +1,101 @@
+"""Connections to targets, with bounds on bytes that no response accounts for."""
+
+import aiohttp.client_proto
+import aiohttp.http
+
+__all__ = ["TargetConnection"]
+
+# Most bytes that are not part of a body: heads, chunk sizes and extensions, trailers,
+# blank lines. A head may hold one field of the largest size.
+MAX_OVERHEAD_BYTES = 1 << 16
+# More of them for each byte of the body; a chunk of one byte has five others.
+MAX_OVERHEAD_RATIO = 8
+# Most responses that wait to be read: interim ones, late ones and the own one.
+MAX_QUEUED_RESPONSES = 32
+# The parser gets a read of the socket in parts, so that bounds hold within a read; in
+# a body a part may be as large as what has come of it.
+PART_BYTES = 1 << 12
+MAX_PART_BYTES = 1 << 17
+
+
+class TargetConnection(aiohttp.client_proto.ResponseHandler):
+    """A connection that is closed once its target sends more than it may.
+
+    Notes
+    -----
+    The parser of aiohttp bounds the lines of a head and their number. It takes any
+    number of interim and unasked responses, blank lines, leading zeros of a chunk
+    size, chunk extensions and lines of a trailer.
+    A body needs no bound here: reading is paused until it is consumed.
+    """
+
+    def __init__(self, loop):
+        super().__init__(loop)
+        self._unparsed = b""
+        self._overhead_bytes = 0
+
+    def set_response_params(self, **params) -> None:
+        """Prepare for the response to the next request."""
+        self._overhead_bytes = 0
+        super().set_response_params(**params)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes as far as they may belong to a response."""
+        if not data:
+            # Reading goes on; what the parser has kept comes first.
+            self._parse(data)
+        data, self._unparsed = self._unparsed + data, b""
+        start = 0
+        while start < len(data) and self.is_connected() and not self._reading_paused:
+            part = data[start : self._end_of_part(data, start)]
+            start += len(part)
+            self._parse(part)
+        if self.is_connected():
+            self._unparsed = data[start:]
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End the response; its body isn't complete if bytes were not parsed."""
+        if self._unparsed:
+            self._unparsed = b""
+            lost = "the connection was lost while reading was paused"
+            self._fail_payload(aiohttp.http.HttpProcessingError(message=lost))
+        super().connection_lost(exc)
+
+    def _end_of_part(self, data: bytes, start: int) -> int:
+        if self._payload is not None and not self._payload.is_eof():
+            size = min(max(PART_BYTES, self._body_bytes), MAX_PART_BYTES)
+            return start + size
+        return start + PART_BYTES
+
+    def _parse(self, part: bytes) -> None:
+        body, before = self._payload, self._body_bytes
+        super().data_received(part)
+        if self._exception is not None:
+            self._fail_payload(self._exception)
+            return
+        known = before if self._payload is body else 0
+        self._overhead_bytes += len(part) - (self._body_bytes - known)
+        allowed = MAX_OVERHEAD_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes
+        if self._overhead_bytes > allowed:
+            self._refuse("bytes without end that are no part of a body")
+        elif len(self._buffer) > MAX_QUEUED_RESPONSES:
+            self._refuse("responses without end")
+
+    @property
+    def _body_bytes(self) -> int:
+        """Size of the body that was parsed last, as far as it has come."""
+        return 0 if self._payload is None else self._payload.total_bytes
+
+    def _refuse(self, detail: str) -> None:
+        exc = aiohttp.http.HttpProcessingError(message=detail)
+        self._fail_payload(exc)
+        self.set_exception(exc)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _fail_payload(self, exc: BaseException) -> None:
+        # The parser leaves the reader of a body that it can't go on with waiting.
+        payload = self._payload
+        if payload is None or payload.is_eof() or payload.exception() is not None:
+            return
+        payload.set_exception(exc)
--- a/coltsfootchute/entry/forwards.py
+++ b/coltsfootchute/entry/forwards.py
@@ -7,10 +7,10 @@
 """
 
 import asyncio
+import functools
 import typing
 
 import aiohttp
-import aiohttp.client_proto
 import aiohttp.connector
 import aiohttp.http
 import aiohttp.streams
@@ -18,7 +18,7 @@
 import yarl
 
 from coltsfootchute import verdicts
-from coltsfootchute.entry import attempts
+from coltsfootchute.entry import attempts, connections
 
 __all__ = ["Endpoint", "Forwarder"]
 
@@ -59,12 +59,8 @@
     """
 
     def __init__(self):
-        self._pooled = aiohttp.TCPConnector(
-            limit=0, keepalive_timeout=KEEP_ALIVE_S, use_dns_cache=False
-        )
-        self._fresh = aiohttp.TCPConnector(
-            limit=0, force_close=True, use_dns_cache=False
-        )
+        self._pooled = _connector(keepalive_timeout=KEEP_ALIVE_S)
+        self._fresh = _connector(force_close=True)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -128,3 +124,10 @@
             raise attempts.AttemptError(
                 verdicts.Verdict.NOT_RUN, verdicts.Reason.CONNECTION_FAILED, str(exc)
             ) from exc
+
+
+def _connector(**options: typing.Any) -> aiohttp.TCPConnector:
+    connector = aiohttp.TCPConnector(limit=0, use_dns_cache=False, **options)
+    loop = asyncio.get_running_loop()
+    connector._factory = functools.partial(connections.TargetConnection, loop)
+    return connector
