entry: go on reading a body in the next turn of the loop

Cause: a reader that takes what is there makes the parser go on in the same call, chunk by chunk, as long as the socket's read lasts. Change: reading is resumed in the next turn. Before / after: test_a_reader_does_not_parse_on_in_its_own_turn failed before.

--- a/coltsfootchute/entry/connections.py
+++ b/coltsfootchute/entry/connections.py
@@ -1,5 +1,7 @@
 """Connections to targets, with bounds on bytes that no response accounts for."""
 
+import asyncio
+
 import aiohttp.client_proto
 import aiohttp.http
 
@@ -32,6 +34,7 @@
     def __init__(self, loop):
         super().__init__(loop)
         self._unparsed = b""
+        self._resumption: asyncio.Handle | None = None
         self._overhead_bytes = 0
 
     def set_response_params(self, **params) -> None:
@@ -53,6 +56,22 @@
         if self.is_connected():
             self._unparsed = data[start:]
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on in the next turn of the loop, or at once after the end of a body.
+
+        A reader that takes all there is would otherwise go on as long as the target
+        sends, and other callers would wait.
+        """
+        if not resume_parser:
+            super().resume_reading(resume_parser)
+        elif self._resumption is None:
+            self._resumption = self._loop.call_soon(self._resume)
+
+    def _resume(self) -> None:
+        self._resumption = None
+        if self._reading_paused and self.is_connected():
+            super().resume_reading()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the response; its body isn't complete if bytes were not parsed."""
         if self._unparsed:
--- a/coltsfootchute/entry/tests/test_connections.py
+++ b/coltsfootchute/entry/tests/test_connections.py
@@ -108,6 +108,21 @@
     play(scenario)
 
 
+def test_a_reader_does_not_parse_on_in_its_own_turn():
+    """Other callers wait as long as a reader that takes all there is goes on."""
+
+    async def scenario(conn):
+        expect(conn)
+        conn.data_received(CHUNKED + b"1\r\na\r\n" * (READ_BYTES // 6))
+        payload = (await conn.read())[1]
+        assert await payload.readany()
+        assert payload._size == 0
+        assert await payload.readany()
+        assert conn.is_connected()
+
+    play(scenario)
+
+
 def test_a_body_that_was_not_parsed_to_its_end_does_not_look_complete():
     async def scenario(conn):
         expect(conn)
