entry: close idle connections on which bytes arrive

Cause: the parser stays in place on an idle connection. Blank lines took 78 % of a processor while no caller asked. A target that sends before it is asked was dialled again and again until the deadline. Change: after the end of the response any byte closes the connection, and so it does before the first request. A request dials three times at most. Before / after: test_an_idle_connection_does_not_read_without_end (four cases) and the test of dialling failed before.

--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -307,6 +307,7 @@
             if message.code >= 200:
                 await self._skip(payload)
             message, payload = await self._protocol.read()
+        self._protocol.accept(payload)
         self.message = message
         self.payload = payload
         self.headers = multidict.CIMultiDict(message.headers)
--- a/coltsfootchute/entry/connections.py
+++ b/coltsfootchute/entry/connections.py
@@ -4,6 +4,7 @@
 
 import aiohttp.client_proto
 import aiohttp.http
+import aiohttp.streams
 
 __all__ = ["TargetConnection"]
 
@@ -27,7 +28,7 @@
     -----
     The parser of aiohttp bounds the lines of a head and their number. It takes any
     number of interim and unasked responses, blank lines, leading zeros of a chunk
-    size, chunk extensions and lines of a trailer.
+    size, chunk extensions and lines of a trailer, and responses without a request.
     A body needs no bound here: reading is paused until it is consumed.
     """
 
@@ -36,12 +37,24 @@
         self._unparsed = b""
         self._resumption: asyncio.Handle | None = None
         self._overhead_bytes = 0
+        # Body of the response to the last request; None while that is awaited.
+        self._own: aiohttp.streams.StreamReader | None = aiohttp.streams.EMPTY_PAYLOAD
 
     def set_response_params(self, **params) -> None:
         """Prepare for the response to the next request."""
+        self._own = None
         self._overhead_bytes = 0
         super().set_response_params(**params)
 
+    def accept(self, payload: aiohttp.streams.StreamReader) -> None:
+        """Take a body for that of the request; no bytes may follow its end."""
+        self._own = payload
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no response is due."""
+        return self._own is not None and self._own.is_eof()
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes as far as they may belong to a response."""
         if not data:
@@ -50,6 +63,9 @@
         data, self._unparsed = self._unparsed + data, b""
         start = 0
         while start < len(data) and self.is_connected() and not self._reading_paused:
+            if self.is_idle:
+                self._refuse("bytes without a request")
+                return
             part = data[start : self._end_of_part(data, start)]
             start += len(part)
             self._parse(part)
--- a/coltsfootchute/entry/forwards.py
+++ b/coltsfootchute/entry/forwards.py
@@ -27,6 +27,9 @@
 CONNECT_TIMEOUT_S = 0.25
 # The target's keep-alive timeout is unknown; 15 s is below the usual ones.
 KEEP_ALIVE_S = 15.0
+# Pooled connections that were closed meanwhile are passed over by the connector; a
+# target that sends bytes on new ones does so on each.
+MAX_CONNECTS = 3
 
 _NO_TRACES: list[typing.Any] = []
 _TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
@@ -114,12 +117,13 @@
     ) -> aiohttp.connector.Connection:
         connector = self._fresh if fresh else self._pooled
         try:
-            while True:
+            for _ in range(MAX_CONNECTS):
                 conn = await connector.connect(endpoint.pilot, _NO_TRACES, _TIMEOUT)
                 # Bytes that arrived on an idle connection belong to no request.
                 if not conn.protocol.should_close:
                     return conn
                 conn.close()
+            raise aiohttp.ClientConnectionError("bytes before the request")
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             raise attempts.AttemptError(
                 verdicts.Verdict.NOT_RUN, verdicts.Reason.CONNECTION_FAILED, str(exc)
--- a/coltsfootchute/entry/tests/test_connections.py
+++ b/coltsfootchute/entry/tests/test_connections.py
@@ -152,6 +152,22 @@
     play(scenario)
 
 
+def test_bytes_on_an_idle_connection_close_it():
+    async def scenario(conn):
+        expect(conn)
+        conn.data_received(OWN)
+        payload = (await conn.read())[1]
+        conn.accept(payload)
+        assert conn.is_idle
+        assert conn.is_connected()
+        conn.data_received(b"\r\n")
+        assert not conn.is_connected()
+        # The response that is complete can still be read.
+        assert await payload.read() == b"hello"
+
+    play(scenario)
+
+
 def test_a_body_in_chunks_of_one_byte_is_not_taken_for_overhead():
     whole = CHUNKED + b"1\r\na\r\n" * READ_BYTES + b"0\r\n\r\n"
 
--- a/coltsfootchute/entry/tests/test_unending.py
+++ b/coltsfootchute/entry/tests/test_unending.py
@@ -1,6 +1,7 @@
 """Targets that send bytes without end, until the entry closes."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -12,6 +13,7 @@
 OK = b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 HELLO = b"5\r\nhello\r\n"
+WHOLE = OK + b"Content-Length: 5\r\n\r\nhello"
 INTERIM = b"HTTP/1.1 102 \r\n\r\n"
 LATE = b"HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 5\r\n\r\nhello"
 ONCE = {"prefix": "/once/", "guarantee": "at_most_once", "timeout_s": 2}
@@ -38,6 +40,12 @@
     "chunks": (CHUNKED, b"1000\r\n" + b"a" * 4096 + b"\r\n"),
     "close": (OK + b"\r\n", b"a"),
 }
+EXTRAS = {
+    "blank lines": b"\r\n",
+    "interim responses": INTERIM,
+    "responses": LATE,
+    "body": OK + b"\r\n" + b"a" * BLOCK_BYTES,
+}
 
 
 def cases(table):
@@ -132,3 +140,51 @@
         assert await was_cut(stage.targets[0])
 
     play_flood(play, unending(sent))
+
+
+@pytest.mark.parametrize("unit", EXTRAS.values(), ids=list(EXTRAS))
+def test_bytes_after_a_response_do_not_reach_the_next_one(unit):
+    async def play(stage):
+        for _ in range(3):
+            answer = await test_declared.ask(stage)
+            assert (answer.status, answer.body) == (200, b"hello")
+            assert await was_cut(stage.targets[0])
+
+    play_flood(play, unending((WHOLE, unit)))
+
+
+@pytest.mark.parametrize("unit", EXTRAS.values(), ids=list(EXTRAS))
+def test_an_idle_connection_does_not_read_without_end(unit):
+    async def play(stage):
+        idle.clear()
+        assert (await test_declared.ask(stage)).body == b"hello"
+        idle.set()
+        assert await was_cut(stage.targets[0])
+
+    idle = asyncio.Event()
+    play_flood(play, unending((WHOLE, unit), before=idle))
+
+
+def test_a_target_that_sends_before_it_is_asked_is_not_dialled_without_end():
+    async def play(stage):
+        async def talk(reader, writer):
+            dialled.append(writer)
+            with contextlib.suppress(OSError):
+                writer.write(b"\r\n" * BLOCK_BYTES)
+                await writer.drain()
+                await reader.read()
+            writer.close()
+
+        dialled = []
+        server = await asyncio.start_server(talk, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        stage.control.target(stage.targets[0], address=f"127.0.0.1:{port}")
+        await stands.until(
+            lambda: stage.entry.view.targets["t0"].address.endswith(f":{port}")
+        )
+        answer = await test_declared.ask(stage)
+        assert answer.status in {502, 503}
+        assert 1 <= len(dialled) <= 4
+        server.close()
+
+    play_flood(play, test_declared.echo())
