entry: keep a response that garbage follows in the same read

Change: the parser gets a head alone. Before / after: three cases failed before, among them test_bytes_after_a_response_do_not_reach_the_next_one[garbage]. Conclusion: a head that comes in several reads may still be lost.

--- a/coltsfootchute/entry/connections.py
+++ b/coltsfootchute/entry/connections.py
@@ -19,6 +19,8 @@
 # a body a part may be as large as what has come of it.
 PART_BYTES = 1 << 12
 MAX_PART_BYTES = 1 << 17
+HEAD_START = b"HTTP/"
+HEAD_END = b"\r\n\r\n"
 
 
 class TargetConnection(aiohttp.client_proto.ResponseHandler):
@@ -100,7 +102,13 @@
         if self._payload is not None and not self._payload.is_eof():
             size = min(max(PART_BYTES, self._body_bytes), MAX_PART_BYTES)
             return start + size
-        return start + PART_BYTES
+        end = start + PART_BYTES
+        if data.startswith(HEAD_START, start):
+            # The parser drops a response if it meets an error in the same part.
+            found = data.find(HEAD_END, start, end)
+            if found >= 0:
+                return found + len(HEAD_END)
+        return end
 
     def _parse(self, part: bytes) -> None:
         body, before = self._payload, self._body_bytes
--- a/coltsfootchute/entry/tests/test_connections.py
+++ b/coltsfootchute/entry/tests/test_connections.py
@@ -137,6 +137,17 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("extra", [b"\xff" * 99, b"HTTP/9.9 zzz\r\n\r\n", INTERIM])
+def test_a_response_is_not_lost_to_bytes_behind_it(extra):
+    async def scenario(conn):
+        expect(conn)
+        conn.data_received(OWN + extra)
+        assert await (await conn.read())[1].read() == b"hello"
+        assert conn.should_close
+
+    play(scenario)
+
+
 def test_the_reader_of_a_broken_body_is_not_left_waiting():
     async def scenario(conn):
         expect(conn)
--- a/coltsfootchute/entry/tests/test_unending.py
+++ b/coltsfootchute/entry/tests/test_unending.py
@@ -41,6 +41,7 @@
     "close": (OK + b"\r\n", b"a"),
 }
 EXTRAS = {
+    "garbage": b"\xff",
     "blank lines": b"\r\n",
     "interim responses": INTERIM,
     "responses": LATE,
