entry: bound the detail of a lost response

Cause: the parser quotes the bytes that it can't read, and the refusal passed them on: 640 kB to the caller for a target that sent garbage. Change: the detail is one line of at most 200 characters.

--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -26,6 +26,8 @@
 MAX_SKIPPED_BYTES = 1 << 18
 READ_BUFFER_BYTES = 1 << 16
 MAX_HEAD_FIELD_BYTES = 1 << 15
+# The parser quotes what it could not read in the message of its error.
+MAX_DETAIL_CHARS = 200
 
 HOP_BY_HOP = (
     "Connection",
@@ -155,7 +157,7 @@
         try:
             return await self.payload.readany()
         except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as exc:
-            raise TruncatedError(str(exc)) from exc
+            raise TruncatedError(_detail(exc)) from exc
 
     async def read_ahead(self, limit: int) -> None:
         """Read the response body to its end, or up to a bound.
@@ -346,6 +348,11 @@
     return AttemptError(
         verdicts.Verdict.MAY_HAVE_RUN,
         verdicts.Reason.CONNECTION_LOST,
-        str(exc) or type(exc).__name__,
+        _detail(exc),
         broke=not isinstance(exc, aiohttp.http.HttpProcessingError),
     )
+
+
+def _detail(exc: Exception) -> str:
+    """Return the message of an error on one short line."""
+    return " ".join((str(exc) or type(exc).__name__)[:MAX_DETAIL_CHARS].split())
--- a/coltsfootchute/entry/tests/test_unending.py
+++ b/coltsfootchute/entry/tests/test_unending.py
@@ -20,6 +20,7 @@
 READ = {"prefix": "/read/", "timeout_s": 2}
 QUICK = {"prefix": "/quick/", "timeout_s": 0.3}
 HEADS = {
+    "garbage": (b"", b"\xff"),
     "blank lines": (b"", b"\r\n"),
     "status line": (b"HTTP/1.1 200 ", b"a"),
     "header line": (OK + b"X-A: ", b"a"),
@@ -99,6 +100,8 @@
     async def play(stage):
         answer = await test_declared.ask(stage)
         assert answer.refusal == "may_have_run connection_lost 502"
+        # What the target sent must not come back in the refusal.
+        assert len(answer.body) < 1000
         assert await was_cut(stage.targets[0])
 
     play_flood(play, unending(sent))
