entry: bound the skipped responses of an attempt together

Cause: each response to another request was bounded, their number wasn't. A target that sent them without end held requests to their deadline (504 after 1.5 s) and sent 750 MB on one connection (trial). Change: the bound holds for all that one attempt skips. It isn't taken for a crash of the target. Before / after: the case of large late responses failed before. Conclusion: nothing is known to remain.

--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -22,7 +22,7 @@
     "strip_hop_by_hop",
 ]
 
-# A response to an earlier request that is longer than this is not skipped.
+# Most bytes of bodies that belong to earlier requests; more are not skipped.
 MAX_SKIPPED_BYTES = 1 << 18
 READ_BUFFER_BYTES = 1 << 16
 MAX_HEAD_FIELD_BYTES = 1 << 15
@@ -302,12 +302,13 @@
             self._protocol.transport.abort()
 
     async def _read_head(self) -> None:
+        skipped = 0
         message, payload = await self._protocol.read()
         while 100 <= message.code < 200 or self._is_foreign(message):
             if message.code == 101:
                 raise aiohttp.ClientPayloadError("the target switched protocols")
             if message.code >= 200:
-                await self._skip(payload)
+                skipped = await self._skip(payload, skipped)
             message, payload = await self._protocol.read()
         self._protocol.accept(payload)
         self.message = message
@@ -322,14 +323,16 @@
         name, value = self.request_id
         return message.headers.get(name, value) != value
 
-    async def _skip(self, payload: aiohttp.StreamReader) -> None:
+    async def _skip(self, payload: aiohttp.StreamReader, size: int) -> int:
         # The target wrote it before it read this request; the own one follows.
         self._protocol.force_close()
-        size = 0
         while part := await payload.readany():
             size += len(part)
             if size > MAX_SKIPPED_BYTES:
-                raise aiohttp.ClientPayloadError("a response to another request")
+                raise aiohttp.http.HttpProcessingError(
+                    message="responses to other requests without end"
+                )
+        return size
 
 
 def strip_hop_by_hop(headers: multidict.CIMultiDict[str]) -> None:
--- a/coltsfootchute/entry/tests/test_unending.py
+++ b/coltsfootchute/entry/tests/test_unending.py
@@ -16,6 +16,7 @@
 WHOLE = OK + b"Content-Length: 5\r\n\r\nhello"
 INTERIM = b"HTTP/1.1 102 \r\n\r\n"
 LATE = b"HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 5\r\n\r\nhello"
+LARGE = LATE.replace(b" 5", b" 65536").replace(b"hello", b"x" * 65536)
 ONCE = {"prefix": "/once/", "guarantee": "at_most_once", "timeout_s": 2}
 READ = {"prefix": "/read/", "timeout_s": 2}
 QUICK = {"prefix": "/quick/", "timeout_s": 0.3}
@@ -27,6 +28,7 @@
     "header lines": (OK, b"X-A: b\r\n"),
     "interim responses": (b"", INTERIM),
     "late responses": (b"", LATE),
+    "large late responses": (b"", LARGE),
 }
 FRAMES = {
     "chunk size": (CHUNKED, b"0"),
