entry: bound the bodies of responses to probes

Change: a probe reads 64 KiB and is then failed. Conclusion: a late response to a probe is still taken for its own, since a probe has no id.

--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -24,6 +24,8 @@
 
 # Most bytes of bodies that belong to earlier requests; more are not skipped.
 MAX_SKIPPED_BYTES = 1 << 18
+# Largest body of a response to a probe.
+MAX_PROBE_BYTES = 1 << 16
 READ_BUFFER_BYTES = 1 << 16
 MAX_HEAD_FIELD_BYTES = 1 << 15
 # The parser quotes what it could not read in the message of its error.
@@ -159,6 +161,25 @@
         except (aiohttp.ClientError, aiohttp.http.HttpProcessingError, OSError) as exc:
             raise TruncatedError(_detail(exc)) from exc
 
+    async def discard(self, limit: int) -> None:
+        """Read the response body to its end and keep nothing of it.
+
+        Parameters
+        ----------
+        limit
+            Most bytes to read.
+
+        Raises
+        ------
+        TruncatedError
+            If the response is incomplete, or its body is larger.
+        """
+        size = 0
+        while part := await self.read():
+            size += len(part)
+            if size > limit:
+                raise TruncatedError(f"a body of more than {limit} bytes")
+
     async def read_ahead(self, limit: int) -> None:
         """Read the response body to its end, or up to a bound.
 
--- a/coltsfootchute/entry/measurements.py
+++ b/coltsfootchute/entry/measurements.py
@@ -130,8 +130,7 @@
                     fresh=False,
                     head_only=False,
                 )
-                while await attempt.read():
-                    pass
+                await attempt.discard(attempts.MAX_PROBE_BYTES)
             is_ok = attempt.message.code < 500
         except (TimeoutError, attempts.AttemptError, attempts.TruncatedError) as exc:
             loguru.logger.debug("entry: probe of {}: {!r}", address, exc)
--- a/coltsfootchute/entry/samplers.py
+++ b/coltsfootchute/entry/samplers.py
@@ -111,8 +111,7 @@
                     fresh=False,
                     head_only=False,
                 )
-                while await attempt.read():
-                    pass
+                await attempt.discard(attempts.MAX_PROBE_BYTES)
         except (TimeoutError, attempts.AttemptError, attempts.TruncatedError) as exc:
             loguru.logger.debug("entry: probe of {} failed: {!r}", address, exc)
             return
--- a/coltsfootchute/entry/tests/test_unending.py
+++ b/coltsfootchute/entry/tests/test_unending.py
@@ -50,6 +50,8 @@
     "responses": LATE,
     "body": OK + b"\r\n" + b"a" * BLOCK_BYTES,
 }
+# A probe has no id, so that any response may be its own.
+PROBED = {k: v for k, v in (HEADS | FRAMES | BODIES).items() if "late" not in k}
 
 
 def cases(table):
@@ -194,3 +196,19 @@
         server.close()
 
     play_flood(play, test_declared.echo())
+
+
+@cases(PROBED)
+def test_unending_responses_to_probes_are_cut(sent):
+    """They must cost the target its requests, and other callers nothing."""
+
+    async def play(stage):
+        for _ in range(10):
+            answer = await test_declared.ask(stage)
+            assert (answer.status, answer.body) == (200, b"hello")
+        assert await was_cut(stage.targets[0])
+        assert not any("/read/" in head for head in stage.targets[0].heads)
+
+    samples = {"per_target_s": 1000, "wait_s": 1}
+    scripts = unending(sent, on="/health"), test_declared.echo()
+    play_flood(play, *scripts, samples=samples)
