tests: show a stop that awaits a task without an end

Trace: grpclib's `Wrapper.__exit__` raises the error of a stream or of its deadline in place of a cancellation that comes in the same moment. The task of the reports takes that for a failed report and goes on. Change: a test in which a report fails in the moment of its cancellation; it fails in each run ("the stop waits for a task that runs on"). One cancellation is not enough wherever a task catches the errors of calls; the watcher and the prober do so too.

--- /dev/null
+++ b/coltsfootchute/entry/tests/test_cancellations.py
@@ -0,0 +1,33 @@
+"""A stop must end although a task of the entry missed its cancellation."""
+
+import asyncio
+
+from coltsfootchute import errors
+from coltsfootchute.entry.tests import stands
+
+STOP_S = 1.0
+
+
+def test_a_report_that_fails_as_it_is_cancelled_does_not_hold_a_stop_up():
+    async def play(stage):
+        client = stage.entry.client
+        report, waiting = client.report, asyncio.Event()
+
+        async def fail_when_cancelled(*args):
+            if waiting.is_set():
+                return await report(*args)
+            waiting.set()
+            # The connection is lost in the moment of the cancellation.
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                raise errors.OutcomeUnknownError("the stream ended") from None
+
+        client.report = fail_when_cancelled
+        await waiting.wait()
+        stopping = asyncio.ensure_future(stage.entry.stop())
+        done, _ = await asyncio.wait({stopping}, timeout=3 * STOP_S)
+        stopping.cancel()
+        assert done, "the stop waits for a task that runs on"
+
+    stands.run(play, stands.respond(), stop_s=STOP_S)
