entry: go on with a stop that begins as a deadline passes

Cause: a stop reschedules the time limit of each call in progress, and asyncio raises RuntimeError for one whose timer has run and whose call is not cleaned up yet. The stop then ended at its first step and everything in progress was cut. Evidence: found by review; test_a_planned_stop_goes_on_when_it_begins_as_a_ deadline_passes (two timers due in one iteration) got the RuntimeError. Change: a limit that has expired is left alone. The requests of the scenario language store state as those of aiohttp do. Conclusion: the window is one iteration of the loop, and longer where cleaning up waits.

--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -132,7 +132,8 @@
         self._ends_by_s = end_s
         for call, limit in self._limits.items():
             call.deadline = min(call.deadline, end_s)
-            limit.reschedule(call.deadline)
+            if not limit.expired():
+                limit.reschedule(call.deadline)
 
     def refuse_new(self) -> None:
         """Refuse calls from now on; answers close their connections."""
--- a/tests/scenario_language/targets.py
+++ b/tests/scenario_language/targets.py
@@ -146,6 +146,13 @@
         self.status, self.answer_headers, self.body = 0, {}, b""
         self.is_whole = self.is_cut = False
         self._payload_writer = self.transport = self
+        self._state = {}
+
+    def __setitem__(self, name, value):
+        self._state[name] = value
+
+    def get(self, name, default=None):
+        return self._state.get(name, default)
 
     # The writer.
 
