entry: close a connection whose answer began before the stop

Cause: whether a connection stays open is fixed when the head of an answer is written. An answer that began before a stop and ended after the idle connections were closed left its connection open, and the stop waited for it until its bound, ten minutes where none is set. Evidence: found by review; test_an_answer_that_began_before_an_unbounded_stop_does_not_hold_it_up failed (the stop had not ended 15 s after the answer). Change: once idle connections are closed, each connection is closed after its answer. The listener of the scenario language waits for requests in place of connections.

--- a/coltsfootchute/entry/listeners.py
+++ b/coltsfootchute/entry/listeners.py
@@ -41,13 +41,17 @@
         # Connections with a request in progress, or whose last answer ends them.
         self._occupied: set[aiohttp.web.RequestHandler] = set()
         self._none_open = asyncio.Event()
+        self._is_closing = False
 
     async def _handle(self, request: aiohttp.web.BaseRequest) -> answers.Written:
         conn = request.protocol
         self._occupied.add(conn)
         written = await self._handler(request)
-        if written.keep_alive:
-            self._occupied.discard(conn)
+        if not written.keep_alive:
+            return written
+        if self._is_closing:
+            return answers.CLOSED
+        self._occupied.discard(conn)
         return written
 
     def connection_made(
@@ -68,7 +72,12 @@
             self._none_open.set()
 
     def close_idle(self) -> int:
-        """Close the connections without a request; return how many there were."""
+        """Close the connections without a request; return how many there were.
+
+        The others are closed after the answer that is under way, also if its head
+        has announced that the connection stays open.
+        """
+        self._is_closing = True
         idle = self._open - self._occupied
         for conn in idle:
             conn.force_close()
--- a/tests/scenario_language/entries.py
+++ b/tests/scenario_language/entries.py
@@ -15,13 +15,23 @@
 
 
 class _Listener:
-    """Stands for listeners that are closed in order."""
+    """Stands for listeners that are closed in order, one request a connection."""
+
+    connections = ()
+
+    def __init__(self, entry):
+        self._entry = entry
 
     def close(self):
         pass
 
-    def pre_shutdown(self):
-        pass
+    def close_idle(self):
+        return 0
+
+    async def wait_closed(self):
+        while self._entry.requests:
+            pending = [asyncio.shield(done) for done in self._entry.requests.values()]
+            await asyncio.wait(pending)
 
     async def shutdown(self, _):
         pass
@@ -85,21 +95,21 @@
         return f"{self.name}:2"
 
     async def _start_calls(self, address):
-        self._listener = self._calls_server = _Listener()
+        self._listener = self._calls_server = _Listener(self)
         return f"{self.name}:1"
 
     async def _connect(self, address):
         await self.world.network.connect(self.name, address)
         return _Stub(self, address)
 
-    async def _watch(self, address):
+    async def _watch(self, address, limit_s):
         name = address.partition(":")[0]
         source = self.world.network.hosts[name]
         stream = await self.world.network.stream(
             self.name, name, source.feed, self._watcher._request()
         )
         try:
-            await self._watcher._receive(address, stream)
+            await self._watcher._receive(address, stream, limit_s)
         finally:
             await stream.cancel()
 
