entry: watch another entry until its message has arrived

Cause: an entry without control watches another one for 5 s, and the bound cut a long view over a slow link, which then began anew each time. A joined message that can't be decoded ended the watcher for good. Evidence: found by review; test_a_long_view_of_another_entry_is_taken_over_ a_slow_link (375 kB at 50 kB/s: 1.4 MB forwarded, never taken) and test_a_damaged_long_message_does_not_end_the_watcher failed. Change: the bound holds between messages only; a message that can't be decoded ends the stream. test_pings_do_not_wait_behind_a_long_view failed in 5 of 9 runs since its stand-in proved its state once only, so the watcher rightly left it after the view; the stand-in proves it again and again now, as control does. What is required is the same.

--- a/coltsfootchute/entry/tests/test_watches.py
+++ b/coltsfootchute/entry/tests/test_watches.py
@@ -183,6 +183,12 @@
     asyncio.run(play())
 
 
+async def prove_again_and_again(control):
+    while True:
+        control.prove()
+        await asyncio.sleep(0.3)
+
+
 def test_pings_do_not_wait_behind_a_long_view():
     """Guards against a source that takes a slow link for a lost one."""
     bytes_per_s = 50_000
@@ -200,12 +206,14 @@
     async def play():
         nonlocal view
         async with watching_over_a_link() as (control, link, view):
+            proving = asyncio.ensure_future(prove_again_and_again(control))
             control.feed.watch = functools.partial(watch, control.feed)
             link.pace(bytes_per_s, links.Direction.BACKWARD)
             domain = os.urandom(size // 2).hex()
             control.publish(target=pb.Target(target_id="t1", failure_domain=domain))
             await stands.until(lambda: view.targets or ends, 3 * size / bytes_per_s)
             assert not ends, "the source ended the stream"
+            proving.cancel()
 
     view = None
     asyncio.run(play())
@@ -222,3 +230,58 @@
         await stands.until(lambda: "other" in stage.entry.view.tables)
 
     stands.run(play)
+
+
+def test_a_long_view_of_another_entry_is_taken_over_a_slow_link():
+    bytes_per_s = 50_000
+    size = int(1.5 * bytes_per_s * watches.PEER_WATCH_S)
+
+    async def play():
+        source = stands.Control()
+        await source.start()
+        domain = os.urandom(size // 2).hex()
+        source.publish(target=pb.Target(target_id="t1", failure_domain=domain))
+        view = watches.View()
+        async with links.Link(source.address) as link:
+            link.pace(bytes_per_s, links.Direction.BACKWARD)
+            # Control does not respond; the other entry is known.
+            view.instances["e2"] = pb.Instance(name="e2", peer_address=link.address)
+            watcher = watches.Watcher(view, "e1", ["127.0.0.1:9"])
+            task = asyncio.ensure_future(watcher.run())
+            try:
+                await stands.until(lambda: view.targets, 4 * size / bytes_per_s)
+            finally:
+                task.cancel()
+                await asyncio.wait([task])
+        await source.stop()
+
+    asyncio.run(play())
+
+
+def test_a_damaged_long_message_does_not_end_the_watcher():
+    async def play():
+        source = stands.Control()
+        await source.start()
+        calls = []
+
+        async def watch(request, send):
+            calls.append(request)
+            if len(calls) > 1:
+                await type(source.feed).watch(source.feed, request, send)
+            else:
+                await send(pb.FeedMessage(part=b"\xff\xff", more=False))
+                await asyncio.sleep(5)
+
+        source.feed.watch = watch
+        source.section("early")
+        view = watches.View()
+        watcher = watches.Watcher(view, "e1", [source.address])
+        task = asyncio.ensure_future(watcher.run())
+        try:
+            await stands.until(lambda: "early" in view.tables, 5)
+        finally:
+            task.cancel()
+            await asyncio.wait([task])
+            await source.stop()
+
+    asyncio.run(play())
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -7,6 +7,7 @@
 import random
 import typing
 
+import google.protobuf.message
 import grpclib.client
 import grpclib.exceptions
 import loguru
@@ -40,10 +41,11 @@
 
 _ENDS = (
     OSError,
-    TimeoutError,
+    google.protobuf.message.DecodeError,
     grpclib.exceptions.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
 )
+_Stream = grpclib.client.Stream[typing.Any, typing.Any]
 Listener = typing.Callable[[coltsfootchute_pb2.FeedMessage, set[str]], None]
 
 
@@ -335,9 +337,9 @@
             yield address, None
             yield from self._peer_in_turn()
         # All known members may have been replaced meanwhile.
-        for address in self._seeds:
-            if address not in control:
-                yield address, None
+        yield from (
+            (address, None) for address in self._seeds if address not in control
+        )
 
     def _peer_in_turn(self) -> collections.abc.Iterator[tuple[str, float | None]]:
         # Asked late: the source before may have been watched for days.
@@ -352,8 +354,7 @@
 
     async def _watch_safely(self, address: str, limit_s: float | None) -> None:
         try:
-            async with asyncio.timeout(limit_s):
-                await self._watch(address)
+            await self._watch(address, limit_s)
             reason = "the stream ended"
         except _ENDS as exc:
             reason = repr(exc)
@@ -375,7 +376,7 @@
             self.source = address
             logs.note("feed", "source found", source=address)
 
-    async def _watch(self, address: str) -> None:
+    async def _watch(self, address: str, limit_s: float | None) -> None:
         host, _, port = address.rpartition(":")
         channel = parts.open_channel(host.strip("[]"), int(port))
         try:
@@ -384,7 +385,7 @@
             stub = coltsfootchute_grpc.FeedStub(channel)
             async with stub.Watch.open() as stream:
                 await stream.send_message(self._request(), end=True)
-                await self._receive(address, stream)
+                await self._receive(address, stream, limit_s)
         finally:
             channel.close()
 
@@ -396,8 +397,9 @@
         )
 
     async def _receive(
-        self, address: str, stream: grpclib.client.Stream[typing.Any, typing.Any]
+        self, address: str, stream: _Stream, limit_s: float | None
     ) -> None:
+        ends_at = clock() + (limit_s or float("inf"))
         # A control instance gets time to find its leader. Two entries without
         # control would watch each other for that time.
         waits_from = clock() if address in self._control else float("-inf")
@@ -419,7 +421,8 @@
                 await stream.cancel()
                 return
             proven_at = max(self._view.proof_at, waits_from)
-            if receiver.began_at - proven_at > PROOF_PATIENCE_S:
+            is_behind = receiver.began_at - proven_at > PROOF_PATIENCE_S
+            if is_behind or now >= ends_at:
                 await stream.cancel()
                 return
 
