entry: end a bounded stop by its bound also without control

Cause: closing took up to 1.2 s after the last step that knew the bound: two waits of 0.5 s for the api listener and two of 0.1 s for callers. A task that met an error in the moment of its cancellation handled the error and went on, and the stop waited for it without an end. What callers saw: nothing by itself; the process is killed at the end of its grace time. Change: the parts of the stop leave a tenth for closing, whose waits are short, and tasks are cancelled until they end.

--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -1,6 +1,7 @@
 """The entry role as a daemon."""
 
 import asyncio
+import collections.abc
 import contextlib
 import time
 import typing
@@ -43,15 +44,18 @@
 # Parts of the time for a planned stop: until no more requests are taken, until those
 # in progress are answered, until the answers have left, and until control has replied.
 ACCEPT_PART = 0.45
-FINISH_PART = 0.88
-DELIVER_PART = 0.93
-SETTLE_PART = 0.96
+FINISH_PART = 0.86
+DELIVER_PART = 0.89
+SETTLE_PART = 0.9
 STOP_LIMIT_S = NEWS_S + MAX_KEEP_S + FINISH_LIMIT_S + SETTLE_LIMIT_S
 REPORT_CHANGED_S = 0.5
 REPORT_UNCHANGED_S = 1.5
 REPORT_LIMIT_S = 1.0
 BACKLOG = 1024
-API_SHUTDOWN_S = 0.5
+# Requests of operators and targets that are cut off as the process ends.
+API_SHUTDOWN_S = 0.05
+CUT_S = 0.05
+CANCEL_INTERVAL_S = 0.1
 
 
 class _StopTimes(typing.NamedTuple):
@@ -272,15 +276,13 @@
 
     async def abort(self) -> None:
         """Close everything at once; requests in progress are cut off."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await _end_tasks(self._tasks)
         self._tasks = []
         if self._listener is not None:
             self._listener.close()
         self._stop.begin_cut()
         if self._calls_server is not None:
-            await self._calls_server.shutdown(0.1)
+            await self._calls_server.shutdown(CUT_S)
             self._stop.step("connections closed", cut=self._stop.cut)
         if self._api_runner is not None:
             await self._api_runner.cleanup()
@@ -390,3 +392,16 @@
 
 def _left_s(until_s: float) -> float:
     return max(0.0, until_s - asyncio.get_running_loop().time())
+
+
+async def _end_tasks(tasks: collections.abc.Iterable[asyncio.Task[None]]) -> None:
+    """Cancel tasks until they end.
+
+    A task that meets an error in the moment of its cancellation handles the error
+    and goes on.
+    """
+    pending = set(tasks)
+    while pending:
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL_S)
