entry: refuse an upload that is whole only after requests are taken

Cause: a stop looked at the time of a request's head. An upload whose last byte came late in the stop was passed on and cut at its end. Evidence: found by review (head before 0.45 of the bound, last byte at 0.8 of it: the target got 0.3 s).

--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -231,6 +231,8 @@
         call.phase = phases.Phase.READING_BODY
         call.body = await requests.read_body(call)
         call.phase = phases.Phase.WAITING
+        # A body may take until after the entry has stopped to take requests.
+        self._check_stopping()
         self._check_quarantine(call)
         service = call.service
         if self._places(call):
