process: ignore SIGHUP where no handler is set

Cause: SIGHUP ended a process that still imported its modules, and one whose loop was closed, since uvloop restores the default handler. Change: it is ignored from the first line on and again at the end.

--- a/coltsfootchute/commands/main.py
+++ b/coltsfootchute/commands/main.py
@@ -12,6 +12,7 @@
 =====  ==========================================================
 """
 
+import signal
 import sys
 import typing
 
@@ -67,6 +68,8 @@
 
 def _prepare(role: str) -> None:
     """Import a role without what it has no use for."""
+    # Settings may change while the role is still imported.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from coltsfootchute import imports
 
     if role == "control":
--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -119,6 +119,9 @@
             if failure.done():
                 stack.pop_all()
                 raise failure.exception()
+    # The loop would restore the default handler, which ends the process.
+    loop.remove_signal_handler(signal.SIGHUP)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logs.note("process", "ends")
 
 
