--- a/coltsfootchute/agreement/tests/test_memberships.py
+++ b/coltsfootchute/agreement/tests/test_memberships.py
@@ -230,3 +230,47 @@
     with pytest.raises(errors.AgreementError, match="remove it first"):
         memberships.with_voter(membership, "m1")
     assert not memberships.find(memberships.without(membership, "m0"), "m0")
+
+
+def test_a_lost_learner_does_not_keep_the_vote_of_a_voter_that_is_gone():
+    network = fakes.Network("abcde", seed=14)
+    network.propose(b"x")
+    network.kill("a")
+    network.add("f")
+
+    def is_learner():
+        leader = network.leader
+        members = leader.replica.committed_membership.members if leader else ()
+        return any(m.name == "f" and not m.voter for m in members)
+
+    assert network.run(10, is_learner)
+    network.kill("f")
+    network.run(2)
+    assert not network.is_voter("f")
+    network.add("g")
+    network.wait_for_repair("g")
+    network.run(30)
+    assert sorted(voters(network).values()) == list("bcdeg")
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_two_lost_and_one_partitioned_voter_of_six_lose_nothing(seed):
+    network = fakes.Network("abcdef", seed=20 + seed)
+    network.propose(b"x")
+    network.repairs = True
+    leader = network.wait_for_leader().name
+    others = [name for name in "abcdef" if name != leader]
+    network.kill(others[0])
+    network.kill(others[1])
+    network.run(1)
+    network.isolate(others[2])
+    network.run(8)
+    network.heal()
+    network.propose(b"y")
+    for name in others[:2]:
+        network.restart(name)
+    network.settle(30)
+    network.run(8)
+    network.propose(b"z")
+    network.settle(30)
+    assert all(i.applied == [b"x", b"y", b"z"] for i in network.running())
