stops: cancel background tasks until they end, everywhere

Its log shows each step of the stop in time ("peers closed" 2.69 s after SIGTERM) and then nothing for 2.27 s until "stopped": only the client of control is closed in between, without control in reach. Its close cancelled each resend once and waited for all of them. A cancellation is lost when it meets an error: grpclib's wrapper raises the error of a deadline or of a lost connection in its place, the resend handles that error and starts its next call.

What callers saw: an entry or a control instance that outlives its time for the stop, so that its supervisor kills it.

Ruled out: the listener, the api and the peers, which were closed by then; the connections to targets, which close without waiting. The step that follows them is logged now, so that the next log tells them apart.

Change: `cancellations.end_all` cancels tasks until each has ended, and is used by all six.

Before / after: the new tests of a settlement and of a link fail before (the close waits on), and pass after.

Conclusion: the task gets a new cancellation 0.1 s later, in its next wait, so one lost cancellation costs 0.1 s instead of a whole call.

--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -9,7 +9,15 @@
 import uvloop
 from loguru import logger
 
-from coltsfootchute import agreement, errors, expositions, logs, settings, signals
+from coltsfootchute import (
+    agreement,
+    cancellations,
+    errors,
+    expositions,
+    logs,
+    settings,
+    signals,
+)
 from coltsfootchute.control import (
     cores,
     duties,
@@ -217,9 +225,7 @@
         self.core.feed.close()
         await asyncio.sleep(FEED_END_S if self.core.feed.watchers else 0)
         self._step("feeds ended", watchers=self.core.feed.watchers)
-        for task in [*self._tasks, *self._proposing]:
-            task.cancel()
-        await asyncio.gather(*self._tasks, *self._proposing, return_exceptions=True)
+        await cancellations.end_all([*self._tasks, *self._proposing])
         try:
             async with asyncio.timeout(FLUSH_TIMEOUT_S):
                 await self.core.links.flush()
--- a/coltsfootchute/control/links.py
+++ b/coltsfootchute/control/links.py
@@ -8,6 +8,7 @@
 import grpclib.config
 from loguru import logger
 
+from coltsfootchute import cancellations
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
@@ -87,8 +88,7 @@
 
     async def stop(self) -> None:
         """End the stream and close the channel."""
-        self._task.cancel()
-        await asyncio.gather(self._task, return_exceptions=True)
+        await cancellations.end_all([self._task])
         self.channel.close()
 
     async def _run(self) -> None:
--- a/coltsfootchute/control/members.py
+++ b/coltsfootchute/control/members.py
@@ -4,6 +4,7 @@
 import collections.abc
 import random
 
+from coltsfootchute import cancellations
 from coltsfootchute.control import links
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
@@ -115,6 +116,4 @@
         """End all links."""
         await asyncio.gather(*(link.stop() for link in self._links.values()))
         self._links.clear()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await cancellations.end_all(self._tasks)
--- /dev/null
+++ b/coltsfootchute/control/tests/test_links.py
@@ -0,0 +1,36 @@
+"""Guards against links that hold up the stop of a control instance."""
+
+import asyncio
+import random
+
+import grpclib.exceptions
+
+from coltsfootchute.control import links
+
+LIMIT_S = 2.0
+
+
+def test_a_link_whose_stream_fails_as_it_is_cancelled_does_not_hold_a_stop_up():
+    async def play():
+        link = links.Link("127.0.0.1:1", random.Random(0))
+        exchanging, cancelled = asyncio.Event(), asyncio.Event()
+
+        async def fail_when_cancelled():
+            exchanging.set()
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                if cancelled.is_set():
+                    raise
+                cancelled.set()
+                raise grpclib.exceptions.StreamTerminatedError("lost") from None
+
+        link._exchange = fail_when_cancelled
+        await exchanging.wait()
+        stopping = asyncio.ensure_future(link.stop())
+        done, _ = await asyncio.wait({stopping}, timeout=LIMIT_S)
+        stopping.cancel()
+        assert cancelled.is_set()
+        assert done, "the stop waits for a link that goes on"
+
+    asyncio.run(play())
--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -10,7 +10,7 @@
 import grpclib.exceptions
 import loguru
 
-from coltsfootchute import errors
+from coltsfootchute import cancellations, errors
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
 __all__ = ["ControlClient", "RejectedError"]
@@ -83,9 +83,7 @@
         if self._background_timer is not None:
             self._background_timer.cancel()
         tasks = [*self._resends, *([self._renewing] if self._renewing else [])]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancellations.end_all(tasks)
         for channel in self._channels.values():
             channel.close()
 
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -1,7 +1,6 @@
 """The entry role as a daemon."""
 
 import asyncio
-import collections.abc
 import contextlib
 import time
 import typing
@@ -10,7 +9,7 @@
 import grpclib.server
 import loguru
 
-from coltsfootchute import errors, logs, settings
+from coltsfootchute import cancellations, errors, logs, settings
 from coltsfootchute.control import feeds
 from coltsfootchute.entry import (
     apis,
@@ -55,7 +54,6 @@
 # Requests of operators and targets that are cut off as the process ends.
 API_SHUTDOWN_S = 0.05
 CUT_S = 0.05
-CANCEL_INTERVAL_S = 0.1
 
 
 class _StopTimes(typing.NamedTuple):
@@ -276,7 +274,7 @@
 
     async def abort(self) -> None:
         """Close everything at once; requests in progress are cut off."""
-        await _end_tasks(self._tasks)
+        await cancellations.end_all(self._tasks)
         self._tasks = []
         if self._listener is not None:
             self._listener.close()
@@ -290,12 +288,14 @@
         self.feed.close()
         if self._sampler is not None:
             await self._sampler.close()
+            self._stop.step("probes ended")
         if self._peer_server is not None:
             self._peer_server.close()
             await self._peer_server.wait_closed()
             self._stop.step("peers closed")
         if self._forwarder is not None:
             await self._forwarder.close()
+            self._stop.step("connections to targets closed")
         await self.client.close()
 
     def _learn(
@@ -392,16 +392,3 @@
 
 def _left_s(until_s: float) -> float:
     return max(0.0, until_s - asyncio.get_running_loop().time())
-
-
-async def _end_tasks(tasks: collections.abc.Iterable[asyncio.Task[None]]) -> None:
-    """Cancel tasks until they end.
-
-    A task that meets an error in the moment of its cancellation handles the error
-    and goes on.
-    """
-    pending = set(tasks)
-    while pending:
-        for task in pending:
-            task.cancel()
-        _, pending = await asyncio.wait(pending, timeout=CANCEL_INTERVAL_S)
--- a/coltsfootchute/entry/samplers.py
+++ b/coltsfootchute/entry/samplers.py
@@ -8,7 +8,7 @@
 import loguru
 import multidict
 
-from coltsfootchute import balancing, ids, settings
+from coltsfootchute import balancing, cancellations, ids, settings
 from coltsfootchute.balancing import loads
 from coltsfootchute.entry import attempts, forwards, pools
 
@@ -90,9 +90,7 @@
 
     async def close(self) -> None:
         """End the probes that are under way."""
-        for task in self._probes:
-            task.cancel()
-        await asyncio.gather(*self._probes, return_exceptions=True)
+        await cancellations.end_all(self._probes)
 
     async def _probe(self, service: pools.Service, view: balancing.TargetView) -> None:
         address = view.target.address
--- a/coltsfootchute/entry/tests/test_cancellations.py
+++ b/coltsfootchute/entry/tests/test_cancellations.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from coltsfootchute import errors
+from coltsfootchute.entry import clients
 from coltsfootchute.entry.tests import stands
 
 STOP_S = 1.0
@@ -31,3 +32,29 @@
         assert done, "the stop waits for a task that runs on"
 
     stands.run(play, stands.respond(), stop_s=STOP_S)
+
+
+def test_a_settlement_that_fails_as_it_is_cancelled_does_not_hold_a_close_up():
+    async def play():
+        client = clients.ControlClient(["127.0.0.1:1"])
+        cancelled = asyncio.Event()
+
+        async def fail_when_cancelled(*args, **kwargs):
+            try:
+                await asyncio.sleep(3600)
+            except asyncio.CancelledError:
+                if cancelled.is_set():
+                    raise
+                cancelled.set()
+                raise errors.OutcomeUnknownError("the deadline ran out") from None
+
+        client.call = fail_when_cancelled
+        client.settle(stands.pb.SettleCommand())
+        await asyncio.sleep(0)
+        closing = asyncio.ensure_future(client.close())
+        done, _ = await asyncio.wait({closing}, timeout=STOP_S)
+        closing.cancel()
+        assert cancelled.is_set()
+        assert done, "the close waits for a task that runs on"
+
+    asyncio.run(play())
