agreement: remove a silent learner, and let it join again

Cause: as long as a learner exists, an even number of voters counts as a step of a replacement, and a silent voter keeps its vote. Nothing ended this for a learner that is lost before its promotion. Such a learner also kept one of the eight places.

What operators saw: after an instance was replaced and the first replacement was lost too, six voters of which four must be up, so that two lost disks stopped the cluster; a lost learner in `status` for ever, and "there are 8 members already" for new instances.

Ruled out: not counting silent learners without removing them; it frees no place. Measuring silence by the time of sending of what was acknowledged, as for voters; a learner on a slow link would be removed while it answers.

Change: the leader notes when a reply of each member arrived, counted from its election or from when it added the member, by its monotonic clock. A learner silent for `silent_s` does not keep a surplus voter, and is removed, the one silent for longest first, one change at a time. A learner that hears nothing for an election timeout forgets its leader, so that `keep_membership` asks whether it was removed and joins again; until now one that went on running never asked. The log line of a change names the learners too.

Conclusion: a learner is in no quorum, so its removal leaves the voters and every quorum as they are; it is proposed under the same rules as other changes (own entry committed, none pending). An even number of voters without the silent one bears as many losses as with it. An instance that starts with an empty disk again and again is a new learner each time and still keeps a surplus voter while it does so.

--- a/coltsfootchute/agreement/leaders.py
+++ b/coltsfootchute/agreement/leaders.py
@@ -84,7 +84,7 @@
         self._lead = replication.Leadership(
             self.identity.member_id, first, now, self.timing
         )
-        self._lead.set_membership(self.membership, first)
+        self._lead.set_membership(self.membership, first, now)
         self._append([(pb.ENTRY_KIND_NOOP, b"")], now)
 
     def _append(self, items: list[tuple[int, bytes]], now: float) -> range:
@@ -100,7 +100,7 @@
             self.log.append(entry)
             self._out.entries.append(entry)
             if kind == pb.ENTRY_KIND_MEMBERSHIP:
-                self._lead.set_membership(self.membership, first)
+                self._lead.set_membership(self.membership, first, now)
         self._advance_commit(now)
         self._broadcast(now)
         return range(first, self.log.last_index + 1)
--- a/coltsfootchute/agreement/members.py
+++ b/coltsfootchute/agreement/members.py
@@ -164,7 +164,7 @@
             return
         voter = memberships.is_voter(self.membership, self.identity.member_id)
         self.role = records.Role.FOLLOWER if voter else records.Role.LEARNER
-        self.next_deadline = self._elect_at if voter else math.inf
+        self.next_deadline = self._elect_at
 
     def _is_addressed(self, message: pb.PeerMessage) -> bool:
         """Whether a message is for this member and from its cluster."""
@@ -246,8 +246,6 @@
         """Note that the leader of the present term is alive."""
         if self._lead:
             raise errors.AgreementError(f"two leaders in term {self.term}")
-        if self.leader_id != leader_id:
-            self._incoming.clear()
         self.leader_id = leader_id
         self._ballot = None
         self._heard_at = now
@@ -261,6 +259,8 @@
     def _campaign(self, now: float) -> None:
         """Ask whether an election could be won, or start it."""
         if not memberships.is_voter(self.membership, self.identity.member_id):
+            # Its leader is gone, or has removed it and sends nothing any more.
+            self.leader_id = ""
             self._elect_at = math.inf
         elif self.timing.pre_vote:
             self.role = records.Role.PRE_CANDIDATE
@@ -280,6 +280,7 @@
     ) -> None:
         """Count the own vote and ask for the others."""
         self.leader_id = ""
+        self._incoming.clear()
         voters = memberships.voter_ids(self.membership)
         self._ballot = elections.Ballot(voters, term, pre_vote, transfer)
         self._ballot.count(self.identity.member_id, granted=True)
--- a/coltsfootchute/agreement/memberships.py
+++ b/coltsfootchute/agreement/memberships.py
@@ -168,8 +168,8 @@
     Parameters
     ----------
     membership
-        The membership. With a learner in it, an even number of voters is a step
-        towards the odd number after it.
+        The membership, without silent learners. With a learner in it, an even number
+        of voters is a step towards the odd number after it.
     """
     voters = sum(member.voter for member in membership.members)
     return voters == len(membership.members) and voters % 2 == 0
--- a/coltsfootchute/agreement/replicas.py
+++ b/coltsfootchute/agreement/replicas.py
@@ -31,7 +31,7 @@
 
     All of it is done before the next event, because a leader counts its own
     entries as stored. `tick` is called at `next_deadline` or later, which may
-    change with each event; it is infinite for a learner, which only listens.
+    change with each event; for a learner it is when it gives up its leader.
     `propose` takes all payloads that have come in since the last call, so that
     they share one sync. Right before a response is sent, `can_read` is asked
     again with a new time.
@@ -242,9 +242,13 @@
         one at a time, then promotes the learner. A member that still
         acknowledges is not removed: two instances have the same name then.
 
-        Without learners, it removes a silent voter from an even number of
-        voters, such as one that an instance of another name has replaced. The
-        rest bears as many losses without it, and it is not one of them any more.
+        Without other learners than silent ones, it removes a silent voter from an
+        even number of voters, such as one that an instance of another name has
+        replaced. The rest bears as many losses without it, and it is not one of
+        them any more.
+
+        Then it removes silent learners, which are part of no quorum, so that they
+        occupy no place for good. One that returns joins again.
 
         Parameters
         ----------
@@ -270,10 +274,16 @@
             if lost:
                 return self.remove_member(lost[0].member_id, now)
             return self.promote(learner.member_id, now)
+        silent_learners = lead.silent_learners(now)
+        others = self.membership
+        for learner_id in silent_learners:
+            others = memberships.without(others, learner_id)
         silent = lead.silent_voter(now)
-        if silent is None or not memberships.has_surplus_voter(self.membership):
-            return None
-        return self.remove_member(silent, now)
+        if silent is not None and memberships.has_surplus_voter(others):
+            return self.remove_member(silent, now)
+        if silent_learners:
+            return self.remove_member(silent_learners[0], now)
+        return None
 
     def _is_up(self, member_id: str, now: float) -> bool:
         """Whether a member is the leader or acknowledged lately."""
--- a/coltsfootchute/agreement/replication.py
+++ b/coltsfootchute/agreement/replication.py
@@ -78,6 +78,9 @@
     ----------
     next_index
         Index of the next entry to send.
+    heard_at
+        Time at which a reply arrived last, or at which this leader began to send
+        to the member.
     match_index
         Last index known to be stored by the member.
     acked_at
@@ -92,6 +95,7 @@
     """
 
     next_index: int
+    heard_at: float
     match_index: int = 0
     acked_at: float = -math.inf
     probing: bool = False
@@ -157,7 +161,9 @@
         """Time at which a quorum was last known to follow, in seconds."""
         return max(self.quorum_at, self.elected_at)
 
-    def set_membership(self, membership: pb.Membership, next_index: int) -> None:
+    def set_membership(
+        self, membership: pb.Membership, next_index: int, now: float
+    ) -> None:
         """Adopt a membership.
 
         Parameters
@@ -166,11 +172,13 @@
             The latest membership in the log.
         next_index
             Where to start with members that are new.
+        now
+            Time in seconds.
         """
         others = [m.member_id for m in membership.members]
         old = self.progress
         self.progress = {
-            member_id: old.get(member_id) or Progress(next_index)
+            member_id: old.get(member_id) or Progress(next_index, now)
             for member_id in others
             if member_id != self._own_id
         }
@@ -232,6 +240,23 @@
             return None
         return silent
 
+    def silent_learners(self, now: float) -> list[str]:
+        """Return the learners that are silent, first the one silent for longest.
+
+        Parameters
+        ----------
+        now
+            Time in seconds. Unlike a voter, a learner whose acknowledgements arrive
+            late is not silent: no lease depends on it.
+        """
+        heard_at = {
+            member_id: progress.heard_at
+            for member_id, progress in sorted(self.progress.items())
+            if member_id not in self._voters
+        }
+        silent = [m for m, at in heard_at.items() if now - at >= self._timing.silent_s]
+        return sorted(silent, key=heard_at.get)
+
     def is_caught_up(self, member_id: str, index: int, now: float) -> bool:
         """Return whether a member is up and has stored the log up to an index.
 
@@ -274,6 +299,7 @@
         progress = self.progress.get(member_id)
         if progress is None:
             return None
+        progress.heard_at = now
         sent_at = min(time_of(sent), now)
         if sent_at > progress.acked_at:
             progress.acked_at = sent_at
--- a/coltsfootchute/control/duties.py
+++ b/coltsfootchute/control/duties.py
@@ -111,7 +111,12 @@
         if proposed is not None:
             members = self._core.replica.membership.members
             voters = ", ".join(sorted(m.name for m in members if m.voter))
-            logger.info("agreement: the voters become {}", voters)
+            learners = ", ".join(sorted(m.name for m in members if not m.voter))
+            logger.info(
+                "agreement: the voters become {}; the learners {}",
+                voters,
+                learners or "none",
+            )
 
     def publish_instances(self, now: float) -> None:
         """Pass the list of instances to the feed, once it is complete."""
