agreement: give a learner longer than a voter before it counts as lost

With 4 s, a replaced instance that restarts on its way to its vote, beside one that is cut off, leaves three voters of five, and two of them commit without the third.

Change: `lost_s`, 20 s in the usual ratio to the election timeout, for learners.

Conclusion: a learner in no quorum costs nothing while it is waited for, so its time only has to be bounded.

--- a/coltsfootchute/agreement/memberships.py
+++ b/coltsfootchute/agreement/memberships.py
@@ -168,7 +168,7 @@
     Parameters
     ----------
     membership
-        The membership, without silent learners. With a learner in it, an even number
+        The membership, without lost learners. With a learner in it, an even number
         of voters is a step towards the odd number after it.
     """
     voters = sum(member.voter for member in membership.members)
--- a/coltsfootchute/agreement/records.py
+++ b/coltsfootchute/agreement/records.py
@@ -85,7 +85,8 @@
     election_max_s: float = 2.4
     lease_s: float = 1.0
     recent_s: float = 0.9  # A member that acknowledged within it counts as up.
-    silent_s: float = 4.0  # A silent surplus voter or learner is removed after it.
+    silent_s: float = 4.0  # A surplus voter that is silent for so long is removed.
+    lost_s: float = 20.0  # A learner that is silent for so long is removed.
     commit_notice_s: float = 0.02  # Followers learn a commit after this delay.
     pre_vote: bool = True
     snapshot_entries: int = 1000
@@ -113,6 +114,7 @@
             lease_s=cls.lease_s * factor,
             recent_s=cls.recent_s * factor,
             silent_s=cls.silent_s * factor,
+            lost_s=cls.lost_s * factor,
         )
 
 
--- a/coltsfootchute/agreement/replicas.py
+++ b/coltsfootchute/agreement/replicas.py
@@ -242,12 +242,12 @@
         one at a time, then promotes the learner. A member that still
         acknowledges is not removed: two instances have the same name then.
 
-        Without other learners than silent ones, it removes a silent voter from an
+        Without other learners than lost ones, it removes a silent voter from an
         even number of voters, such as one that an instance of another name has
         replaced. The rest bears as many losses without it, and it is not one of
         them any more.
 
-        Then it removes silent learners, which are part of no quorum, so that they
+        Then it removes lost learners, which are part of no quorum, so that they
         occupy no place for good. One that returns joins again.
 
         Parameters
@@ -274,15 +274,15 @@
             if lost:
                 return self.remove_member(lost[0].member_id, now)
             return self.promote(learner.member_id, now)
-        silent_learners = lead.silent_learners(now)
+        lost_learners = lead.lost_learners(now)
         others = self.membership
-        for learner_id in silent_learners:
+        for learner_id in lost_learners:
             others = memberships.without(others, learner_id)
         silent = lead.silent_voter(now)
         if silent is not None and memberships.has_surplus_voter(others):
             return self.remove_member(silent, now)
-        if silent_learners:
-            return self.remove_member(silent_learners[0], now)
+        if lost_learners:
+            return self.remove_member(lost_learners[0], now)
         return None
 
     def _is_up(self, member_id: str, now: float) -> bool:
--- a/coltsfootchute/agreement/replication.py
+++ b/coltsfootchute/agreement/replication.py
@@ -240,22 +240,23 @@
             return None
         return silent
 
-    def silent_learners(self, now: float) -> list[str]:
-        """Return the learners that are silent, first the one silent for longest.
+    def lost_learners(self, now: float) -> list[str]:
+        """Return the learners that count as lost, first the one silent for longest.
 
         Parameters
         ----------
         now
             Time in seconds. Unlike a voter, a learner whose acknowledgements arrive
-            late is not silent: no lease depends on it.
+            late is not silent: no lease depends on it. It also has longer than a
+            voter, since it may be restarting on its way to a vote.
         """
         heard_at = {
             member_id: progress.heard_at
             for member_id, progress in sorted(self.progress.items())
             if member_id not in self._voters
         }
-        silent = [m for m, at in heard_at.items() if now - at >= self._timing.silent_s]
-        return sorted(silent, key=heard_at.get)
+        lost = [m for m, at in heard_at.items() if now - at >= self._timing.lost_s]
+        return sorted(lost, key=heard_at.get)
 
     def is_caught_up(self, member_id: str, index: int, now: float) -> bool:
         """Return whether a member is up and has stored the log up to an index.
