--- a/coltsfootchute/agreement/leaders.py
+++ b/coltsfootchute/agreement/leaders.py
@@ -111,13 +111,19 @@
             self._lead.heartbeat_at = now + self.timing.heartbeat_s
         for member_id, progress in self._lead.progress.items():
             if heartbeat or not (progress.probing or progress.snapshot_index):
-                self._send_log(member_id, progress, now)
+                self._send_log(member_id, progress, now, heartbeat)
 
     def _send_log(
-        self, member_id: str, progress: replication.Progress, now: float
+        self,
+        member_id: str,
+        progress: replication.Progress,
+        now: float,
+        heartbeat: bool = False,
     ) -> None:
         """Send a member its next entries or chunk, or a heartbeat."""
-        body = self._lead.body_for(progress, self.log, self.commit_index, now)
+        body = self._lead.body_for(
+            progress, self.log, self.commit_index, now, heartbeat
+        )
         if isinstance(body, pb.AppendRequest):
             self._send(member_id, append_request=body)
         else:
--- a/coltsfootchute/agreement/replication.py
+++ b/coltsfootchute/agreement/replication.py
@@ -325,7 +325,12 @@
         return True
 
     def body_for(
-        self, progress: Progress, log: logs.Log, commit_index: int, now: float
+        self,
+        progress: Progress,
+        log: logs.Log,
+        commit_index: int,
+        now: float,
+        heartbeat: bool = False,
     ) -> pb.AppendRequest | pb.SnapshotChunk:
         """Return what to send to a member: entries, a heartbeat or a chunk.
 
@@ -340,11 +345,14 @@
             Index of the last committed entry.
         now
             Time in seconds.
+        heartbeat
+            Whether to repeat no chunk that may be on its way. The reply tells whether
+            what was sent before it got lost.
         """
         previous = progress.next_index - 1
         previous_term = log.term_at(previous)
         if previous_term is None:
-            return self._chunk_for(progress, log, now)
+            return self._chunk_for(progress, log, now, heartbeat)
         progress.snapshot_index = progress.snapshot_offset = 0
         last = min(log.last_index, progress.match_index + self._timing.window_entries)
         body = pb.AppendRequest(
@@ -364,18 +372,20 @@
         return body
 
     def _chunk_for(
-        self, progress: Progress, log: logs.Log, now: float
+        self, progress: Progress, log: logs.Log, now: float, heartbeat: bool
     ) -> pb.SnapshotChunk:
-        """Return the next chunk of the snapshot."""
+        """Return the next chunk of the snapshot, an empty one as a heartbeat."""
+        sent = round_of(now)
         if progress.snapshot_index != log.snapshot_index:
             progress.snapshot_index = log.snapshot_index
             progress.snapshot_offset = 0
-        progress.sent_round = round_of(now)
+        elif heartbeat:
+            return snapshots.empty_chunk_of(
+                log.snapshot, progress.snapshot_offset, sent
+            )
+        progress.sent_round = sent
         return snapshots.chunk_of(
-            log.snapshot,
-            progress.snapshot_offset,
-            self._timing.chunk_bytes,
-            progress.sent_round,
+            log.snapshot, progress.snapshot_offset, self._timing.chunk_bytes, sent
         )
 
     def has_lease(self, now: float) -> bool:
--- a/coltsfootchute/agreement/snapshots.py
+++ b/coltsfootchute/agreement/snapshots.py
@@ -3,7 +3,7 @@
 from coltsfootchute.agreement import records
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
-__all__ = ["Incoming", "chunk_of"]
+__all__ = ["Incoming", "chunk_of", "empty_chunk_of"]
 
 
 def chunk_of(
@@ -32,6 +32,23 @@
     )
 
 
+def empty_chunk_of(
+    snapshot: records.Snapshot, offset: int, sent: int
+) -> pb.SnapshotChunk:
+    """Return a chunk without data, whose reply tells what has arrived.
+
+    Parameters
+    ----------
+    snapshot
+        The snapshot in transfer.
+    offset
+        Position in its data of the chunk that is on its way, in bytes.
+    sent
+        Time of sending, as the `round` of the message.
+    """
+    return pb.SnapshotChunk(meta=snapshot.meta, offset=offset, round=sent)
+
+
 class Incoming:
     """The chunks of a snapshot received so far."""
 
--- a/coltsfootchute/agreement/tests/fakes.py
+++ b/coltsfootchute/agreement/tests/fakes.py
@@ -188,6 +188,8 @@
         self.loss = self.duplication = 0.0
         self.delay_max = 0.002
         self.cuts: set[tuple[str, str]] = set()  # Sender and receiver, one way.
+        self.rates: dict[tuple[str, str], float] = {}  # Bytes per s, one way.
+        self._free_at: dict[tuple[str, str], float] = {}
         self.sent: list[pb.PeerMessage] = []
         self.keep_sent = False
         self.leaders: dict[int, str] = {}  # By term.
@@ -249,10 +251,20 @@
         if receiver is None or self.rng.random() < self.loss:
             return
         for _ in range(1 + (self.rng.random() < self.duplication)):
-            at = self.now + self.rng.uniform(0.0002, self.delay_max)
+            at = self._passed_at(sender_name, receiver.name, message)
+            at += self.rng.uniform(0.0002, self.delay_max)
             item = (at, next(self._order), sender_name, receiver.name, message)
             heapq.heappush(self._queue, item)
 
+    def _passed_at(self, sender, receiver, message):
+        """Return when the last byte leaves a link that carries one after the other."""
+        ends = sender, receiver
+        if ends not in self.rates:
+            return self.now
+        start = max(self.now, self._free_at.get(ends, 0.0))
+        self._free_at[ends] = start + message.ByteSize() / self.rates[ends]
+        return self._free_at[ends]
+
     def on_commit(self, instance, entry):
         """Check that all instances commit the same entry at an index."""
         known = self.committed.setdefault(entry.index, entry)
