control: let heartbeats pass long messages between instances

Cause: all messages of agreement to one member share one stream, on which a long append may have 4 MB on its way. Over a link that needs longer for the append than the election timeout, heartbeats wait behind it: followers hear nothing, the lease ends, the leader steps down and the append was in vain. Seen with pytest coltsfootchute/control/tests/test_slow_links.py (a declaration with 1,540 routes, links that carry it in 3 s): leader in term 2 for 1.8 s, then terms 3 and 4.

What callers saw: a declaration with many routes that is never in force, and no leader (claims and changes refused) again and again.

Change: a link has two streams. The log travels in order on one; votes, replies and, while the log waits, a sign of life for each of its messages on the other. The sign is an append without entries at index 0, where all logs agree, with the term and the time of the message that waits, so it renews the lease as the heartbeat would have. Its reply has no effect on the position of the follower. A stream has 64 KB on its way at most (0.2 s at 2.5 Mbit/s), the least that grpclib allows. No message changes.

Conclusion: a follower that receives a long message hears the leader all the while. Below about 0.75 Mbit/s (64 KB in 0.7 s) the lease may still end, since 64 KB are ahead of a sign of life.

--- a/coltsfootchute/agreement/__init__.py
+++ b/coltsfootchute/agreement/__init__.py
@@ -3,6 +3,7 @@
 The decision logic does no I/O; only `stores` does.
 """
 
+from coltsfootchute.agreement.heartbeats import carries_log, sign_of_life
 from coltsfootchute.agreement.records import (
     NOTHING,
     Actions,
@@ -27,4 +28,6 @@
     "SavedState",
     "Snapshot",
     "Timing",
+    "carries_log",
+    "sign_of_life",
 ]
--- a/coltsfootchute/agreement/replication.py
+++ b/coltsfootchute/agreement/replication.py
@@ -290,6 +290,9 @@
         reply
             Its reply.
         """
+        if reply.accepted and not reply.match_index:
+            # The reply to a sign of life, which tells nothing of the log.
+            return False
         if reply.accepted:
             progress.match_index = max(progress.match_index, reply.match_index)
             progress.next_index = max(progress.next_index, progress.match_index + 1)
--- a/coltsfootchute/control/links.py
+++ b/coltsfootchute/control/links.py
@@ -8,6 +8,7 @@
 import grpclib.config
 from loguru import logger
 
+from coltsfootchute import agreement
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
@@ -16,10 +17,13 @@
 QUEUE_MESSAGES = 256
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 1.0
+# Bytes of a long message that others wait behind: 0.2 s at 2.5 Mbit/s.
+WINDOW_BYTES = 64 * 1024
 # A connection cut without a reset is given up after about 4 s. Without pings the
 # kernel retransmits with growing intervals, and the link would stay down for
 # minutes after a long partition has ended.
 CHANNEL_CONFIG = grpclib.config.Configuration(
+    http2_stream_window_size=WINDOW_BYTES,
     _keepalive_time=2.0,
     _keepalive_timeout=2.0,
     _keepalive_permit_without_calls=True,
@@ -40,8 +44,22 @@
     return grpclib.client.Channel(host, port, config=CHANNEL_CONFIG)
 
 
+class _Lane:
+    """A stream of messages in order."""
+
+    def __init__(self):
+        self.queue: collections.deque[pb.PeerMessage] = collections.deque()
+        self.ready = asyncio.Event()
+        self.is_sending = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a message that is sent now would wait."""
+        return self.is_sending or bool(self.queue)
+
+
 class Link:
-    """The stream of agreement messages to one member.
+    """The streams of agreement messages to one member.
 
     Parameters
     ----------
@@ -52,8 +70,11 @@
 
     Notes
     -----
-    Agreement repeats what got lost, and an old message is of no use. So the queue
-    is bounded and drops its oldest messages, and a failed connection drops all.
+    Agreement repeats what got lost, and an old message is of no use. So the queues
+    are bounded and drop their oldest messages, and a failed connection drops all.
+
+    The log travels in order on a stream of its own. Votes, replies and signs of life
+    of the leader pass long messages of the log on another stream.
 
     Attributes
     ----------
@@ -66,24 +87,32 @@
         self.channel = open_channel(address)
         self.dropped = 0
         self._rng = rng
-        self._queue: collections.deque[pb.PeerMessage] = collections.deque()
-        self._ready = asyncio.Event()
+        self._log, self._short = _Lane(), _Lane()
         self._sent = asyncio.Event()
         self._task = asyncio.create_task(self._run())
 
     def send(self, message: pb.PeerMessage) -> None:
         """Queue a message; drop the oldest one if the queue is full."""
-        if len(self._queue) >= QUEUE_MESSAGES:
-            self._queue.popleft()
+        if not agreement.carries_log(message):
+            self._put(self._short, message)
+            return
+        if self._log.is_busy:
+            self._put(self._short, agreement.sign_of_life(message))
+        self._put(self._log, message)
+
+    def _put(self, lane: _Lane, message: pb.PeerMessage) -> None:
+        if len(lane.queue) >= QUEUE_MESSAGES:
+            lane.queue.popleft()
             self.dropped += 1
-        self._queue.append(message)
-        self._ready.set()
+        lane.queue.append(message)
+        lane.ready.set()
 
     async def flush(self) -> None:
         """Wait until all queued messages were handed to the connection."""
         self._sent.clear()
-        if self._queue:
+        while self._log.is_busy or self._short.is_busy:
             await self._sent.wait()
+            self._sent.clear()
 
     async def stop(self) -> None:
         """End the stream and close the channel."""
@@ -106,30 +135,48 @@
             if not is_logged:
                 logger.info("control: link to {} is down: {}", self.address, reason)
                 is_logged = True
-            self.dropped += len(self._queue)
-            self._queue.clear()
+            for lane in (self._log, self._short):
+                self.dropped += len(lane.queue)
+                lane.queue.clear()
             self._sent.set()
             await asyncio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
             backoff_s = min(backoff_s * 2, BACKOFF_MAX_S)
 
     async def _exchange(self) -> None:
+        """Send until the receiver ends one of the streams."""
+        lanes = (self._log, self._short)
+        tasks = [asyncio.create_task(self._carry(lane)) for lane in lanes]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                task.result()
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _carry(self, lane: _Lane) -> None:
         stub = rpc.PeerStub(self.channel)
         async with stub.Exchange.open() as stream:
             await stream.send_request()
             reply = asyncio.ensure_future(stream.recv_initial_metadata())
             try:
-                await self._send_all(stream, reply)
+                await self._send_all(lane, stream, reply)
             finally:
                 reply.cancel()
                 await asyncio.gather(reply, return_exceptions=True)
                 await stream.cancel()
 
-    async def _send_all(self, stream, reply: asyncio.Future) -> None:
+    async def _send_all(self, lane: _Lane, stream, reply: asyncio.Future) -> None:
         """Send queued messages until the receiver ends the stream."""
-        reply.add_done_callback(lambda _: self._ready.set())
+        reply.add_done_callback(lambda _: lane.ready.set())
         while not reply.done():
-            await self._ready.wait()
-            self._ready.clear()
-            while self._queue and not reply.done():
-                await stream.send_message(self._queue.popleft())
+            await lane.ready.wait()
+            lane.ready.clear()
+            while lane.queue and not reply.done():
+                lane.is_sending = True
+                try:
+                    await stream.send_message(lane.queue.popleft())
+                finally:
+                    lane.is_sending = False
             self._sent.set()
