tests: list a declaration that a slow link never carries to control

Cause: an entry gives a declaration 0.9 s on its way to control and back (DECLARATION_LIMIT_S, and CALL_TIMEOUT_S for each try), whatever its size. An operator that sends it again begins it again. Seen with pytest coltsfootchute/entry/tests/test_operations.py, routes drawn with seed 7: six attempts, none of them in force.

Ruled out: a test that can't pass.

The fix is not in this commit: the transfer has to go on after the answer to the operator, a later attempt has to join it, and only silence may end it, so that a dead leader does not hold it. It reaches the client, the operations and the stop of an entry.

Conclusion: the fault is shown and remains.

--- /dev/null
+++ b/coltsfootchute/entry/tests/test_operations.py
@@ -0,0 +1,42 @@
+"""Guards against a change of an operator that never arrives."""
+
+import asyncio
+import random
+
+from coltsfootchute import declarations, errors
+from coltsfootchute.entry import clients, operations, watches
+from coltsfootchute.entry.tests import stands
+from coltsfootchute.standins import links
+from coltsfootchute.state.tests import test_declarations
+
+ROUTES = 1540
+TRANSFER_S = 1.5
+ATTEMPTS = 6
+
+
+def test_a_declaration_that_is_sent_again_goes_on_over_a_slow_link():
+    """An operator turns away after a second; its next attempt must get further."""
+    declared = test_declarations.declaration_of(ROUTES, random.Random(7))
+    submitted = declarations.encode(declared).encode()
+
+    async def attempt(work):
+        try:
+            await work.submit_declaration(declared, submitted)
+        except errors.ColtsfootchuteError:
+            return False
+        return True
+
+    async def play():
+        control = stands.Control()
+        await control.start()
+        async with links.Link(control.address) as link:
+            client = clients.ControlClient([link.address])
+            await client.call("Report", stands.pb.ReportRequest())
+            link.pace(2 * len(submitted) / TRANSFER_S, links.Direction.FORWARD)
+            work = operations.Operations(watches.View(), client, stands.pb.Instance)
+            done = [await attempt(work) for _ in range(ATTEMPTS)]
+            await client.close()
+        await control.stop()
+        assert any(done), f"not in force after {ATTEMPTS} attempts"
+
+    asyncio.run(play())
