tests: guard the age of the proof in parts of a long message

What callers saw: nothing; the line works. Without it an entry takes a view for current that was proven before a long transfer began.

Ruled out: a test over a paced link, which takes seconds and depends on the machine; the clock of the feed is replaced.

Change: a test of the ages of all parts.

Conclusion: the line can't go unnoticed.

--- a/coltsfootchute/control/tests/test_feeds.py
+++ b/coltsfootchute/control/tests/test_feeds.py
@@ -1,10 +1,11 @@
 """What watchers learn from a feed."""
 
+import asyncio
 import random
 
 import pytest
 
-from coltsfootchute.control import feeds
+from coltsfootchute.control import feeds, parts
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
 
@@ -131,3 +132,24 @@
     feed.set_instances([pb.Instance(name="e1")])
     assert [i.name for i in feed.message(watcher, 1.0).instances] == ["e1"]
     assert not feed.message(watcher, 1.0).has_instances
+
+
+def test_the_proof_of_a_long_message_ages_while_its_parts_are_sent(monkeypatch):
+    # Guards against an entry that takes a view for current when it no longer is.
+    now_s = 10.0
+    ages = []
+    feed = feeds.Feed("c")
+    feed.set_proof(9.5)
+    target = pb.Target(target_id="t", failure_domain="x" * 3 * parts.PART_BYTES)
+    feed.publish([pb.FeedChange(revision=1, target=target)], 1)
+    monkeypatch.setattr(feeds, "clock", lambda: now_s)
+
+    async def send(part):
+        nonlocal now_s
+        ages.append(part.proof_age_ms)
+        now_s += 1.0
+        if not part.more:
+            feed.close()
+
+    asyncio.run(feed.watch(pb.WatchRequest(), send))
+    assert ages == [501, 1501, 2501, 3501]
