tests: guard the order of changes in a message of the feed

What callers saw: nothing; the line works. Without it all removals come before all other changes.

Ruled out: the tests that follow random changes; they hold for any order of changes to different items.

Change: a test with changes and removals in turn.

Conclusion: the line can't go unnoticed.

--- a/coltsfootchute/control/tests/test_feeds.py
+++ b/coltsfootchute/control/tests/test_feeds.py
@@ -153,3 +153,18 @@
 
     asyncio.run(feed.watch(pb.WatchRequest(), send))
     assert ages == [501, 1501, 2501, 3501]
+
+
+def test_changes_are_told_in_the_order_in_which_they_were_made():
+    # Guards against a watcher that acts on a removal before an earlier change.
+    feed = feeds.Feed("c")
+    feed.set_proof(0.0)
+    for revision in range(1, 7):
+        name = f"t{revision}"
+        body = {"target": pb.Target(target_id=name)}
+        if revision % 2:
+            body = {"removed_target_id": name}
+        feed.publish([pb.FeedChange(revision=revision, **body)], revision)
+    watcher = feeds.Watcher(pb.WatchRequest(cluster_id="c", revision=1))
+    message = feed.message(watcher, 1.0)
+    assert [change.revision for change in message.changes] == [2, 3, 4, 5, 6]
