tests: guard the time at which a watch calls its source behind

What callers saw: nothing; the line works. Without it an entry leaves each source after a view that took longer than 2 s to arrive.

Ruled out: the tests over slow links; they end with the view and don't see that the stream is cancelled after it.

Change: a test with messages that take 0.4 s or 4 s to arrive, from a source that was current when the watch began and from one that was not.

Before / after, in a scratch copy: with `now` in place of `began_at` the case of a long message from a current source fails; with `began_at` never set both cases of a source that is behind fail; unchanged all 4 pass.

Conclusion: the line can't go unnoticed in either direction.

--- a/coltsfootchute/entry/tests/test_watches.py
+++ b/coltsfootchute/entry/tests/test_watches.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from coltsfootchute.control import feeds
+from coltsfootchute.control import feeds, parts
 from coltsfootchute.control import links as control_links
 from coltsfootchute.entry import watches
 from coltsfootchute.entry.tests import stands
@@ -285,3 +285,51 @@
             await source.stop()
 
     asyncio.run(play())
+
+
+class TimedStream:
+    """Delivers messages, each at its time of a clock."""
+
+    def __init__(self, monkeypatch, view, *deliveries):
+        self._view = view
+        self._deliveries = iter(deliveries)
+        self.now_s = 0.0
+        self.is_cancelled = False
+        for module in (watches, parts):
+            monkeypatch.setattr(module, "clock", lambda: self.now_s)
+
+    async def recv_message(self):
+        self.now_s, received = next(self._deliveries, (self.now_s, None))
+        # The process runs all the while.
+        self._view.alive_at = self.now_s
+        return received
+
+    async def cancel(self):
+        self.is_cancelled = True
+
+
+@pytest.mark.parametrize("took_s", [0.4, 2 * watches.PROOF_PATIENCE_S])
+@pytest.mark.parametrize("is_behind", [False, True])
+def test_a_source_is_left_for_an_old_proof_and_not_for_a_long_message(
+    monkeypatch, took_s, is_behind
+):
+    """Guards against an entry that leaves each source after a long view."""
+
+    async def play():
+        view = watches.View()
+        whole = message(1, section(1, 10), control_addresses=["a" * 40_000])
+        began_s = watches.PROOF_PATIENCE_S * 1.5 if is_behind else 0.0
+        pieces = []
+        split = list(parts.split(whole))
+        for number, part in enumerate(split):
+            came_s = began_s + took_s * number / (len(split) - 1)
+            # The source was last known to be current when the watch began.
+            part.proof_age_ms = int(came_s * 1000)
+            pieces.append((came_s, part))
+        stream = TimedStream(monkeypatch, view, *pieces)
+        watcher = watches.Watcher(view, "e1", ["127.0.0.1:9"])
+        await watcher._receive("127.0.0.1:9", stream, None)
+        assert percent_in_force(view) == 10
+        assert stream.is_cancelled is is_behind
+
+    asyncio.run(play())
