tests: guard a closing answer whose request is still arriving

What callers saw: nothing; the line works. Without it a stop closes the connection while the rest of a refused upload arrives, which resets it and may cost the caller the answer.

Ruled out: a whole stop of an entry, in which the moment is hard to meet; the test drives the server of the listener.

Change: a test with an upload that is refused before it is whole.

Conclusion: the state can't go unnoticed.

--- /dev/null
+++ b/coltsfootchute/entry/tests/test_listeners.py
@@ -0,0 +1,52 @@
+"""Guards against a connection that ends under an answer, or that runs too much."""
+
+import asyncio
+import contextlib
+
+import multidict
+
+from coltsfootchute.entry import answers, listeners
+
+TIMEOUT_S = 5.0
+
+
+@contextlib.asynccontextmanager
+async def connected(handler):
+    """Open a connection to a server with a handler."""
+    server = listeners.Server(handler)
+    listener = await asyncio.get_running_loop().create_server(server, "127.0.0.1", 0)
+    address = listener.sockets[0].getsockname()
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        async with asyncio.timeout(TIMEOUT_S):
+            yield server, reader, writer
+    finally:
+        writer.transport.abort()
+        listener.close()
+        await server.shutdown(0.1)
+
+
+def get(path, headers=""):
+    return f"GET {path} HTTP/1.1\r\nHost: x\r\n{headers}\r\n".encode()
+
+
+def test_a_stop_does_not_cut_a_closing_answer_whose_request_is_still_arriving():
+    """Bytes that meet a closed socket reset it, and the caller loses the answer."""
+
+    async def refuse(request):
+        headers = multidict.CIMultiDict()
+        return await answers.write_whole(request, 413, headers, b"too large", False)
+
+    async def play():
+        async with connected(refuse) as (server, reader, writer):
+            writer.write(get("/1", "Content-Length: 200\r\n") + b"a" * 100)
+            await reader.readuntil(b"too large")
+            assert server.close_idle() == 0
+            closed = asyncio.ensure_future(server.wait_closed())
+            await asyncio.sleep(0)
+            assert not closed.done()
+            writer.write(b"a" * 100)
+            assert await reader.read() == b""
+            await closed
+
+    asyncio.run(play())
