tests: guard requests behind the answer that closes a connection

What callers saw: nothing; it is not run and gets no answer.

Ruled out: only requests that come before the answer ends. The test sends one while the answer is under way and one after its end.

Change: a test for an answer that announced the end, and for one that a stop closes although its head announced that the connection stays open.

Conclusion: a caller whose connection ends without an answer can rely on the request not having run.

--- a/coltsfootchute/entry/tests/test_listeners.py
+++ b/coltsfootchute/entry/tests/test_listeners.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import multidict
+import pytest
 
 from coltsfootchute.entry import answers, listeners
 
@@ -30,6 +31,15 @@
     return f"GET {path} HTTP/1.1\r\nHost: x\r\n{headers}\r\n".encode()
 
 
+async def rest_of(reader):
+    """Read until the connection ends, in order or by a reset."""
+    received = b""
+    with contextlib.suppress(ConnectionError):
+        while part := await reader.read(1 << 16):
+            received += part
+    return received
+
+
 def test_a_stop_does_not_cut_a_closing_answer_whose_request_is_still_arriving():
     """Bytes that meet a closed socket reset it, and the caller loses the answer."""
 
@@ -50,3 +60,38 @@
             await closed
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_a_request_behind_the_answer_that_closes_its_connection_is_not_run(is_stopping):
+    """A caller that gets no answer on a closed connection takes it for not run."""
+    ran = []
+    go = asyncio.Event()
+
+    async def answer(request):
+        ran.append(request.path)
+        headers = multidict.CIMultiDict({"Content-Length": "5"})
+        # The head of an answer that began before the stop keeps the connection.
+        writer = await answers.start_answer(
+            request, 200, "OK", headers, keep_alive=is_stopping
+        )
+        await writer.write(b"wh")
+        await go.wait()
+        await writer.write_eof(b"ole")
+        return answers.KEPT if is_stopping else answers.CLOSED
+
+    async def play():
+        async with connected(answer) as (server, reader, writer):
+            writer.write(get("/1"))
+            await reader.readuntil(b"wh")
+            if is_stopping:
+                assert server.close_idle() == 0
+            writer.write(get("/2"))
+            await asyncio.sleep(0.1)
+            go.set()
+            assert await reader.readexactly(3) == b"ole"
+            writer.write(get("/3"))
+            assert await rest_of(reader) == b""
+            assert ran == ["/1"]
+
+    asyncio.run(play())
