entry: answer requests at the api that are in progress at a stop

Cause: the api listener was ended by aiohttp's AppRunner.cleanup, whose pre_shutdown marks every connection; what arrives on a marked one is dropped, and the handler is cancelled 0.05 s later. The listeners for metrics (control and process) read no body, but their cleanup waited for the rest of one. What callers saw: a declaration, a registration or a status report whose body was on its way got no answer. Ruled out: a longer shutdown_timeout of the runner, as connections are marked before it begins. Change: AppServer serves the routes on the Server of the calls listener. As the calls end, at the latest at 0.7 of the bound, the listener is closed, then idle connections, and the others after their answer. A request that is not done when calls in progress end is answered: 503 "stopping" if its body is not whole, else 504 "unknown". The metrics listeners wait for 0.05 s twice. Conclusion: the stop waits for the open connections themselves, and closes only those without a request before an answer.

--- a/coltsfootchute/control/metrics.py
+++ b/coltsfootchute/control/metrics.py
@@ -78,7 +78,9 @@
         app.router.add_get("/metrics", self._metrics)
         app.router.add_get("/healthz", self._healthz)
         app.router.add_get("/readyz", self._readyz)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=expositions.SHUTDOWN_S
+        )
 
     async def start(self, host: str, port: int) -> None:
         """Listen."""
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -40,10 +40,14 @@
 # Time for a request that was already on its way on an idle connection.
 IDLE_GRACE_S = 0.2
 SETTLE_LIMIT_S = 5.0
+# Time for requests of operators and targets that are in progress.
+API_LIMIT_S = 30.0
 MAX_KEEP_S = 300.0
-# Parts of the time for a planned stop: until no more requests are taken, until those
-# in progress are answered, until the answers have left, and until control has replied.
+# Parts of the time for a planned stop: until no more requests are taken, until none
+# are taken from operators and targets, until those in progress are answered, until the
+# answers have left, and until control has replied.
 ACCEPT_PART = 0.45
+API_PART = 0.7
 FINISH_PART = 0.84
 DELIVER_PART = 0.86
 SETTLE_PART = 0.86
@@ -52,8 +56,6 @@
 REPORT_UNCHANGED_S = 1.5
 REPORT_LIMIT_S = 1.0
 BACKLOG = 1024
-# Requests of operators and targets that are cut off as the process ends.
-API_SHUTDOWN_S = 0.05
 CUT_S = 0.05
 CANCEL_INTERVAL_S = 0.1
 
@@ -62,6 +64,7 @@
     """When the steps of a planned stop end, in seconds since it began."""
 
     accept_s: float  # Requests are taken.
+    api_s: float  # Requests of operators and targets are taken.
     finish_s: float  # Calls in progress are answered.
     deliver_s: float  # Answers have left.
     settle_s: float  # Control has replied to what it was sent.
@@ -114,7 +117,8 @@
         self._sampler: samplers.Sampler | None = None
         self._calls_server: listeners.Server | None = None
         self._listener: asyncio.Server | None = None
-        self._api_runner: aiohttp.web.AppRunner | None = None
+        self._api_server: listeners.AppServer | None = None
+        self._api_listeners: list[asyncio.Server] = []
         self._extend = extend
         self._peer_server: grpclib.server.Server | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -191,29 +195,17 @@
         return _bound(self._peer_server._server, address)
 
     async def _start_api(self, address: str) -> str:
-        host, port = _split(address)
         app = self._api.application()
         if self._extend is not None:
             self._extend(app, self._api)
-        runner = aiohttp.web.AppRunner(
-            app, access_log=None, shutdown_timeout=API_SHUTDOWN_S
-        )
-        self._api_runner = runner
-        await runner.setup()
-        site = aiohttp.web.TCPSite(runner, host, port, backlog=BACKLOG)
-        await site.start()
-        if self._cfg.entry.directory is not None:
-            other = _split(self._cfg.entry.directory)
-            await aiohttp.web.TCPSite(runner, *other, backlog=BACKLOG).start()
-        return _bound(site._server, address)
+        self._api_server = listeners.AppServer(app)
+        for each in filter(None, [address, self._cfg.entry.directory]):
+            self._api_listeners.append(await _listen(self._api_server, each))
+        return _bound(self._api_listeners[0], address)
 
     async def _start_calls(self, address: str) -> str:
-        host, port = _split(address)
         self._calls_server = listeners.Server(self._calls.handle)
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._calls_server, host, port, backlog=BACKLOG
-        )
+        self._listener = await _listen(self._calls_server, address)
         return _bound(self._listener, address)
 
     async def stop(self) -> None:
@@ -222,8 +214,11 @@
         times = self._stop_times()
         self._stop.begin(**times._asdict(), **self._progress())
         self._own.state = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
-        if self._listener is not None:
-            await self._stop_calls(began_s, times)
+        async with asyncio.TaskGroup() as group:
+            calls_end = group.create_task(self._stop_calls(began_s, times))
+            # The api shows the state of the stop while requests are in progress.
+            await asyncio.wait([calls_end], timeout=_left_s(began_s + times.api_s))
+            await self._stop_api(began_s, times)
         settle_s = min(SETTLE_LIMIT_S, _left_s(began_s + times.settle_s))
         await self.client.drain(settle_s)
         self._stop.step("settlements sent", **self._progress())
@@ -244,14 +239,16 @@
     def _stop_times(self) -> _StopTimes:
         stop_s = self._cfg.entry.stop_s
         if stop_s is not None:
-            parts = (ACCEPT_PART, FINISH_PART, DELIVER_PART, SETTLE_PART)
+            parts = (ACCEPT_PART, API_PART, FINISH_PART, DELIVER_PART, SETTLE_PART)
             return _StopTimes(*(part * stop_s for part in parts))
         accept_s = NEWS_S + self._cfg.entry.keep_s
         finish_s = accept_s + FINISH_LIMIT_S
         settle_s = finish_s + SETTLE_LIMIT_S
-        return _StopTimes(accept_s, finish_s, settle_s, settle_s)
+        return _StopTimes(accept_s, finish_s, finish_s, settle_s, settle_s)
 
     async def _stop_calls(self, began_s: float, times: _StopTimes) -> None:
+        if self._listener is None:
+            return
         if self._cfg.entry.stop_s is not None:
             # Callers that hear of the stop late lose their connection after their
             # next answer.
@@ -274,6 +271,22 @@
         message = "requests remain" if self._calls.in_progress else "requests finished"
         self._stop.step(message, **self._progress())
 
+    async def _stop_api(self, began_s: float, times: _StopTimes) -> None:
+        if self._api_server is None:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._api_server.end_by(min(began_s + times.finish_s, now_s + API_LIMIT_S))
+        for listener in self._api_listeners:
+            listener.close()
+        await asyncio.sleep(IDLE_GRACE_S)
+        closed = self._api_server.close_idle()
+        open_now = len(self._api_server.connections)
+        self._stop.step("api closes idle connections", idle=closed, api=open_now)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(began_s + times.deliver_s):
+                await self._api_server.wait_closed()
+        self._stop.step("api requests finished")
+
     async def abort(self) -> None:
         """Close everything at once; requests in progress are cut off."""
         await _end_tasks(self._tasks)
@@ -284,8 +297,10 @@
         if self._calls_server is not None:
             await self._calls_server.shutdown(CUT_S)
             self._stop.step("connections closed", cut=self._stop.cut)
-        if self._api_runner is not None:
-            await self._api_runner.cleanup()
+        for listener in self._api_listeners:
+            listener.close()
+        if self._api_server is not None:
+            await self._api_server.shutdown(CUT_S)
             self._stop.step("api closed")
         self.feed.close()
         if self._sampler is not None:
@@ -385,6 +400,12 @@
     return host.strip("[]"), int(port)
 
 
+async def _listen(server: aiohttp.web.Server, address: str) -> asyncio.Server:
+    host, port = _split(address)
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(server, host, port, backlog=BACKLOG)
+
+
 def _bound(server: typing.Any, address: str) -> str:
     host = address.rpartition(":")[0]
     return f"{host}:{server.sockets[0].getsockname()[1]}"
--- a/coltsfootchute/entry/listeners.py
+++ b/coltsfootchute/entry/listeners.py
@@ -1,16 +1,19 @@
-"""Connections of callers, which a stop ends without cutting a request."""
+"""Connections that a stop ends without cutting a request."""
 
 import asyncio
 import collections.abc
+import contextlib
+import typing
 
 import aiohttp.web
 
 from coltsfootchute.entry import answers
 
-__all__ = ["Server"]
+__all__ = ["AppServer", "Server"]
 
 Handler = collections.abc.Callable[
-    [aiohttp.web.BaseRequest], collections.abc.Awaitable[answers.Written]
+    [aiohttp.web.BaseRequest],
+    collections.abc.Awaitable[answers.Written | aiohttp.web.StreamResponse],
 ]
 
 
@@ -20,7 +23,9 @@
     Parameters
     ----------
     handler
-        Answers one request.
+        Answers one request, and writes the answer.
+    options
+        Changes options of the base class.
 
     Notes
     -----
@@ -29,13 +34,9 @@
     included.
     """
 
-    def __init__(self, handler: Handler):
-        super().__init__(
-            self._handle,
-            handler_cancellation=True,
-            auto_decompress=False,
-            access_log=None,
-        )
+    def __init__(self, handler: Handler, **options: typing.Any):
+        defaults = {"handler_cancellation": True, "auto_decompress": False}
+        super().__init__(self._handle, access_log=None, **{**defaults, **options})
         self._handler = handler
         self._open: set[aiohttp.web.RequestHandler] = set()
         # Connections with a request in progress, or whose last answer ends them.
@@ -43,9 +44,12 @@
         self._none_open = asyncio.Event()
         self._is_closing = False
 
-    async def _handle(self, request: aiohttp.web.BaseRequest) -> answers.Written:
+    async def _handle(
+        self, request: aiohttp.web.BaseRequest
+    ) -> answers.Written | aiohttp.web.StreamResponse:
         conn = request.protocol
-        self._occupied.add(conn)
+        if conn in self._open:
+            self._occupied.add(conn)
         written = await self._handler(request)
         if not written.keep_alive:
             return written
@@ -88,3 +92,69 @@
         while self._open:
             self._none_open.clear()
             await self._none_open.wait()
+
+
+class AppServer(Server):
+    """Server of the `api` listener.
+
+    Parameters
+    ----------
+    app
+        Routes with their handlers.
+
+    Notes
+    -----
+    A handler runs to its end also if the client leaves, as it may have changed
+    something already.
+    """
+
+    def __init__(self, app: aiohttp.web.Application):
+        app.freeze()
+        self._app = app
+        self._end_s: float | None = None
+        self._limits: set[asyncio.Timeout] = set()
+        super().__init__(
+            self._answer,
+            handler_cancellation=False,
+            auto_decompress=True,
+            request_factory=app._make_request,
+        )
+
+    def end_by(self, end_s: float) -> None:
+        """Answer all requests by a time of the loop, and close their connections."""
+        self._end_s = end_s
+        for limit in self._limits:
+            limit.reschedule(end_s)
+
+    async def _answer(
+        self, request: aiohttp.web.Request
+    ) -> answers.Written | aiohttp.web.StreamResponse:
+        limit = asyncio.timeout_at(self._end_s)
+        try:
+            async with limit:
+                self._limits.add(limit)
+                response = await self._app._handle(request)
+        except TimeoutError:
+            response = _end(request)
+        except aiohttp.web.HTTPException as exc:
+            response = exc
+        finally:
+            self._limits.discard(limit)
+        if self._end_s is not None:
+            response.force_close()
+        # Written here, so that the connection counts as occupied until then.
+        with contextlib.suppress(ConnectionError):
+            await response.prepare(request)
+            await response.write_eof()
+            return response
+        return answers.CLOSED
+
+
+def _end(request: aiohttp.web.Request) -> aiohttp.web.Response:
+    """Return the answer to a request that is not done when the stop ends."""
+    if not request.content.is_eof():
+        body = {"error": "stopping", "detail": "the body was not whole in time"}
+        headers = {"Retry-After": "1"}
+        return aiohttp.web.json_response(body, status=503, headers=headers)
+    body = {"error": "unknown", "detail": "the outcome is not known; send it again"}
+    return aiohttp.web.json_response(body, status=504)
--- a/coltsfootchute/expositions.py
+++ b/coltsfootchute/expositions.py
@@ -5,10 +5,11 @@
 
 from coltsfootchute import logs
 
-__all__ = ["CONTENT_TYPE", "Listener"]
+__all__ = ["CONTENT_TYPE", "SHUTDOWN_S", "Listener"]
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-SHUTDOWN_S = 0.5
+# Handlers answer at once; what remains is the body of a request that needs none.
+SHUTDOWN_S = 0.05
 
 Source = collections.abc.Callable[[], bytes]
 
--- a/coltsfootchute/tests/test_expositions.py
+++ b/coltsfootchute/tests/test_expositions.py
@@ -11,6 +11,8 @@
 import pytest
 
 from coltsfootchute import expositions
+from coltsfootchute.control import feeds, metrics
+from coltsfootchute.proto import coltsfootchute_pb2 as pb
 from coltsfootchute.tests import test_imports
 
 START = """
@@ -102,3 +104,25 @@
         await listener.stop()
 
     asyncio.run(play())
+
+
+@pytest.mark.parametrize("role", ["process", "control"])
+def test_a_body_that_is_never_whole_does_not_hold_a_stop_up(role):
+    async def play():
+        if role == "process":
+            listener = expositions.Listener("127.0.0.1:0")
+            await listener.start([lambda: b"a 1\n"])
+        else:
+            listener = metrics.MetricsServer(pb.StatusReply, feeds.Feed("c1"))
+            await listener.start("127.0.0.1", 0)
+        (address,) = listener.addresses
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        try:
+            async with asyncio.timeout(0.4):
+                await listener.stop()
+        finally:
+            writer.close()
+
+    asyncio.run(play())
