process: bound the stop of both roles by one deadline

Cause: in a process with both roles the entry planned its stop over the whole of stop_s, and control then took up to 3 s for the transfer of the leadership, 0.2 s for its feeds and 1 s for messages to peers, whatever was left. What callers saw: nothing by itself; the process is killed at the end of its grace time, with the leadership not handed over. Ruled out: stopping both roles at once, as the entry needs control for its claims until it has stopped. Change: the process has one deadline from the signal on. Each daemon's stop takes the time at which the process has to have ended; with control after it, the entry gets 0.7 of what is left. Steps of control are also bounded by parts of what is left (0.4, 0.1 and 0.2). The entry alone is unchanged. Conclusion: no step waits longer than a part of the time that the process has left. Closing files and connections of control, and the end of the interpreter, have no bound of their own.

--- a/coltsfootchute/commands/roles.py
+++ b/coltsfootchute/commands/roles.py
@@ -16,6 +16,8 @@
 
 # A settings file may change without a signal.
 FILE_CHECK_S = 1.0
+# Part of the time for a stop that an entry gets if control stops after it.
+ENTRY_PART = 0.7
 
 
 def run(role: str, path: str) -> None:
@@ -84,6 +86,26 @@
     uvloop.run(_serve(cfg, tuple(names), source, extend))
 
 
+@dataclasses.dataclass
+class _Deadline:
+    """When the process has to have ended.
+
+    Parameters
+    ----------
+    end_s
+        Time of the loop; None without a bound.
+    """
+
+    end_s: float | None = None
+
+    def part(self, part: float) -> float | None:
+        """Return the end of a part of the time that is left."""
+        if self.end_s is None:
+            return None
+        now_s = asyncio.get_running_loop().time()
+        return now_s + part * (self.end_s - now_s)
+
+
 async def _serve(
     cfg: settings.Settings,
     names: tuple[str, ...],
@@ -96,7 +118,7 @@
     loop.add_signal_handler(signal.SIGHUP, changed.set)
     logs.note("process", "starts", roles=names, settings=source.path)
     async with contextlib.AsyncExitStack() as stack:
-        failures, daemons = [], []
+        failures, daemons, deadline = [], [], _Deadline()
         # The listener closes last, so that the end of a stop can still be seen.
         listener = expositions.Listener(cfg.metrics)
         stack.push_async_callback(listener.stop)
@@ -106,12 +128,15 @@
             daemons.append(daemon)
             # The entry was started last and stops first: until then it needs
             # control for its claims.
-            stack.push_async_callback(daemon.stop)
+            part = ENTRY_PART if len(daemons) > 1 else 1.0
+            stack.push_async_callback(_stop, daemon, deadline, part)
             failures += [daemon.failed] if hasattr(daemon, "failed") else []
         await listener.start([daemon.exposition for daemon in daemons])
         reloads = asyncio.ensure_future(_reload(source, changed, daemons))
         stack.callback(reloads.cancel)
         await _wait_for_any(stopping, failures)
+        if cfg.entry is not None and cfg.entry.stop_s is not None:
+            deadline.end_s = loop.time() + cfg.entry.stop_s
         logs.note("process", "stops", by_signal=stopping.is_set())
         # A role that can't go on must not write anything more, so the process
         # ends without a graceful stop.
@@ -125,6 +150,10 @@
     logs.note("process", "ends")
 
 
+async def _stop(daemon: typing.Any, deadline: _Deadline, part: float) -> None:
+    await daemon.stop(deadline.part(part))
+
+
 async def _wait_for_any(
     stopping: asyncio.Event, failures: list[asyncio.Future]
 ) -> None:
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -1,6 +1,7 @@
 """The control role: start, running, and the graceful stop."""
 
 import asyncio
+import math
 import random
 import socket
 import typing
@@ -30,6 +31,10 @@
 FLUSH_TIMEOUT_S = 1.0
 # Watchers get this long to take the end of the feed before their streams are cut.
 FEED_END_S = 0.2
+# Parts of the time that is left for a stop which each of these may take.
+TRANSFER_PART = 0.4
+FEED_END_PART = 0.1
+FLUSH_PART = 0.2
 
 
 class Daemon:
@@ -205,23 +210,34 @@
         if cfg.control is not None:
             self.joiner.change_initial(cfg.control.initial)
 
-    async def stop(self) -> None:
-        """Transfer the leadership, end the feeds, then close everything."""
+    async def stop(self, end_s: float | None = None) -> None:
+        """Transfer the leadership, end the feeds, then close everything.
+
+        Parameters
+        ----------
+        end_s
+            Time of the loop at which the process has to have ended; None without a
+            bound.
+        """
         if self._stopped:
             return
         self._stopped = True
         self._stop_began_s = feeds.clock()
+        left_s = math.inf
+        if end_s is not None:
+            left_s = max(0.0, end_s - asyncio.get_running_loop().time())
         self._step("stopping", leads=self.core.replica.is_leader)
-        await self._transfer()
+        await self._transfer(min(TRANSFER_TIMEOUT_S, TRANSFER_PART * left_s))
         self._step("ends the feeds", watchers=self.core.feed.watchers)
         self.core.feed.close()
-        await asyncio.sleep(FEED_END_S if self.core.feed.watchers else 0)
+        feed_end_s = min(FEED_END_S, FEED_END_PART * left_s)
+        await asyncio.sleep(feed_end_s if self.core.feed.watchers else 0)
         self._step("feeds ended", watchers=self.core.feed.watchers)
         for task in [*self._tasks, *self._proposing]:
             task.cancel()
         await asyncio.gather(*self._tasks, *self._proposing, return_exceptions=True)
         try:
-            async with asyncio.timeout(FLUSH_TIMEOUT_S):
+            async with asyncio.timeout(min(FLUSH_TIMEOUT_S, FLUSH_PART * left_s)):
                 await self.core.links.flush()
         except TimeoutError:
             logger.debug("control: messages to a peer that is down were dropped")
@@ -244,9 +260,9 @@
         self.core.store.close()
         self._step("stopped")
 
-    async def _transfer(self) -> None:
+    async def _transfer(self, limit_s: float) -> None:
         """Hand the leadership to another voter, if there is one."""
-        deadline_s = feeds.clock() + TRANSFER_TIMEOUT_S
+        deadline_s = feeds.clock() + limit_s
         while self.core.replica.is_leader and feeds.clock() < deadline_s:
             try:
                 self.core.transfer()
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -208,14 +208,26 @@
         self._listener = await _listen(self._calls_server, address)
         return _bound(self._listener, address)
 
-    async def stop(self) -> None:
-        """Stop gracefully: leave the address answers, serve on, finish, close."""
+    async def stop(self, end_s: float | None = None) -> None:
+        """Stop gracefully: leave the address answers, serve on, finish, close.
+
+        Parameters
+        ----------
+        end_s
+            Time of the loop at which the process has to have ended; by default the
+            bound in the settings from now on.
+        """
         began_s = asyncio.get_running_loop().time()
-        times = self._stop_times()
+        stop_s = self._cfg.entry.stop_s
+        if end_s is not None:
+            stop_s = max(0.0, end_s - began_s)
+        times = self._stop_times(stop_s)
         self._stop.begin(**times._asdict(), **self._progress())
         self._own.state = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
         async with asyncio.TaskGroup() as group:
-            calls_end = group.create_task(self._stop_calls(began_s, times))
+            calls_end = group.create_task(
+                self._stop_calls(began_s, times, stop_s is not None)
+            )
             # The api shows the state of the stop while requests are in progress.
             await asyncio.wait([calls_end], timeout=_left_s(began_s + times.api_s))
             await self._stop_api(began_s, times)
@@ -236,8 +248,7 @@
             "unsent_bytes": stops.unsent_bytes(transports),
         }
 
-    def _stop_times(self) -> _StopTimes:
-        stop_s = self._cfg.entry.stop_s
+    def _stop_times(self, stop_s: float | None) -> _StopTimes:
         if stop_s is not None:
             parts = (ACCEPT_PART, API_PART, FINISH_PART, DELIVER_PART, SETTLE_PART)
             return _StopTimes(*(part * stop_s for part in parts))
@@ -246,10 +257,12 @@
         settle_s = finish_s + SETTLE_LIMIT_S
         return _StopTimes(accept_s, finish_s, finish_s, settle_s, settle_s)
 
-    async def _stop_calls(self, began_s: float, times: _StopTimes) -> None:
+    async def _stop_calls(
+        self, began_s: float, times: _StopTimes, is_bounded: bool
+    ) -> None:
         if self._listener is None:
             return
-        if self._cfg.entry.stop_s is not None:
+        if is_bounded:
             # Callers that hear of the stop late lose their connection after their
             # next answer.
             self._calls.is_closing = True
