tests: race resent changes over a lost leader without a third editor

The two editors did resend. The third one, which shows that the new leader takes changes, proposed as soon as there was a leader and could take the revision that both expected; their changes then ended with a conflict, and the ones after them were sent once. Ruled out: a resend that gets through before the leader is replaced, by reasoning only: a stopped process answers nothing. Entries do hold a request and pass it to the new leader, which may be why most runs passed. Change: each editor sends one change right before the signal, and no other change is made until both have their outcome. The test is wrong, not the product; the check is stricter than before: both changes met the fault and were sent again, both have a definite outcome, at least one is accepted, and no change that was refused with a conflict is in force. The check for lost changes is as it was, and has a resent change in each run. A conflict has to be seen as before. The checks have tests of their own. Conclusion: one of the two editors expects the last revision or has yet to hear that it made it, and only an accepted change of the other one can get its change refused, so an accepted resent change no longer depends on time.

--- a/coltsfootchute/standins/editors.py
+++ b/coltsfootchute/standins/editors.py
@@ -14,7 +14,7 @@
 from coltsfootchute.commands import documents
 from coltsfootchute.standins import clusters
 
-__all__ = ["Change", "Editor", "find_lost"]
+__all__ = ["Change", "Editor", "Refusal", "find_lost"]
 
 # Shorter than an election, so that a change is resent while its outcome is unknown.
 SEND_TIMEOUT_S = 0.7
@@ -48,6 +48,22 @@
     sendings: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Refusal:
+    """A change that lost to another one.
+
+    Parameters
+    ----------
+    request_id
+        Id of the request.
+    sendings
+        How often the request was sent.
+    """
+
+    request_id: str
+    sendings: int
+
+
 class Editor:
     """Proposes changes to a section one after the other.
 
@@ -66,8 +82,8 @@
     ----------
     accepted
         Changes in the order of their acceptance.
-    conflicts
-        Number of changes that lost to another editor.
+    refused
+        Changes that lost to another editor, in the order of their refusal.
     """
 
     def __init__(
@@ -78,7 +94,7 @@
         rng: random.Random,
     ):
         self.accepted: list[Change] = []
-        self.conflicts = 0
+        self.refused: list[Refusal] = []
         self._name = name
         self._apis = itertools.cycle(apis)
         self._session = session
@@ -96,22 +112,37 @@
         """
         end = time.monotonic() + timeout_s
         while time.monotonic() < end:
-            body = self._body()
-            reply, sendings = await self._send_until_known(body, end)
-            self._revision = reply["revision"]
-            if "index" in reply:
-                change = Change(
-                    revision=reply["revision"],
-                    index=reply["index"],
-                    request_id=body["request_id"],
-                    accepted_s=time.monotonic(),
-                    sendings=sendings,
-                )
-                self.accepted.append(change)
-                return change
-            self.conflicts += 1
+            outcome = await self.propose_once(end - time.monotonic())
+            if isinstance(outcome, Change):
+                return outcome
         raise errors.OutcomeUnknownError("only conflicts")
 
+    async def propose_once(self, timeout_s: float = 20.0) -> Change | Refusal:
+        """Propose one change and resend it until its outcome is known.
+
+        Raises
+        ------
+        coltsfootchute.errors.OutcomeUnknownError
+            If the outcome is not known in time.
+        """
+        body = self._body()
+        end = time.monotonic() + timeout_s
+        reply, sendings = await self._send_until_known(body, end)
+        self._revision = reply["revision"]
+        if "index" not in reply:
+            refusal = Refusal(body["request_id"], sendings)
+            self.refused.append(refusal)
+            return refusal
+        change = Change(
+            revision=reply["revision"],
+            index=reply["index"],
+            request_id=body["request_id"],
+            accepted_s=time.monotonic(),
+            sendings=sendings,
+        )
+        self.accepted.append(change)
+        return change
+
     async def _send_until_known(
         self, body: dict[str, typing.Any], end: float
     ) -> tuple[dict[str, typing.Any], int]:
--- a/tests/end_to_end/test_leaders.py
+++ b/tests/end_to_end/test_leaders.py
@@ -17,6 +17,10 @@
 LEASE_S = 1.0
 CHANGES_BEFORE = 3
 CHANGES_AFTER = 8
+# Time in which a request reaches an entry.
+SENDING_S = 0.005
+# Changes that may be answered before a signal takes effect.
+EARLY_CHANGES = 10
 
 
 async def edit(editor, enough):
@@ -45,33 +49,85 @@
         assert observers.setbacks(samples) == [], address
 
 
+class Race:
+    """A change of each editor that is on its way when a fault hits."""
+
+    def __init__(self, staff):
+        self._staff = staff
+        self._tasks = []
+
+    async def start(self):
+        """Send the changes; return when they are on their way."""
+        self._tasks = [asyncio.create_task(_resend(e)) for e in self._staff]
+        await asyncio.sleep(SENDING_S)
+
+    async def outcomes(self):
+        """Return the outcomes, all of them after the fault."""
+        return await asyncio.gather(*self._tasks)
+
+
+async def _resend(editor):
+    """Propose changes until one had to be sent again; return its outcome."""
+    for _ in range(EARLY_CHANGES):
+        outcome = await editor.propose_once()
+        if outcome.sendings > 1:
+            break
+    return outcome
+
+
+def check_race(outcomes):
+    """Check the outcomes of changes that met a fault; return those accepted.
+
+    One of the editors knows the last revision or has yet to hear that it made it, so
+    only an accepted change of the other one can get its change refused.
+    """
+    resent = [outcome for outcome in outcomes if outcome.sendings > 1]
+    assert len(resent) == len(outcomes) > 1, f"the fault did not hit all: {outcomes}"
+    accepted = [item for item in resent if isinstance(item, editors.Change)]
+    assert accepted, f"none was accepted: {outcomes}"
+    return accepted
+
+
+def check_refused(refused, history):
+    """Check that no change is in force that was answered with a conflict."""
+    kept = {item["request_id"] for item in history}
+    found = [item.request_id for item in refused if item.request_id in kept]
+    assert found == [], "in force although refused"
+
+
 async def change_while(stage, fault):
-    """Run requests and two editors of one section around a fault."""
+    """Run requests and two editors of one section around a fault.
+
+    `fault` is called with the race of the editors, which it starts right before it
+    hits. Until the race has its outcomes no other change is made, because that one
+    could take the revision for which the race is run.
+    """
     cluster = stage.cluster
-    enough = asyncio.Event()
     staff = [
         editors.Editor(name, cluster.apis, stage.session, random.Random(name))
         for name in ("ada", "bo")
     ]
+    race = Race(staff)
 
     def accepted():
         return [change for editor in staff for change in editor.accepted]
 
-    async def has(count):
-        await stage.until(lambda: _true(len(accepted()) >= count), "changes")
+    async def edit_until(count):
+        enough = asyncio.Event()
+        async with asyncio.TaskGroup() as group:
+            for editor in staff:
+                group.create_task(edit(editor, enough))
+            await stage.until(lambda: _true(len(accepted()) >= count), "changes")
+            enough.set()
 
     async with (
         observers.Observer(cluster.apis, stage.session) as observer,
         workloads.Workload(cluster.apis, stage.session) as workload,
-        asyncio.TaskGroup() as group,
     ):
-        for editor in staff:
-            group.create_task(edit(editor, enough))
-        await has(CHANGES_BEFORE)
-        started_s = time.monotonic()
-        await fault()
-        await has(len(accepted()) + CHANGES_AFTER)
-        enough.set()
+        await edit_until(CHANGES_BEFORE)
+        await fault(race)
+        resent = check_race(await race.outcomes())
+        await edit_until(len(accepted()) + CHANGES_AFTER)
         outcomes = await workload.stop()
         changes = accepted()
         last = max(change.index for change in changes)
@@ -88,10 +144,11 @@
         await stage.until(
             lambda: _true(len(observer.status[cluster.apis[0]]) > seen + 1), "a sample"
         )
-    resent = [c for c in changes if c.accepted_s > started_s and c.sendings > 1]
-    assert resent, "no change was resent, so the fault hit none"
-    assert sum(editor.conflicts for editor in staff), "no two changes met"
-    assert editors.find_lost(changes, await stage.history()) == []
+    refused = [refusal for editor in staff for refusal in editor.refused]
+    assert refused, "no two changes met"
+    history = await stage.history()
+    assert editors.find_lost(changes, history) == []
+    check_refused(refused, history)
     check_revisions(observer)
     own = check_in_force(observer.own, cluster.apis, changes)
     # Entries report once a second, so the status shows a revision later.
@@ -115,7 +172,8 @@
     async def scene(stage):
         leader = await stage.leader()
 
-        async def kill():
+        async def kill(race):
+            await race.start()
             stage.kill(leader)
 
         outcomes, reported = await change_while(stage, kill)
@@ -156,14 +214,16 @@
         )
         waiting = []
 
-        async def freeze():
+        async def freeze(race):
             before = await control.ReadSections(read)
             assert before.header.status == pb.REPLY_STATUS_OK
+            await race.start()
             frozen_s = time.monotonic()
             stage.fleet.named(leader).signal(signal.SIGSTOP)
             waiting.append(asyncio.create_task(control.ReadSections(read)))
             waiting.append(asyncio.create_task(control.Propose(forged)))
             await stage.leader(but=leader)
+            await race.outcomes()
             editor = editors.Editor(
                 "cy", stage.cluster.apis, stage.session, random.Random(0)
             )
@@ -196,6 +256,18 @@
     twice = [*accepted, editors.Change(3, 31, "d-1", 3.0, 1)]
     assert editors.find_lost(twice, kept) == ["d-1"], "two got one revision"
 
+    refused = editors.Refusal("r-1", 2)
+    check_refused([refused], kept)
+    with pytest.raises(AssertionError, match="although refused"):
+        check_refused([refused], [*kept, {"revision": 4, "request_id": "r-1"}])
+    resent = editors.Change(4, 40, "e-1", 4.0, 2)
+    assert check_race([refused, resent]) == [resent]
+    with pytest.raises(AssertionError, match="none was accepted"):
+        check_race([refused, refused])
+    for outcome in (accepted[0], editors.Refusal("s-1", 1)):
+        with pytest.raises(AssertionError, match="did not hit all"):
+            check_race([resent, outcome])
+
     observer = observers.Observer([], None)
     samples = [observers.Sample(t, t, {"e1": r}) for t, r in ((1.0, 19), (1.5, 20))]
     observer.status["api"] = samples
