tests: give a slow caller's answer the time that the stop leaves

Cause: test_a_stop_waits_until_a_slow_caller_has_its_whole_answer failed in 6 of 20 runs beside 4 busy processes and others (load 7 to 30 on 8 cores). Seen in the logs: entry, target and caller share one loop, and the first request carried 32 MiB as well; it took up to 1.4 s of the 1.8 s in which requests are taken, so the second one was refused, or its connection was; or the 32 MiB did not pass in the 0.76 s that the caller left to the entry, which then cut the request at 0.84 of the bound, as designed. Ruled out: a stop that ends early (in the logs it ended by its bound). Change: the test is wrong, not the product. The first answer is short, the second has 8 MiB, twice what the kernel may hold for the sender, to a caller with a small receive window, and the stop has 8 s in place of 4 s, with the same parts. That the answer is held up when the stop would end is now checked. Conclusion: the request now comes in well within the part for new requests, and less is left to deliver in more time.

--- a/coltsfootchute/entry/tests/test_bounded_stops.py
+++ b/coltsfootchute/entry/tests/test_bounded_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import pytest
@@ -9,6 +10,7 @@
 from coltsfootchute.entry.tests import stands
 
 STOP_S = 4.0
+WINDOW_BYTES = 64 << 10
 # Deadlines do not end requests before the stop does.
 RULES = [{**rule, "deadline_ms": 60_000} for rule in stands.RULES]
 GET = b"GET /shop/items/1 HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -28,6 +30,16 @@
     return stop
 
 
+async def connect_narrowly(stage):
+    """Connect as a caller for which the kernel buffers little."""
+    host, _, port = stage.entry.calls_address.rpartition(":")
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+    return await asyncio.open_connection(sock=sock)
+
+
 async def reads(reader, limit_s):
     """Read to the end of a connection; None if it stays open."""
     try:
@@ -159,25 +171,30 @@
 
 
 def test_a_stop_waits_until_a_slow_caller_has_its_whole_answer():
-    size = 32 << 20
+    # Twice what the kernel holds back for a caller that does not read.
+    size = 8 << 20
+    stop_s = 2 * STOP_S
+
+    async def script(target, head, reader, writer):
+        body = b"x" * (size if len(target.heads) > 1 else 1)
+        return await stands.respond(body)(target, head, reader, writer)
 
     async def play(stage):
         stop = await stopping(stage)
-        reader, writer = await stage.connect()
+        reader, writer = await connect_narrowly(stage)
         writer.write(GET)
         await stands.until(lambda: len(stage.targets[0].heads) > 1)
         await stands.until(lambda: not accepts(stage))
-        await asyncio.sleep(0.2 * STOP_S)
+        await asyncio.sleep(0.2 * stop_s)
         assert not stop.done()
-        raw = await reads(reader, STOP_S)
+        assert stage.entry._calls.in_progress, "the answer left without a reader"
+        raw = await reads(reader, stop_s)
         assert raw is not None
         assert len(raw.partition(b"\r\n\r\n")[2]) == size
         writer.close()
         await stop
 
-    stands.run(
-        play, stands.respond(b"x" * size), stop_s=STOP_S, section={"rules": RULES}
-    )
+    stands.run(play, script, stop_s=stop_s, section={"rules": RULES})
 
 
 def test_a_stop_ends_within_its_bound_while_control_does_not_reply():
