entry: ask sources in an order of its own at each entry

When all control instances are killed at once, all 128 entries lose their source in the same moment and ask the same entry next, then all of them its successor. Each of them is sent the list of instances (11 kB for 128 entries): 11 Mbit for a link of 5 Mbit/s, which is full for over 2 s. The entry that is asked so can't reach control itself. Ruled out: agreement and the feed of control (in force there within 40 ms of the acknowledgement); a loop that stood still (the time-outs of the entry come on time). Change: each entry begins at a place of its own in the order of sources, by a checksum of its name. The two counters go on as before, so an entry still gets to each source. The same holds for the control instances: all entries watched the same one. Before / after: test_entries_do_not_all_ask_the_same_other_entry_when_ control_is_lost (14 of 16 entries asked one) and test_entries_do_not_all_ watch_the_same_control_instance failed and pass. The views that entries send each other go to 128 different links, so each is done within a few times 20 ms.

--- a/coltsfootchute/entry/tests/test_watches.py
+++ b/coltsfootchute/entry/tests/test_watches.py
@@ -1,6 +1,7 @@
 """Guards against an older or foreign state replacing the one in force."""
 
 import asyncio
+import collections
 import contextlib
 import functools
 import json
@@ -285,3 +286,61 @@
             await source.stop()
 
     asyncio.run(play())
+
+
+@contextlib.asynccontextmanager
+async def watching_one_of_many(controls, instances=()):
+    """Run 16 watchers that know the same sources in the same order."""
+    watchers = [watches.Watcher(watches.View(), f"e{i}", controls) for i in range(16)]
+    for watcher in watchers:
+        watcher._view.instances = {i.name: i for i in instances}
+    tasks = [asyncio.ensure_future(watcher.run()) for watcher in watchers]
+    try:
+        yield watchers
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+
+
+def test_entries_do_not_all_ask_the_same_other_entry_when_control_is_lost():
+    """Guards against a link that is filled by the views of all other entries."""
+    asked = {}
+
+    async def watch(name, request, send):
+        asked.setdefault(request.watcher, name)
+        await asyncio.sleep(watches.FIRST_MESSAGE_S)
+
+    async def play():
+        peers = {f"e{i}": stands.Control() for i in range(16)}
+        for name, peer in peers.items():
+            await peer.start()
+            peer.feed.watch = functools.partial(watch, name)
+        instances = [
+            pb.Instance(name=name, peer_address=peer.address)
+            for name, peer in peers.items()
+        ]
+        async with watching_one_of_many(["127.0.0.1:9"], instances):
+            await stands.until(lambda: len(asked) == len(peers))
+        for peer in peers.values():
+            await peer.stop()
+
+    asyncio.run(play())
+    _, most = collections.Counter(asked.values()).most_common(1)[0]
+    assert most <= len(asked) / 4, asked
+
+
+def test_entries_do_not_all_watch_the_same_control_instance():
+    async def play():
+        controls = [stands.Control() for _ in range(3)]
+        for control in controls:
+            await control.start()
+            control.section()
+        addresses = [control.address for control in controls]
+        async with watching_one_of_many(addresses) as watchers:
+            await stands.until(lambda: all(watcher.source for watcher in watchers))
+            assert {watcher.source for watcher in watchers} == set(addresses)
+        for control in controls:
+            await control.stop()
+
+    asyncio.run(play())
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -286,8 +286,8 @@
         self._name = name
         self._control = control
         self._seeds = list(control)
-        self._next = 0
-        self._next_peer = 0
+        # Entries that lose control at once must not all ask the same one next.
+        self._next = self._next_peer = random.Random(name).getrandbits(16)
         self._freezes = 0
         self._foreign: set[str] = set()
         # Address of the source of the last message, while it is watched.
@@ -337,9 +337,8 @@
             yield address, None
             yield from self._peer_in_turn()
         # All known members may have been replaced meanwhile.
-        yield from (
-            (address, None) for address in self._seeds if address not in control
-        )
+        others = [address for address in self._seeds if address not in control]
+        yield from ((address, None) for address in others)
 
     def _peer_in_turn(self) -> collections.abc.Iterator[tuple[str, float | None]]:
         # Asked late: the source before may have been watched for days.
