entry: take a SIGTERM that arrives as the start ends

What callers saw: an entry that goes on after SIGTERM and is killed at the end of its time, with the requests that it took meanwhile.

Ruled out: a signal in the last step of the first run (raised there, it is handled in the next run). The daemons that are started by the command line or by the platform have one run of the loop and are not concerned.

Change: the entrypoint is entered in the loop, so that start, service and stop are one run.

The new test fails before (not ended after 20 s) and passes after.

Conclusion: there is no time between two runs any more.

--- a/coltsfootchute/entry/__main__.py
+++ b/coltsfootchute/entry/__main__.py
@@ -1,6 +1,5 @@
 """Run the entry role: ``python -m coltsfootchute.entry SETTINGS``."""
 
-import asyncio
 import sys
 
 import aiomisc
@@ -30,6 +29,19 @@
         await self.listener.stop()
 
 
+async def _serve(cfg: settings.Settings) -> None:
+    # In one run of the loop: uvloop drops a signal that arrives between two.
+    listener = expositions.Listener(cfg.metrics)
+    service = EntryService(daemon=daemons.Daemon(cfg), listener=listener)
+    async with aiomisc.entrypoint(
+        service,
+        catch_signals=(),
+        log_config=False,
+        shutdown_timeout=daemons.STOP_LIMIT_S,
+    ):
+        await service.signalled.wait()
+
+
 def main(path: str) -> int:
     """Run until SIGTERM.
 
@@ -52,16 +64,7 @@
         sys.stderr.write("the settings have no entry role\n")
         return 2
     logs.configure(cfg)
-    asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
-    listener = expositions.Listener(cfg.metrics)
-    service = EntryService(daemon=daemons.Daemon(cfg), listener=listener)
-    with aiomisc.entrypoint(
-        service,
-        catch_signals=(),
-        log_config=False,
-        shutdown_timeout=daemons.STOP_LIMIT_S,
-    ) as loop:
-        loop.run_until_complete(service.signalled.wait())
+    uvloop.run(_serve(cfg))
     return 0
 
 
--- a/coltsfootchute/entry/tests/test_daemons.py
+++ b/coltsfootchute/entry/tests/test_daemons.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import subprocess
 import sys
 
 import pytest
@@ -139,3 +140,45 @@
         assert numbers(meters.cut) == {}
 
     stands.run(play, stands.respond(before=asyncio.Event()), stop_s=1)
+
+
+SIGNALLED_BETWEEN_TWO_RUNS_OF_THE_LOOP = """
+import asyncio, signal, sys
+import uvloop
+from coltsfootchute.entry import __main__ as program
+from coltsfootchute.entry import daemons
+
+run, start = uvloop.Loop.run_until_complete, daemons.Daemon.start
+due = []
+
+def send():
+    if due:
+        due.clear()
+        signal.raise_signal(signal.SIGTERM)
+
+def run_and_send(self, fut):
+    try:
+        return run(self, fut)
+    finally:
+        send()
+
+async def start_and_send_later(self):
+    await start(self)
+    due.append(True)
+    asyncio.get_running_loop().call_later(1.0, send)
+
+uvloop.Loop.run_until_complete = run_and_send
+daemons.Daemon.start = start_and_send_later
+sys.exit(program.main(sys.argv[1]))
+"""
+
+
+def test_a_sigterm_that_comes_as_the_start_ends_is_not_dropped(tmp_path):
+    local = "127.0.0.1:0"
+    entry = {"calls": local, "api": local, "peer": local, "control": ["127.0.0.1:1"]}
+    instance = {"name": "e9", "failure_domain": "fd-a"}
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({"instance": instance, "entry": entry | {"stop_s": 2}}))
+    program = SIGNALLED_BETWEEN_TWO_RUNS_OF_THE_LOOP
+    command = [sys.executable, "-c", program, str(path)]
+    assert subprocess.run(command, timeout=20, check=False).returncode == 0
