--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -6,7 +6,7 @@
 import grpclib
 import grpclib.const
 
-from coltsfootchute import declarations, errors, sections
+from coltsfootchute import announcements, declarations, errors, sections
 from coltsfootchute.control import cores, feeds, joins, maintenance, members
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
@@ -40,6 +40,13 @@
         raise grpclib.GRPCError(grpclib.const.Status.INVALID_ARGUMENT, reason)
 
 
+def _require_announceable(target: pb.Target) -> None:
+    try:
+        announcements.check(target)
+    except errors.DocumentError as exc:
+        _require(False, str(exc))
+
+
 class PeerService(rpc.PeerBase):
     """The gRPC service for calls between control instances.
 
@@ -179,8 +186,7 @@
         )
         _require(bool(command.target.target_id), "target_id: missing")
         if command.kind == pb.TargetCommand.KIND_ANNOUNCE:
-            _require(bool(command.target.address), "address: missing")
-            _require(bool(command.target.services), "services: missing")
+            _require_announceable(command.target)
         return pb.AnnounceReply(**await self._commit(pb.Command(target=command)))
 
     @_unary
--- a/coltsfootchute/entry/descriptions.py
+++ b/coltsfootchute/entry/descriptions.py
@@ -11,6 +11,7 @@
     "describe_section",
     "describe_status",
     "describe_target",
+    "state_name",
 ]
 
 
@@ -38,7 +39,6 @@
 
 def describe_target(target: coltsfootchute_pb2.Target) -> dict[str, typing.Any]:
     """Describe a registered target."""
-    state = coltsfootchute_pb2.TargetState.Name(target.state)
     return {
         "id": target.target_id,
         "incarnation": target.incarnation,
@@ -46,10 +46,17 @@
         "failure_domain": target.failure_domain,
         "services": list(target.services),
         "slots": target.slots,
-        "state": state.removeprefix("TARGET_STATE_").lower(),
+        "state": state_name(target).removeprefix("TARGET_STATE_").lower(),
     }
 
 
+def state_name(target: coltsfootchute_pb2.Target) -> str:
+    """Return the name of a target's state, or its number if that is unknown."""
+    known = coltsfootchute_pb2.TargetState.DESCRIPTOR.values_by_number
+    value = known.get(target.state)
+    return str(target.state) if value is None else value.name
+
+
 def describe_status(
     reply: coltsfootchute_pb2.StatusReply, own_instance: coltsfootchute_pb2.Instance
 ) -> dict[str, typing.Any]:
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -12,8 +12,9 @@
 import grpclib.exceptions
 import loguru
 
-from coltsfootchute import declarations, errors, logs, sections
+from coltsfootchute import logs
 from coltsfootchute.control import feed_streams
+from coltsfootchute.entry import state_tables
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
 __all__ = ["STALE_AFTER_S", "ApplyResult", "View", "Watcher", "clock"]
@@ -38,6 +39,8 @@
 CATCH_UP_S = 0.5
 # Callers turn to another instance after 1 s in which their request was not read.
 START_WAIT_S = 0.8
+# A connected source proves about every second that its state is current.
+PROOF_WAIT_S = 0.8
 
 _STREAM_ERRORS = (
     OSError,
@@ -59,7 +62,7 @@
     FOREIGN_CLUSTER = "foreign_cluster"
 
 
-class View:
+class View(state_tables.StateTables):
     """The last known state: sections, targets, quarantines and instances.
 
     Parameters
@@ -76,22 +79,17 @@
     """
 
     def __init__(self, listener: Listener | None = None):
+        super().__init__()
         self.cluster_id = ""
         self.revision = 0
-        self.sections: dict[str, coltsfootchute_pb2.SectionInForce] = {}
-        self.rule_tables: dict[str, sections.RuleTable] = {}
-        # Routes of the declaration in force; None as long as there is none.
-        self.routes: declarations.RouteTable | None = None
-        self.health_paths: dict[str, str] = {}
         self.control_addresses: list[str] = []
-        self.targets: dict[str, coltsfootchute_pb2.Target] = {}
-        self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
         self.instances: dict[str, coltsfootchute_pb2.Instance] = {}
         self.proof_at = float("-inf")
         # Times of `clock` at which the event loop last ran, and resumed after a freeze.
         self.last_run_at, self.resumed_at = clock(), float("-inf")
         self._became_current = asyncio.Event()
         self._has_message = asyncio.Event()
+        self._proof_waiters: set[asyncio.Future[None]] = set()
         self.listener = listener
 
     def is_stale(self, now: float) -> bool:
@@ -137,14 +135,36 @@
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(self._became_current.wait(), CATCH_UP_S)
 
+    async def wait_for_proof(self, since: float) -> bool:
+        """Wait for a proof that the view is as new as a time, up to a time limit.
+
+        Parameters
+        ----------
+        since
+            Seconds of `clock`.
+
+        Returns
+        -------
+        bool
+            Whether there is such a proof.
+        """
+        end_s = asyncio.get_running_loop().time() + PROOF_WAIT_S
+        while self.proof_at < since:
+            fut = asyncio.get_running_loop().create_future()
+            self._proof_waiters.add(fut)
+            try:
+                async with asyncio.timeout_at(end_s):
+                    await fut
+            except TimeoutError:
+                return False
+            finally:
+                self._proof_waiters.discard(fut)
+        return True
+
     def _is_catching_up(self, now: float) -> bool:
         was_frozen = now - self.last_run_at > FREEZE_THRESHOLD_S
         return self.is_stale(now) and (was_frozen or now - self.resumed_at < CATCH_UP_S)
 
-    def targets_of(self, service: str) -> list[coltsfootchute_pb2.Target]:
-        """Return the targets that announced a service."""
-        return [t for t in self.targets.values() if service in t.services]
-
     def apply(self, message: coltsfootchute_pb2.FeedMessage, now: float) -> ApplyResult:
         """Apply a feed message.
 
@@ -165,7 +185,7 @@
         if not self._accepts(message):
             return ApplyResult.OLD_REVISION
         self.cluster_id = message.cluster_id
-        changed = self._apply_changes(message)
+        changed = self._apply_changes(message, self.revision)
         self.revision = message.revision
         self._has_message.set()
         if message.has_instances:
@@ -175,6 +195,9 @@
         if message.has_proof:
             proof_at = now - message.proof_age_ms / 1000
             self.proof_at = max(self.proof_at, proof_at)
+            for fut in self._proof_waiters:
+                if not fut.done():
+                    fut.set_result(None)
         if not self.is_stale(now):
             self._became_current.set()
         if self.listener is not None:
@@ -184,88 +207,6 @@
     def _accepts(self, message: coltsfootchute_pb2.FeedMessage) -> bool:
         return message.revision >= self.revision
 
-    def _apply_changes(self, message: coltsfootchute_pb2.FeedMessage) -> set[str]:
-        changed: set[str] = set()
-        if message.full:
-            changed |= self._clear()
-        for change in message.changes:
-            if message.full or change.revision > self.revision:
-                changed |= self._apply(change)
-        return changed
-
-    def _clear(self) -> set[str]:
-        changed = set(self.rule_tables)
-        for target in self.targets.values():
-            changed.update(target.services)
-        self.routes = None
-        for table in (self.sections, self.rule_tables, self.health_paths, self.targets):
-            table.clear()
-        self.quarantines.clear()
-        return changed
-
-    def _apply(self, change: coltsfootchute_pb2.FeedChange) -> set[str]:
-        kind = change.WhichOneof("body")
-        if kind == "section":
-            return self._apply_section(change.section)
-        if kind == "declaration":
-            return self._apply_declaration(change.declaration)
-        if kind == "target":
-            return self._apply_target(change.target)
-        if kind == "removed_target_id":
-            removed = self.targets.pop(change.removed_target_id, None)
-            return set(removed.services) if removed is not None else set()
-        if kind == "quarantine":
-            key = (change.quarantine.service, change.quarantine.digest)
-            if change.quarantine.removed:
-                self.quarantines.pop(key, None)
-            else:
-                self.quarantines[key] = change.quarantine
-        return set()
-
-    def _apply_section(self, section: coltsfootchute_pb2.SectionInForce) -> set[str]:
-        try:
-            table = sections.RuleTable(sections.parse(section.document))
-        except errors.DocumentError as exc:
-            # The leader validates documents, so the usual cause is a newer schema.
-            loguru.logger.error("feed: section {} is invalid: {}", section.name, exc)
-            return set()
-        self.sections[section.name] = section
-        if section.name in self.health_paths:
-            # The declaration takes precedence.
-            return set()
-        self.rule_tables[section.name] = table
-        return {section.name}
-
-    def _apply_declaration(
-        self, declaration: coltsfootchute_pb2.Declaration
-    ) -> set[str]:
-        try:
-            text = declaration.document or declarations.unpack(declaration.packed)
-            declared = declarations.parse(text)
-        except errors.DocumentError as exc:
-            # The leader validates declarations, so the usual cause is a newer schema.
-            loguru.logger.error("feed: the declaration is invalid: {}", exc)
-            return set()
-        removed = self.health_paths.keys() - {s.name for s in declared.services}
-        for name in removed:
-            del self.health_paths[name]
-            self.rule_tables.pop(name, None)
-            if name in self.sections:
-                self._apply_section(self.sections[name])
-        for service in declared.services:
-            if service.name not in self.health_paths:
-                empty = sections.Section(rules=[])
-                self.rule_tables[service.name] = sections.RuleTable(empty)
-            self.health_paths[service.name] = service.health_path
-        self.routes = declarations.RouteTable(declared, random.random())
-        return removed | self.health_paths.keys()
-
-    def _apply_target(self, target: coltsfootchute_pb2.Target) -> set[str]:
-        previous = self.targets.get(target.target_id)
-        self.targets[target.target_id] = target
-        changed = set(target.services)
-        return changed | set(previous.services) if previous is not None else changed
-
 
 class Watcher:
     """Client of `Feed.Watch`: watches control instances first, then other entries.
@@ -356,6 +297,10 @@
             reason = "the stream ended"
         except _STREAM_ERRORS as exc:
             reason = repr(exc)
+        except Exception as exc:
+            # Without the watcher the entry would keep its view for good.
+            loguru.logger.exception("feed: unhandled error in a message of {}", address)
+            reason = repr(exc)
         self._log_lost(address, reason)
 
     def _log_lost(self, address: str, reason: str) -> None:
