entry: trust a response on a kept connection only with its request id

Cause: a target that refused a probe and wrote that refusal once more, after the next request was written on the connection, made the entry tell its caller 503, not run, while the target ran the request: the copy has no id of a request, and a response without one was taken for that of the current request. A status 408, 429 or 503 of a target without its statement was also passed on to callers, who read it as "not run".

Ruled out: a copy with the id of another request is skipped, one on an idle connection closes it, and a connection with a refused request is closed, so the refusal must be that of a probe.

Change: on a connection that was used before, a response without the id means that the request may have run, and closes the connection. A probe skips responses that have an id. Statuses that mean "not run" are passed on only with the statement of the target.

--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -133,8 +133,9 @@
         self.message: typing.Any = None
         self.payload: aiohttp.StreamReader | None = None
         self.headers: multidict.CIMultiDict[str] | None = None
-        # Name and value of the request id header, which the target echoes.
-        self.request_id: tuple[str, str] | None = None
+        # Name and value of the request id header, which the target echoes. The value
+        # is None if the request has no id; then its response has none either.
+        self.request_id: tuple[str, str | None] | None = None
         # Parts of the response body that `read_ahead` buffered.
         self.buffered_parts: list[bytes] = []
 
@@ -332,6 +333,7 @@
             if message.code >= 200:
                 skipped = await self._skip(payload, skipped)
             message, payload = await self._protocol.read()
+        self._check_owner(message)
         self._protocol.accept_response(payload)
         self.message = message
         self.payload = payload
@@ -345,6 +347,21 @@
         name, value = self.request_id
         return message.headers.get(name, value) != value
 
+    def _check_owner(self, message: typing.Any) -> None:
+        """Check that a response on a reused connection states its request.
+
+        A target may send a response twice, and the second one may arrive only after
+        the next request was written. Without an id it is not known which request
+        such a response, or a statement in it that the request did not run, is for.
+        """
+        name, value = self.request_id or ("", None)
+        if value is None or not self._protocol.is_reused:
+            return
+        if name not in message.headers:
+            raise aiohttp.http.HttpProcessingError(
+                message=f"a response on a kept-alive connection lacks the header {name}"
+            )
+
     async def _skip(self, payload: aiohttp.StreamReader, skipped: int) -> int:
         # The target sent this response before it read the current request, so the
         # response to the current request is still to come.
--- a/coltsfootchute/entry/connections.py
+++ b/coltsfootchute/entry/connections.py
@@ -41,6 +41,9 @@
         self._unparsed = b""
         self._resume_handle: asyncio.Handle | None = None
         self._overhead_bytes = 0
+        # Whether a request was sent on this connection before the current one.
+        self.is_reused = False
+        self._has_request = False
         # Body of the response to the last request; None while that is awaited.
         self._response_payload: aiohttp.streams.StreamReader | None = (
             aiohttp.streams.EMPTY_PAYLOAD
@@ -50,6 +53,8 @@
         """Prepare for the response to the next request."""
         self._response_payload = None
         self._overhead_bytes = 0
+        self.is_reused = self._has_request
+        self._has_request = True
         super().set_response_params(**params)
 
     def accept_response(self, payload: aiohttp.streams.StreamReader) -> None:
--- a/coltsfootchute/entry/dispatches.py
+++ b/coltsfootchute/entry/dispatches.py
@@ -23,10 +23,14 @@
 # Limits the connections that one call tries while many targets are down.
 MAX_FREE_RETRIES = 3
 MISDIRECTED_STATUS = 421
+# Callers of declared routes take these statuses as a statement that the request has not
+# run, so only a target that states this itself may cause one of them.
+NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, 503})
 _OUTCOMES = {
     verdicts.Reason.CONNECTION_FAILED: balancing.Outcome.CONNECTION_FAILED,
     verdicts.Reason.CONNECTION_LOST: balancing.Outcome.CONNECTION_LOST,
     verdicts.Reason.TARGET_SHED: balancing.Outcome.SHED,
+    verdicts.Reason.TARGET_FAILED: balancing.Outcome.ERROR,
 }
 
 
@@ -268,6 +272,8 @@
                 head_only=call.request.method == "HEAD",
             )
             self._check_shed(attempt)
+            if call.is_declared:
+                self._check_status(attempt)
             if call.rule.whole_bytes:
                 await attempt.read_ahead(call.rule.whole_bytes)
             self._check_seal(attempt)
@@ -308,6 +314,17 @@
         detail = f"the target did not run the request (status {attempt.message.code})"
         raise attempts.AttemptError(verdicts.Verdict.NOT_RUN, reason, detail)
 
+    def _check_status(self, attempt: attempts.Attempt) -> None:
+        status = attempt.message.code
+        if status not in NOT_RUN_STATUSES:
+            return
+        attempt.abort()
+        raise attempts.AttemptError(
+            verdicts.Verdict.MAY_HAVE_RUN,
+            verdicts.Reason.TARGET_FAILED,
+            f"the target does not state that it did not run the request ({status})",
+        )
+
     def _states_not_run(self, attempt: attempts.Attempt) -> bool:
         code, headers = attempt.message.code, attempt.headers
         if self._names.expected_target is not None and code == MISDIRECTED_STATUS:
--- a/coltsfootchute/entry/samplers.py
+++ b/coltsfootchute/entry/samplers.py
@@ -95,6 +95,9 @@
     async def _probe(self, service: pools.Service, view: balancing.TargetView) -> None:
         address = view.target.address
         attempt = attempts.Attempt()
+        if self._header_names.request_id is not None:
+            # A late response to a request must not be taken for that to the probe.
+            attempt.request_id = (self._header_names.request_id, None)
         request_line = f"GET {service.health_path} HTTP/1.1"
         headers = multidict.CIMultiDict({"Host": address})
         view.probe_sent_s = min(view.probe_sent_s, time.monotonic())
