entry: run requests that are sent ahead, and close nothing that was read

Cause: requests sent ahead on one connection waited for each other, so one slow answer held up all behind it. An error behind good requests in one read dropped them (400 in place of their answers). A step of a planned stop that was overdue ran before data that had arrived was read, and closed its connection without an answer. A cut answer of unknown length ended with an orderly close, and looked complete. An entry that had targets but no declaration yet answered 404, and one that was behind answered 404 for a route that had been accepted seconds ago.

Change: `pipelines.CallerConnection` starts up to 8 repeatable requests without a body early; each waits for its turn before it writes. Answers before them do not close the connection. Heads are parsed one at a time. A connection with unanswered requests is not idle, and the event loop polls before a step of a stop closes anything. A close in the middle of an answer is a reset.

--- a/coltsfootchute/entry/answers.py
+++ b/coltsfootchute/entry/answers.py
@@ -1,5 +1,6 @@
 """Answers that the entry writes itself: refusals and replayed answers."""
 
+import asyncio
 import socket
 import struct
 import typing
@@ -16,9 +17,16 @@
     "STATUSES",
     "WrittenAnswer",
     "abort",
+    "begin_turn",
+    "defer_turn",
+    "has_turn",
+    "keeps_open",
+    "may_close",
     "refuse",
     "replay",
+    "reset",
     "start_answer",
+    "wait_turn",
     "write_answer",
 ]
 
@@ -92,6 +100,50 @@
 CLOSE_CONNECTION = WrittenAnswer(keep_alive=False)
 
 
+_TURN_KEY = aiohttp.web.RequestKey("turn", asyncio.Event)
+
+
+def defer_turn(request: aiohttp.web.BaseRequest) -> None:
+    """Hold back the answer to a request until `begin_turn`."""
+    request[_TURN_KEY] = asyncio.Event()
+
+
+def begin_turn(request: aiohttp.web.BaseRequest) -> None:
+    """Let the answer to a request be written."""
+    request[_TURN_KEY].set()
+
+
+def has_turn(request: aiohttp.web.BaseRequest) -> bool:
+    """Return whether all earlier requests of the connection are answered."""
+    turn = request.get(_TURN_KEY)
+    return turn is None or turn.is_set()
+
+
+async def wait_turn(request: aiohttp.web.BaseRequest) -> None:
+    """Wait until all earlier requests of the connection are answered."""
+    if not has_turn(request):
+        await request[_TURN_KEY].wait()
+
+
+def may_close(request: aiohttp.web.BaseRequest) -> bool:
+    """Return whether the answer, whose turn has come, may close the connection."""
+    conn = request.protocol
+    return conn is None or conn.may_close()
+
+
+def keeps_open(request: aiohttp.web.BaseRequest, wants_close: bool) -> bool:
+    """Return whether the connection stays open after the answer to a request.
+
+    Parameters
+    ----------
+    request
+        The request, whose turn has come.
+    wants_close
+        Whether the entry closes the connection if no later request was started.
+    """
+    return request.keep_alive and not (wants_close and may_close(request))
+
+
 async def start_answer(
     request: aiohttp.web.BaseRequest,
     status: int,
@@ -114,6 +166,7 @@
     is_close_delimited
         Whether the close of the connection marks the end of the body.
     """
+    await wait_turn(request)
     writer = request._payload_writer
     empty = request.method == "HEAD" or status in {204, 304}
     if not (empty or is_close_delimited or "Content-Length" in headers):
@@ -158,14 +211,19 @@
     a complete answer of unknown length does. With a linger time of 0 the kernel
     sends a reset instead.
     """
-    transport = request.transport
-    if transport is not None:
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-        transport.abort()
+    if request.transport is not None:
+        reset(request.transport)
     return CLOSE_CONNECTION
 
 
+def reset(transport: asyncio.Transport) -> None:
+    """Reset a connection; data that was not sent is dropped."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+    transport.abort()
+
+
 class _RefusalBody(msgspec.Struct):
     verdict: str
     reason: str
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -7,7 +7,7 @@
 import aiohttp.web
 import loguru
 
-from coltsfootchute import balancing, declarations, logs, settings, verdicts
+from coltsfootchute import balancing, logs, settings, verdicts
 from coltsfootchute.entry import (
     answers,
     attempts,
@@ -15,6 +15,7 @@
     dispatches,
     forwards,
     keys,
+    matches,
     metrics,
     phases,
     placements,
@@ -83,7 +84,7 @@
             names=names or settings.HeaderSettings(),
         )
         self._retry_after_s = retry_after_s
-        self._services = services.by_name
+        self._matcher = matches.Matcher(view, services, self._names)
         self._claims = claims
         self._stop = stop
         # Whether answers close their connections.
@@ -94,6 +95,16 @@
         self._latest_deadline_s = math.inf
         self._limits: dict[requests.Call, asyncio.Timeout] = {}
 
+    def may_run_early(self, request: aiohttp.web.BaseRequest) -> bool:
+        """Return whether a request may run while earlier ones are unanswered.
+
+        If the connection is lost before its answer, the caller can't tell whether it
+        ran, so it must be repeatable.
+        """
+        if self.closes_connections or request.body_exists:
+            return False
+        return self._matcher.is_repeatable(request)
+
     async def handle(self, request: aiohttp.web.BaseRequest) -> answers.WrittenAnswer:
         """Answer one request of a caller."""
         self.in_progress += 1
@@ -110,6 +121,7 @@
             # It is not known whether the request ran, and a reset makes no statement
             # about that.
             loguru.logger.exception("entry: unhandled error in a call")
+            await answers.wait_turn(request)
             return answers.abort(request)
         else:
             self._stop.record_answered(request)
@@ -145,7 +157,7 @@
         try:
             self._check_stopping()
             await self._view.wait_for_first_message()
-            call = self._match(request, started)
+            call = await self._matcher.match(request, started)
         except pools.RefusedError as exc:
             logs.log_event(
                 "entry",
@@ -180,49 +192,6 @@
         if self._refuses_new:
             raise requests.refused(verdicts.Reason.STOPPING, "the entry is stopping")
 
-    def _match(self, request: aiohttp.web.BaseRequest, now: float) -> requests.Call:
-        routes = self._view.routes
-        if routes is not None:
-            return self._match_route(request, routes, now)
-        if not self._view.revision:
-            raise requests.refused(
-                verdicts.Reason.STALE, "the entry has had no contact with control yet"
-            )
-        name, path, query = requests.split_target(request.raw_path)
-        service = self._services.get(name)
-        if service is None:
-            raise requests.refused(verdicts.Reason.NO_SERVICE, f"no service {name!r}")
-        rule = service.rule_table.match(request.method, path)
-        if rule is None:
-            detail = f"no rule of {name!r} matches {request.method} {path}"
-            raise requests.refused(verdicts.Reason.NO_RULE, detail)
-        path_query = (path, query)
-        return requests.Call(request, service, rule, path_query, now, names=self._names)
-
-    def _match_route(
-        self,
-        request: aiohttp.web.BaseRequest,
-        routes: declarations.RouteTable,
-        now: float,
-    ) -> requests.Call:
-        path_query = requests.check_path(request.raw_path)
-        host = request.headers.get("Host", "")
-        route = routes.match(host, path_query[0])
-        if route is None:
-            detail = f"no route of {host!r} matches {path_query[0]}"
-            raise requests.refused(verdicts.Reason.NO_RULE, detail)
-        service = self._services[routes.select_service(route)]
-        rule = requests.rule_of(route, routes.declaration.limits)
-        return requests.Call(
-            request,
-            service,
-            rule,
-            path_query,
-            now,
-            names=self._names,
-            is_declared=True,
-        )
-
     async def _serve(self, call: requests.Call) -> answers.WrittenAnswer:
         await self._view.wait_for_update_after_freeze()
         self._check_currency(call)
@@ -273,6 +242,7 @@
     ) -> answers.WrittenAnswer:
         code = attempt.message.code
         outcome = balancing.Outcome.OK if code < 500 else balancing.Outcome.ERROR
+        is_released = await self._wait_turn(call, attempt, token, outcome)
         relay = relays.Relay(call, attempt, self._keep_alive(call), self._is_stale())
         try:
             written = await relay.run()
@@ -285,7 +255,8 @@
             raise
         finally:
             attempt.finish()
-            call.service.finish(token, outcome)
+            if not is_released:
+                call.service.finish(token, outcome)
         self._meters.meter(call.service.name).attempts[verdicts.Verdict.RAN].inc()
         self._record_complete(call, relay)
         logs.log_event(
@@ -300,6 +271,32 @@
         )
         return written
 
+    async def _wait_turn(
+        self,
+        call: requests.Call,
+        attempt: attempts.Attempt,
+        token: balancing.AttemptToken,
+        outcome: balancing.Outcome,
+    ) -> bool:
+        """Wait for the turn of the answer; return whether the target was released.
+
+        A response that is in memory must not occupy its target meanwhile.
+        """
+        if answers.has_turn(call.request):
+            return False
+        is_received = attempt.payload.is_eof() and not attempt.close_delimited
+        if is_received:
+            attempt.finish()
+            call.service.finish(token, outcome)
+        try:
+            await answers.wait_turn(call.request)
+        except BaseException:
+            if not is_received:
+                attempt.abort()
+                call.service.finish(token, self._interrupted_outcome(call))
+            raise
+        return is_received
+
     def _record_complete(self, call: requests.Call, relay: relays.Relay) -> None:
         if call.claim is not None and relay.is_provably_complete:
             self._claims.settle(call, relay.stored_answer())
@@ -316,7 +313,7 @@
         return answers.abort(call.request)
 
     def _keep_alive(self, call: requests.Call) -> bool:
-        call.keep_alive = call.request.keep_alive and not self.closes_connections
+        call.keep_alive = answers.keeps_open(call.request, self.closes_connections)
         return call.keep_alive
 
     def _is_stale(self) -> bool:
@@ -375,11 +372,12 @@
         status: int | None = None,
     ) -> answers.WrittenAnswer:
         self._meters.refusals.labels(refusal.reason.value).inc()
-        keep_alive = request.keep_alive and not self.closes_connections
         headers = {verdicts.STALE_HEADER: "1"} if self._is_stale() else None
+        await answers.wait_turn(request)
         # The rest of a body that was not read may still arrive on the connection.
-        keep_alive = keep_alive and (
-            not request.body_exists or request.content.at_eof()
+        is_body_read = not request.body_exists or request.content.at_eof()
+        keep_alive = answers.keeps_open(
+            request, self.closes_connections or not is_body_read
         )
         return await answers.refuse(
             request,
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -5,7 +5,6 @@
 import time
 import typing
 
-import aiohttp.web
 import grpclib.server
 import loguru
 
@@ -16,6 +15,7 @@
     calls,
     clients,
     crashes,
+    descriptions,
     forwards,
     keys,
     listeners,
@@ -54,7 +54,6 @@
 REPORT_CHECK_INTERVAL_S = 0.5
 REPORT_MAX_INTERVAL_S = 1.5
 REPORT_TIMEOUT_S = 1.0
-LISTEN_BACKLOG = 1024
 SHUTDOWN_TIMEOUT_S = 0.05
 
 
@@ -187,10 +186,10 @@
         loguru.logger.info("entry: listening for calls at {}", self.calls_address)
 
     async def _start_peer(self, address: str) -> str:
-        host, port = _split_address(address)
+        host, port = listeners.split_address(address)
         self._peer_server = grpclib.server.Server([feeds.FeedService(self.feed)])
         await self._peer_server.start(host, port)
-        return _bound_address(self._peer_server._server, address)
+        return listeners.bound_address(self._peer_server._server, address)
 
     async def _start_api(self, address: str) -> str:
         app = self._api.application()
@@ -198,13 +197,17 @@
             self._extend(app, self._api)
         self._api_server = listeners.AppServer(app)
         for listen_address in filter(None, [address, self._cfg.entry.directory]):
-            self._api_listeners.append(await _listen(self._api_server, listen_address))
-        return _bound_address(self._api_listeners[0], address)
+            self._api_listeners.append(
+                await listeners.listen(self._api_server, listen_address)
+            )
+        return listeners.bound_address(self._api_listeners[0], address)
 
     async def _start_calls(self, address: str) -> str:
-        self._calls_server = listeners.Server(self._calls.handle)
-        self._listener = await _listen(self._calls_server, address)
-        return _bound_address(self._listener, address)
+        self._calls_server = listeners.Server(
+            self._calls.handle, self._calls.may_run_early
+        )
+        self._listener = await listeners.listen(self._calls_server, address)
+        return listeners.bound_address(self._listener, address)
 
     async def stop(self, end_s: float | None = None) -> None:
         """Stop gracefully, without cutting off requests that end in time.
@@ -285,10 +288,12 @@
         except errors.ColtsfootchuteError as exc:
             loguru.logger.warning("entry: could not report the stop: {}", exc)
         await asyncio.sleep(_remaining_s(began_s + schedule.accept_s))
+        await listeners.read_arrived()
         self._calls.refuse_new()
         self._listener.close()
         self._stop.log_step("accepts no more connections", **self._progress_fields())
         await asyncio.sleep(IDLE_GRACE_S)
+        await listeners.read_arrived()
         closed = self._calls_server.close_idle()
         self._stop.log_step(
             "closes idle connections", idle=closed, **self._progress_fields()
@@ -306,9 +311,11 @@
         self._api_server.set_deadline(
             min(began_s + schedule.finish_s, now_s + API_TIMEOUT_S)
         )
+        await listeners.read_arrived()
         for listener in self._api_listeners:
             listener.close()
         await asyncio.sleep(IDLE_GRACE_S)
+        await listeners.read_arrived()
         closed = self._api_server.close_idle()
         open_now = len(self._api_server.connections)
         self._stop.log_step("api closes idle connections", idle=closed, api=open_now)
@@ -369,8 +376,7 @@
             kind = change.WhichOneof("body")
             fields = {"revision": change.revision}
             if kind == "target":
-                target = change.target
-                state = coltsfootchute_pb2.TargetState.Name(target.state)
+                target, state = change.target, descriptions.state_name(change.target)
                 fields |= {"target": target.target_id, "address": target.address}
                 fields |= {"services": list(target.services), "state": state}
             elif kind == "removed_target_id":
@@ -427,21 +433,5 @@
         await self.client.report(request, self._watcher.source, REPORT_TIMEOUT_S)
 
 
-def _split_address(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
-async def _listen(server: aiohttp.web.Server, address: str) -> asyncio.Server:
-    host, port = _split_address(address)
-    loop = asyncio.get_running_loop()
-    return await loop.create_server(server, host, port, backlog=LISTEN_BACKLOG)
-
-
-def _bound_address(server: typing.Any, address: str) -> str:
-    host = address.rpartition(":")[0]
-    return f"{host}:{server.sockets[0].getsockname()[1]}"
-
-
 def _remaining_s(until_s: float) -> float:
     return max(0.0, until_s - asyncio.get_running_loop().time())
--- a/coltsfootchute/entry/listeners.py
+++ b/coltsfootchute/entry/listeners.py
@@ -7,9 +7,21 @@
 
 import aiohttp.web
 
-from coltsfootchute.entry import answers
+from coltsfootchute.entry import answers, pipelines
+
+__all__ = [
+    "AppServer",
+    "Server",
+    "bound_address",
+    "listen",
+    "read_arrived",
+    "split_address",
+]
 
-__all__ = ["AppServer", "Server"]
+LISTEN_BACKLOG = 1024
+# Iterations of the event loop, each with one poll: one accepts connections, the next
+# one reads from them, and the last one starts their handlers.
+POLLS = 4
 
 Handler = collections.abc.Callable[
     [aiohttp.web.BaseRequest],
@@ -24,6 +36,9 @@
     ----------
     handler
         Handles one request and writes its answer.
+    may_run_early
+        Whether a request may be handled while earlier ones of its connection are
+        unanswered; None if none may.
     options
         Options of the base class that replace the defaults.
 
@@ -34,13 +49,19 @@
     a request body.
     """
 
-    def __init__(self, handler: Handler, **options: typing.Any):
+    def __init__(
+        self,
+        handler: Handler,
+        may_run_early: pipelines.Predicate | None = None,
+        **options: typing.Any,
+    ):
         defaults = {"handler_cancellation": True, "auto_decompress": False}
         super().__init__(self._handle, access_log=None, **{**defaults, **options})
         self._handler = handler
-        self._open: set[aiohttp.web.RequestHandler] = set()
+        self._may_run_early = may_run_early
+        self._open: set[pipelines.CallerConnection] = set()
         # Connections with a request in progress, or with an answer that closes them.
-        self._occupied: set[aiohttp.web.RequestHandler] = set()
+        self._occupied: set[pipelines.CallerConnection] = set()
         self._all_closed = asyncio.Event()
         self._is_closing = False
 
@@ -50,14 +71,20 @@
         conn = request.protocol
         if conn in self._open:
             self._occupied.add(conn)
-        answer = await self._handler(request)
+        answer = await conn.handle(request)
         if not answer.keep_alive:
             return answer
-        if self._is_closing:
+        if self._is_closing and conn.may_close():
             return answers.CLOSE_CONNECTION
         self._occupied.discard(conn)
         return answer
 
+    def __call__(self) -> pipelines.CallerConnection:
+        """Return the protocol of a new connection."""
+        return pipelines.CallerConnection(
+            self, self._handler, self._may_run_early, loop=self._loop, **self._kwargs
+        )
+
     def connection_made(
         self, handler: aiohttp.web.RequestHandler, transport: asyncio.Transport
     ) -> None:
@@ -76,13 +103,13 @@
             self._all_closed.set()
 
     def close_idle(self) -> int:
-        """Close the connections without a request in progress; return their number.
+        """Close the connections without a request; return their number.
 
         Each other connection is closed after its current answer, even if the head of
         that answer has already announced that the connection stays open.
         """
         self._is_closing = True
-        idle = self._open - self._occupied
+        idle = {conn for conn in self._open - self._occupied if conn.is_idle}
         for conn in idle:
             conn.force_close()
         return len(idle)
@@ -162,3 +189,38 @@
         return aiohttp.web.json_response(body, status=503, headers=headers)
     body = {"error": "unknown", "detail": "the outcome is unknown; send it again"}
     return aiohttp.web.json_response(body, status=504)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of an address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+async def listen(server: aiohttp.web.Server, address: str) -> asyncio.Server:
+    """Accept connections for a server at an address.
+
+    Raises
+    ------
+    OSError
+        If the address is in use.
+    """
+    host, port = split_address(address)
+    loop = asyncio.get_running_loop()
+    return await loop.create_server(server, host, port, backlog=LISTEN_BACKLOG)
+
+
+def bound_address(server: typing.Any, address: str) -> str:
+    """Return an address with the port to which a listener is bound."""
+    host = address.rpartition(":")[0]
+    return f"{host}:{server.sockets[0].getsockname()[1]}"
+
+
+async def read_arrived() -> None:
+    """Let the event loop accept connections and read data that have arrived.
+
+    Timers of uvloop run before it polls its sockets. If the process was delayed, a step
+    of a stop could otherwise close a connection whose request it has not read yet.
+    """
+    for _ in range(POLLS):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/coltsfootchute/entry/matches.py
@@ -0,0 +1,129 @@
+"""Matching of requests to declared routes and to the rules of sections."""
+
+import aiohttp.web
+
+from coltsfootchute import declarations, settings, verdicts
+from coltsfootchute.entry import pools, requests, watches
+
+__all__ = ["Matcher"]
+
+# Maximum age of the view by which a request is refused as unknown. It is below the time
+# in which an accepted change has to be in force, and above the interval of proofs.
+MAX_REFUSAL_AGE_S = 1.5
+# Reasons of a refusal that a newer view may remove.
+_UNKNOWN_REASONS = frozenset({verdicts.Reason.NO_SERVICE, verdicts.Reason.NO_RULE})
+
+
+class Matcher:
+    """Matches requests to routes of the declaration, or else to rules of sections.
+
+    Parameters
+    ----------
+    view
+        View of the replicated state.
+    services
+        Prepared services by name.
+    names
+        Names of headers.
+    """
+
+    def __init__(
+        self,
+        view: watches.View,
+        services: pools.Services,
+        names: settings.HeaderSettings,
+    ):
+        self._view = view
+        self._services = services.by_name
+        self._names = names
+
+    async def match(
+        self, request: aiohttp.web.BaseRequest, now: float
+    ) -> requests.Call:
+        """Return the call of a request.
+
+        Parameters
+        ----------
+        request
+            The request.
+        now
+            Seconds of the monotonic clock at which it arrived.
+
+        Raises
+        ------
+        RefusedError
+            If nothing matches. A view that may be out of date does not show that the
+            request is unknown, so this is stated only by a recent one.
+        """
+        oldest_proof_at = watches.clock() - MAX_REFUSAL_AGE_S
+        try:
+            return self._match(request, now)
+        except pools.RefusedError as exc:
+            if exc.refusal.reason not in _UNKNOWN_REASONS:
+                raise
+        if not await self._view.wait_for_proof(oldest_proof_at):
+            raise requests.refused(
+                verdicts.Reason.STALE,
+                "the route is not known, and control does not prove that there is none",
+            )
+        return self._match(request, now)
+
+    def is_repeatable(self, request: aiohttp.web.BaseRequest) -> bool:
+        """Return whether a known rule allows that a request runs more than once."""
+        try:
+            if self._view.routes is not None:
+                path, _ = requests.check_path(request.raw_path)
+                host = request.headers.get("Host", "")
+                route = self._view.routes.match(host, path)
+                return route is not None and route.guarantee == "repeatable"
+            name, path, _ = requests.split_target(request.raw_path)
+        except pools.RefusedError:
+            return False
+        service = self._services.get(name)
+        if service is None:
+            return False
+        rule = service.rule_table.match(request.method, path)
+        return rule is not None and rule.repeatable
+
+    def _match(self, request: aiohttp.web.BaseRequest, now: float) -> requests.Call:
+        routes = self._view.routes
+        if routes is not None:
+            return self._match_route(request, routes, now)
+        if not self._view.rule_tables:
+            raise requests.refused(
+                verdicts.Reason.STALE, "the entry knows no declared service yet"
+            )
+        name, path, query = requests.split_target(request.raw_path)
+        service = self._services.get(name)
+        if service is None:
+            raise requests.refused(verdicts.Reason.NO_SERVICE, f"no service {name!r}")
+        rule = service.rule_table.match(request.method, path)
+        if rule is None:
+            detail = f"no rule of {name!r} matches {request.method} {path}"
+            raise requests.refused(verdicts.Reason.NO_RULE, detail)
+        path_query = (path, query)
+        return requests.Call(request, service, rule, path_query, now, names=self._names)
+
+    def _match_route(
+        self,
+        request: aiohttp.web.BaseRequest,
+        routes: declarations.RouteTable,
+        now: float,
+    ) -> requests.Call:
+        path_query = requests.check_path(request.raw_path)
+        host = request.headers.get("Host", "")
+        route = routes.match(host, path_query[0])
+        if route is None:
+            detail = f"no route of {host!r} matches {path_query[0]}"
+            raise requests.refused(verdicts.Reason.NO_RULE, detail)
+        service = self._services[routes.select_service(route)]
+        rule = requests.rule_of(route, routes.declaration.limits)
+        return requests.Call(
+            request,
+            service,
+            rule,
+            path_query,
+            now,
+            names=self._names,
+            is_declared=True,
+        )
--- /dev/null
+++ b/coltsfootchute/entry/pipelines.py
@@ -0,0 +1,168 @@
+"""Connections of callers that send requests before earlier ones are answered."""
+
+import asyncio
+import collections
+import collections.abc
+import typing
+
+import aiohttp.http
+import aiohttp.streams
+import aiohttp.web
+import aiohttp.web_protocol
+
+from coltsfootchute.entry import answers
+
+__all__ = ["CallerConnection"]
+
+# Maximum number of requests of one connection that are handled before their turn. Each
+# of them may hold a response of up to `requests.BUFFERED_RESPONSE_BYTES`.
+MAX_EARLY_REQUESTS = 8
+HEAD_END = b"\r\n\r\n"
+
+Handler = collections.abc.Callable[
+    [aiohttp.web.BaseRequest], collections.abc.Awaitable[typing.Any]
+]
+Predicate = collections.abc.Callable[[aiohttp.web.BaseRequest], bool]
+_EarlyRequest = tuple[aiohttp.web.BaseRequest, asyncio.Task[typing.Any]]
+
+
+class CallerConnection(aiohttp.web.RequestHandler):
+    """A connection that handles some of its requests side by side.
+
+    Parameters
+    ----------
+    manager
+        The server.
+    handler
+        Handles one request and writes its answer.
+    may_run_early
+        Whether a request may be handled while earlier ones are unanswered; None if
+        none may.
+
+    Notes
+    -----
+    aiohttp handles the requests of a connection one after the other. This class starts
+    the handlers of queued requests early; each of them waits for its turn before it
+    writes, so answers have the order of the requests (RFC 9112, 9.3.2).
+
+    Once a request was started early, the answers before it do not close the
+    connection: a caller assumes that the requests behind such an answer were not read.
+    """
+
+    def __init__(
+        self,
+        manager: aiohttp.web.Server,
+        handler: Handler,
+        may_run_early: Predicate | None,
+        **options: typing.Any,
+    ):
+        super().__init__(manager, **options)
+        self._handler = handler
+        self._may_run_early = may_run_early
+        self._early: collections.deque[_EarlyRequest] = collections.deque()
+        # Whether the answer to the last request that was started closes the connection.
+        self._will_close = False
+        if may_run_early is not None:
+            self._request_factory = self._take_request
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether every request that was read has been answered."""
+        return not (self._messages or self._early or self._request_in_progress)
+
+    def may_close(self) -> bool:
+        """Return whether the current answer may close the connection.
+
+        Notes
+        -----
+        If it may, no further request is started early.
+        """
+        if self._early:
+            return False
+        self._will_close = True
+        return True
+
+    async def handle(self, request: aiohttp.web.BaseRequest) -> typing.Any:
+        """Return the answer to a request whose turn has come."""
+        if not self._early or self._early[0][0] is not request:
+            self._start_early()
+            return await self._handler(request)
+        _, task = self._early.popleft()
+        answers.begin_turn(request)
+        self._start_early()
+        return await task
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received data, at most one head at a time.
+
+        The parser drops the requests of a part in which an error follows them.
+        """
+        start = 0
+        while 0 <= (end := data.find(HEAD_END, start)) < len(data) - len(HEAD_END):
+            end += len(HEAD_END)
+            super().data_received(data[start:end])
+            start = end
+        super().data_received(data[start:] if start else data)
+        self._start_early()
+
+    def force_close(self) -> None:
+        """Close the connection, with a reset in the middle of an answer.
+
+        An orderly close would mark the end of an answer of unknown length.
+        """
+        if self._request_in_progress and self.transport is not None:
+            answers.reset(self.transport)
+        super().force_close()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel the requests that were started early, as nobody reads the answers."""
+        for _, task in self._early:
+            task.cancel()
+        super().connection_lost(exc)
+
+    def _take_request(
+        self,
+        message: aiohttp.http.RawRequestMessage,
+        payload: aiohttp.streams.StreamReader,
+        *context: typing.Any,
+    ) -> aiohttp.web.BaseRequest:
+        """Return the request of a message, which may have been started early."""
+        if self._early and self._early[0][0]._message is message:
+            return self._early[0][0]
+        self._will_close = _closes_connection(message)
+        return self._manager.request_factory(message, payload, *context)
+
+    def _start_early(self) -> None:
+        """Start queued requests as long as no answer before them closes."""
+        if self._may_run_early is None or self._force_close or self._close:
+            return
+        if not self._request_in_progress and len(self._messages) < 2:
+            # The base class starts a request that has none before it.
+            return
+        while len(self._early) < min(len(self._messages), MAX_EARLY_REQUESTS):
+            message, payload = self._messages[len(self._early)]
+            if self._will_close or not self._try_early(message, payload):
+                return
+
+    def _try_early(
+        self, message: typing.Any, payload: aiohttp.streams.StreamReader
+    ) -> bool:
+        if not isinstance(message, aiohttp.http.RawRequestMessage):
+            return False
+        writer = aiohttp.http.StreamWriter(self, self._loop)
+        request = self._manager.request_factory(
+            message, payload, self, writer, self._task_handler
+        )
+        if not self._may_run_early(request):
+            return False
+        self._will_close = _closes_connection(message)
+        answers.defer_turn(request)
+        task = self._loop.create_task(self._handler(request))
+        self._early.append((request, task))
+        return True
+
+
+def _closes_connection(message: typing.Any) -> bool:
+    return not isinstance(message, aiohttp.http.RawRequestMessage) or (
+        message.should_close or message.upgrade or message.version < (1, 1)
+    )
--- a/coltsfootchute/entry/relays.py
+++ b/coltsfootchute/entry/relays.py
@@ -40,9 +40,10 @@
         self._attempt = attempt
         self._is_response_close_delimited = attempt.close_delimited
         # HTTP/1.0 has no other way to end a body of unknown length.
-        self._is_answer_close_delimited = self._is_response_close_delimited or (
-            attempt.message.chunked and call.request.version < (1, 1)
-        )
+        self._is_answer_close_delimited = (
+            self._is_response_close_delimited
+            or (attempt.message.chunked and call.request.version < (1, 1))
+        ) and answers.may_close(call.request)
         self._keep_alive = keep_alive and not self._is_answer_close_delimited
         self._is_stale = is_stale
         self._stored_parts: list[bytes] | None = [] if call.claim is not None else None
--- a/coltsfootchute/entry/tests/fakes.py
+++ b/coltsfootchute/entry/tests/fakes.py
@@ -92,13 +92,13 @@
         document = json.dumps({"rules": RULES, **changes})
         self.publish(section=pb.SectionInForce(name=name, document=document))
 
-    def declare(self, version, *routes, services=("shop",)):
+    def declare(self, version, *routes, services=("shop",), **changes):
         """Publish a declaration with routes of host `x`."""
         share = [{"service": services[0]}]
         common = {"host": "x", "guarantee": "repeatable", "attempts": 2}
         rows = [{**common, "name": r["prefix"], "shares": share, **r} for r in routes]
         named = [{"name": name, "health_path": "/health"} for name in services]
-        document = {"version": version, "services": named, "routes": rows}
+        document = {"version": version, "services": named, "routes": rows, **changes}
         packed = declarations.pack(json.dumps(document))
         declaration = pb.Declaration(version=version, packed=packed)
         self.publish(declaration=declaration)
--- a/coltsfootchute/entry/tests/test_bounded_stops.py
+++ b/coltsfootchute/entry/tests/test_bounded_stops.py
@@ -3,10 +3,13 @@
 import asyncio
 import contextlib
 import socket
+import threading
 import time
 
 import pytest
+import uvloop
 
+from coltsfootchute.entry import daemons
 from coltsfootchute.entry.tests import fakes
 
 STOP_S = 4.0
@@ -291,3 +294,54 @@
         return await fakes.respond(b"whole")(target, head, reader, writer)
 
     fakes.run(scenario, script, stop_s=STOP_S)
+
+
+@pytest.mark.parametrize("is_new", [False, True])
+def test_a_request_that_arrives_while_the_process_is_delayed_is_answered(is_new):
+    """A step of the stop that is overdue must not run before data that has arrived."""
+    # The delay spans the step that refuses connections, or the one that closes them.
+    delay_after_s = daemons.ACCEPT_FRACTION * STOP_S + (-0.3 if is_new else 0.1)
+    delay_s = 0.6
+
+    async def scenario(harness):
+        loop = asyncio.get_running_loop()
+        received = []
+        is_delayed = threading.Event()
+
+        def call():
+            host, _, port = harness.entry.calls_address.rpartition(":")
+            address = (host, int(port))
+            sock = socket.create_connection(address, timeout=10)
+            is_delayed.wait()
+            time.sleep(delay_s / 4)
+            if is_new:
+                sock = socket.create_connection(address, timeout=10)
+            sock.sendall(GET)
+            with contextlib.suppress(ConnectionError):
+                received.append(sock.recv(1 << 16))
+            sock.close()
+
+        def delay():
+            is_delayed.set()
+            time.sleep(delay_s)
+
+        calling = asyncio.ensure_future(asyncio.to_thread(call))
+        server = harness.entry._calls_server
+        await fakes.wait_until(lambda: server.connections)
+        stopping = asyncio.ensure_future(harness.entry.stop())
+        loop.call_later(delay_after_s, delay)
+        await stopping
+        await calling
+        assert received
+        assert received[0].startswith(b"HTTP/1.1 ")
+
+    async def main():
+        harness = fakes.EntryHarness()
+        await harness.start(fakes.respond(), stop_s=STOP_S)
+        try:
+            await scenario(harness)
+        finally:
+            await harness.stop()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(main())
--- a/coltsfootchute/entry/tests/test_listeners.py
+++ b/coltsfootchute/entry/tests/test_listeners.py
@@ -95,3 +95,53 @@
             assert ran == ["/1"]
 
     asyncio.run(scenario())
+
+
+def test_a_request_that_was_read_but_not_handed_over_is_answered():
+    """Data arrives and a stop closes idle connections in one turn of the event loop."""
+
+    async def scenario():
+        async with open_connection(_answer_200) as (server, reader, writer):
+            writer.write(get("/0"))
+            await reader.readuntil(b"\r\n\r\n")
+            (conn,) = server.connections
+            conn.data_received(get("/1"))
+            assert server.close_idle() == 0
+            answer = await read_to_end(reader)
+            assert answer.startswith(b"HTTP/1.1 200")
+
+    asyncio.run(scenario())
+
+
+def test_a_cut_answer_of_unknown_length_does_not_look_complete():
+    """An orderly close would mark the end of the answer."""
+    started = asyncio.Event()
+
+    async def answer(request):
+        writer = await answers.start_answer(
+            request,
+            200,
+            "OK",
+            multidict.CIMultiDict(),
+            keep_alive=False,
+            is_close_delimited=True,
+        )
+        await writer.write(b"part")
+        started.set()
+        await asyncio.sleep(TIMEOUT_S * 2)
+
+    async def scenario():
+        async with open_connection(answer) as (server, reader, writer):
+            writer.write(get("/1"))
+            await started.wait()
+            await reader.readuntil(b"part")
+            await server.shutdown(0.01)
+            with pytest.raises(ConnectionResetError):
+                await reader.read()
+
+    asyncio.run(scenario())
+
+
+async def _answer_200(request):
+    headers = multidict.CIMultiDict()
+    return await answers.write_answer(request, 200, headers, b"", True)
