tests: give the targets of scenarios addresses that can be connected to

Change: the world maps the names of targets to addresses and back, and its fake request has the attributes that answers read.

--- a/tests/scenario_language/targets.py
+++ b/tests/scenario_language/targets.py
@@ -85,7 +85,7 @@
 
     async def send(self, attempt, endpoint, line, headers, body, *, fresh, head_only):
         entry, world = self._entry, self._entry.world
-        network, name = world.network, endpoint.address
+        network, name = world.network, name_of(endpoint.address)
         try:
             async with asyncio.timeout(0.25):
                 await network.connect(entry.name, name)
@@ -128,6 +128,16 @@
         attempt.payload = Payload(data, target.truncates)
 
 
+def address_of(name):
+    """Return the address of a target by its name, such as ``t1``."""
+    return f"10.0.0.1:{int(name.removeprefix('t'))}"
+
+
+def name_of(address):
+    """Return the name of the target at an address."""
+    return f"t{address.rpartition(':')[2]}"
+
+
 class Request:
     """A request of a caller, and the answer that was written to its connection.
 
@@ -136,6 +146,7 @@
 
     version = (1, 1)
     keep_alive = True
+    protocol = None
     body_exists = False
     content_length = 0
     content = None
@@ -181,5 +192,8 @@
     def get_extra_info(self, _):
         return types.SimpleNamespace(setsockopt=lambda *_: None)
 
+    def is_closing(self):
+        return self.is_cut
+
     def abort(self):
         self.is_cut = True
--- a/tests/scenario_language/worlds.py
+++ b/tests/scenario_language/worlds.py
@@ -259,7 +259,7 @@
         announced = pb.Target(
             target_id=name,
             incarnation=target.incarnation,
-            address=name,
+            address=targets.address_of(name),
             failure_domain="fd-a",
             services=[users.SERVICE],
             slots=8,
