entry: continue the transfer of a declaration over a slow link

Change: the transfer goes on for up to 10 s in the background, and an attempt with the same content joins it; at most 8 run at a time. The time for the reply to a message grows with its size, at 64 KiB/s.

Operators still get a reply within 0.9 s each time.

--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -16,7 +16,9 @@
 __all__ = ["ControlClient", "RejectedError"]
 
 CONNECT_TIMEOUT_S = 0.5
+# Time for a reply, and the slowest transfer of a message to which it is added.
 CALL_TIMEOUT_S = 1.0
+MIN_BYTES_PER_S = 1 << 16
 # Longer than an election (1.2 to 2.4 s), for callers that can wait.
 FIND_LEADER_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.1
@@ -171,7 +173,8 @@
         self, address: str, method: typing.Any, request: typing.Any, deadline: float
     ) -> typing.Any:
         now = asyncio.get_running_loop().time()
-        timeout_s = min(CALL_TIMEOUT_S, max(deadline - now, 0.001))
+        timeout_s = CALL_TIMEOUT_S + request.ByteSize() / MIN_BYTES_PER_S
+        timeout_s = min(timeout_s, max(deadline - now, 0.001))
         try:
             return await method(request, timeout=timeout_s)
         except grpclib.exceptions.GRPCError as exc:
@@ -272,6 +275,22 @@
                 )
         await self.call("Report", request, limit_s / 2, repeatable=True)
 
+    def start_call(
+        self, method: str, request: typing.Any, limit_s: float
+    ) -> asyncio.Task[typing.Any]:
+        """Start an idempotent call that goes on if the code that awaits it gives up."""
+        task = asyncio.ensure_future(
+            self.call(method, request, limit_s, repeatable=True)
+        )
+        self._resend_tasks.add(task)
+        task.add_done_callback(self._finish_call)
+        return task
+
+    def _finish_call(self, task: asyncio.Task[typing.Any]) -> None:
+        self._resend_tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            loguru.logger.debug("entry: a call failed: {!r}", task.exception())
+
     def settle(self, command: coltsfootchute_pb2.SettleCommand) -> None:
         """Send a settlement or a release until it is acknowledged."""
         self.resend("Settle", command)
--- a/coltsfootchute/entry/operations.py
+++ b/coltsfootchute/entry/operations.py
@@ -1,8 +1,10 @@
 """Operations for operators, targets and callers, independent of HTTP."""
 
+import asyncio
+import hashlib
 import typing
 
-from coltsfootchute import declarations
+from coltsfootchute import declarations, errors
 from coltsfootchute.entry import addresses, clients, watches
 from coltsfootchute.proto import coltsfootchute_pb2
 
@@ -10,6 +12,11 @@
 
 # Operators turn to another instance after 1 s without a response.
 DECLARATION_TIMEOUT_S = 0.9
+# The transfer of a declaration to control goes on for this time after the operator has
+# turned to another instance, so that the next attempt does not start again.
+SUBMISSION_TIMEOUT_S = 10.0
+# Maximum number of declarations that are transferred at the same time.
+MAX_SUBMISSIONS = 8
 # Targets turn to another instance after 1 s without a response.
 REPORT_TIMEOUT_S = 0.9
 
@@ -36,6 +43,8 @@
         self._view = view
         self._client = client
         self._own_instance = own_instance
+        # Transfers to control by the digest of what the operator sent.
+        self._submissions: dict[bytes, asyncio.Task[typing.Any]] = {}
 
     async def read_declaration(self) -> coltsfootchute_pb2.Declaration:
         """Return the newest declaration; version 0 if there is none.
@@ -68,14 +77,28 @@
         coltsfootchute.errors.ColtsfootchuteError
             If the declaration may not be in force. It is safe to submit it again.
         """
-        message = coltsfootchute_pb2.Declaration(
-            version=declared.version,
-            document=declarations.encode(declared),
-            submitted=submitted,
-        )
-        reply = await self._client.call(
-            "Declare", message, DECLARATION_TIMEOUT_S, repeatable=True
-        )
+        digest = hashlib.blake2b(submitted, digest_size=16).digest()
+        task = self._submissions.get(digest)
+        if task is None:
+            if len(self._submissions) >= MAX_SUBMISSIONS:
+                raise errors.UnavailableError(
+                    f"{MAX_SUBMISSIONS} other declarations are being transferred"
+                )
+            message = coltsfootchute_pb2.Declaration(
+                version=declared.version,
+                document=declarations.encode(declared),
+                submitted=submitted,
+            )
+            task = self._client.start_call("Declare", message, SUBMISSION_TIMEOUT_S)
+            self._submissions[digest] = task
+            task.add_done_callback(lambda _: self._submissions.pop(digest))
+        try:
+            async with asyncio.timeout(DECLARATION_TIMEOUT_S):
+                reply = await asyncio.shield(task)
+        except TimeoutError:
+            raise errors.OutcomeUnknownError(
+                f"no reply to the declaration within {DECLARATION_TIMEOUT_S} s"
+            ) from None
         return reply.outcome
 
     async def report_target(
