entry: let a hedge win over a server error

Change: a response with a server error wins only if no other attempt of the race does better.

Before / after: two cases of test_races failed before the change.

--- a/coltsfootchute/entry/races.py
+++ b/coltsfootchute/entry/races.py
@@ -21,6 +21,8 @@
 ) -> AttemptResult:
     """Return the attempt that is the first to receive the head of a response.
 
+    A response with a server error is returned only if no other attempt does better.
+
     Parameters
     ----------
     first
@@ -81,15 +83,21 @@
 ) -> asyncio.Task[AttemptResult]:
     pending = tasks
     failed: list[attempts.AttemptError] = []
+    server_errors: list[asyncio.Task[AttemptResult]] = []
     while pending:
         done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
             exc = task.exception()
-            if exc is None:
+            if exc is not None:
+                if not isinstance(exc, attempts.AttemptError):
+                    raise exc
+                failed.append(exc)
+            elif task.result()[0].message.code < 500:
                 return task
-            if not isinstance(exc, attempts.AttemptError):
-                raise exc
-            failed.append(exc)
+            else:
+                server_errors.append(task)
+    if server_errors:
+        return server_errors[0]
     may_have_run = (e for e in failed if e.verdict is not verdicts.Verdict.NOT_RUN)
     raise next(may_have_run, failed[0])
 
