entry: count leases of probe time on a clock that runs while suspended

Cause: a lease of probe time was counted on the steady clock, which stands still while the host is suspended, so an entry probed under a lease that had ended meanwhile.

Change: the lease is requested, counted and checked on the clock of the feed.

--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -321,10 +321,20 @@
         return not len(self.admission) and self._budget.take()
 
     def begin_probe(
-        self, target_id: ids.TargetId, now: float
+        self, target_id: ids.TargetId, now: float, lease_now: float
     ) -> probes.ProbePermit | None:
         """Reserve time to probe a target that has not responded recently.
 
+        Parameters
+        ----------
+        target_id
+            The target to probe.
+        now
+            Seconds of the clock of the responses.
+        lease_now
+            Seconds of the clock of the leases, which also runs while the host is
+            suspended.
+
         Returns
         -------
         probes.ProbePermit or None
@@ -334,7 +344,8 @@
         view = self._views.get(target_id)
         if view is None:
             return None
-        return self.probes.begin(target_id, view.last_response_s, now)
+        idle_s = now - view.last_response_s
+        return self.probes.begin(target_id, lease_now - idle_s, lease_now)
 
     def end_probe(
         self, permit: probes.ProbePermit, spent_s: float, is_ok: bool, now: float
--- a/coltsfootchute/entry/measurements.py
+++ b/coltsfootchute/entry/measurements.py
@@ -7,7 +7,7 @@
 import multidict
 
 from coltsfootchute import balancing, errors, verdicts
-from coltsfootchute.entry import attempts, clients, forwards, metrics, pools
+from coltsfootchute.entry import attempts, clients, forwards, metrics, pools, watches
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["Prober"]
@@ -73,7 +73,7 @@
             ]
             if not measured_services:
                 continue
-            if time.monotonic() - self._lease_requested_s >= LEASE_INTERVAL_S:
+            if watches.clock() - self._lease_requested_s >= LEASE_INTERVAL_S:
                 await self._lease_shares(measured_services)
             await asyncio.gather(*self._due_probes(measured_services))
 
@@ -86,7 +86,7 @@
         request = coltsfootchute_pb2.LeaseProbesRequest(
             entry=self._entry_name, target_ids=list(pools_by_target)
         )
-        requested_s = self._lease_requested_s = time.monotonic()
+        requested_s = self._lease_requested_s = watches.clock()
         try:
             reply = await self._client.call("LeaseProbes", request, LEASE_TIMEOUT_S)
         except errors.ColtsfootchuteError as exc:
@@ -101,10 +101,10 @@
             )
 
     def _due_probes(self, measured_services: list[pools.Service]):
-        now = time.monotonic()
+        now, lease_now = time.monotonic(), watches.clock()
         for service in measured_services:
             for view in service.pool.all_views:
-                permit = service.pool.begin_probe(view.target.target_id, now)
+                permit = service.pool.begin_probe(view.target.target_id, now, lease_now)
                 if permit is not None:
                     yield self._probe(service, view, permit)
 
--- a/coltsfootchute/entry/tests/test_measurements.py
+++ b/coltsfootchute/entry/tests/test_measurements.py
@@ -5,7 +5,7 @@
 import pytest
 
 from coltsfootchute import balancing
-from coltsfootchute.entry import measurements
+from coltsfootchute.entry import measurements, watches
 from coltsfootchute.entry.tests import fakes
 
 SHARE_S = 0.1
@@ -43,3 +43,32 @@
 
     section = {"measuring_budget_ms_per_s": budget}
     fakes.run(scenario, slow, slow, section=section)
+
+
+def test_no_probe_is_sent_under_a_lease_that_ended_while_the_host_was_suspended(
+    monkeypatch,
+):
+    """The steady clock stands still meanwhile, so it does not show the end."""
+    monkeypatch.setattr(measurements, "PROBE_INTERVAL_S", 0.005)
+    suspended_s = 0.0
+    clock = watches.clock
+    monkeypatch.setattr(watches, "clock", lambda: clock() + suspended_s)
+
+    async def scenario(harness):
+        nonlocal suspended_s
+        heads, control = harness.targets[0].heads, harness.control
+        await fakes.wait_until(lambda: heads)
+        control.shares = []
+        suspended_s = measurements.LEASE_INTERVAL_S
+        sent = len(heads)
+        await fakes.wait_until(lambda: len(control.probe_requests) > 1)
+        for _ in range(40):
+            await asyncio.sleep(measurements.PROBE_INTERVAL_S)
+        # One probe may have been sent just before the clock changed.
+        assert len(heads) <= sent + 1
+
+    async def close(target, head, reader, writer):
+        return "close"
+
+    section = {"measuring_budget_ms_per_s": 10}
+    fakes.run(scenario, close, section=section)
--- a/tests/scenario_language/entries.py
+++ b/tests/scenario_language/entries.py
@@ -166,7 +166,7 @@
 
     def _probe_once(self, pool, target_id):
         now = self.world.loop.now
-        permit = pool.begin_probe(target_id, now)
+        permit = pool.begin_probe(target_id, now, now)
         if permit is None:
             return
         # A probe of a straggler is aborted at the limit of the permit, and spends it.
