api: count declarations and reports that are refused

Cause: a refused desired state left one log line and no counter, so the refusal of every one of them on the further deployments showed only as 404 answers to callers.

--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -6,7 +6,7 @@
 import loguru
 import msgspec
 
-from coltsfootchute import declarations, errors, expositions
+from coltsfootchute import declarations, errors, expositions, logs
 from coltsfootchute.entry import (
     addresses,
     clients,
@@ -22,6 +22,7 @@
 
 # Enough for a section document, which has at most a few hundred short rules.
 MAX_BODY_BYTES = 1 << 20
+MAX_DETAIL_CHARS = 500
 READ_TIMEOUT_S = 3.0
 CHANGE_TIMEOUT_S = 5.0
 
@@ -201,11 +202,18 @@
         try:
             declared = declarations.parse(submitted)
         except errors.DocumentError as exc:
+            self.record_refused("declaration", exc)
             problems = [{"path": p, "reason": r} for p, r in exc.problems]
             return _json({"error": "invalid", "errors": problems}, 400)
         outcome = await self.operations.submit_declaration(declared, submitted)
         return _json({"version": outcome.version, "applied": outcome.applied})
 
+    def record_refused(self, kind: str, exc: errors.DocumentError, **fields) -> None:
+        """Log and count a document that was refused as invalid."""
+        self._meters.refused_documents.labels(kind).inc()
+        detail = str(exc)[:MAX_DETAIL_CHARS]
+        logs.log_event("api", f"refused {kind}", detail=detail, **fields)
+
     async def sections(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Return all sections in force."""
         reply = await self._read_sections("")
--- a/coltsfootchute/entry/metrics.py
+++ b/coltsfootchute/entry/metrics.py
@@ -72,6 +72,13 @@
             "Requests that ended after a planned stop began, by outcome.",
             ["end"],
         )
+        self.refused_documents = self._add_counter(
+            "coltsfootchute_refused_documents",
+            "Declarations and reports of targets refused as invalid, by kind.",
+            ["kind"],
+        )
+        for kind in ("declaration", "report"):
+            self.refused_documents.labels(kind)
         self.probe_seconds = self._add_counter(
             "coltsfootchute_probe_seconds",
             "Time spent on probes of idle targets.",
