entry: deliver a ready response that waited for its turn

Cause: a response that was in memory while an earlier request of its connection was slow was replaced by 504 when its own time limit passed; and requests run ahead were bounded for each connection only.

Change: the wait for the turn of such a response has no limit of its own, and the delivery has at least 1 s. At most 128 requests of a process run before their turn. A connection without a request in progress leaves its first request to the server.

--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -32,6 +32,9 @@
 _INVALID_REQUEST_REASONS = frozenset(
     {verdicts.Reason.BODY_TOO_LARGE, verdicts.Reason.BAD_REQUEST}
 )
+# Minimum time to deliver a response that has waited for earlier requests of its
+# connection.
+LATE_DELIVERY_S = 1.0
 
 
 class Calls(dispatches.Dispatcher):
@@ -285,11 +288,17 @@
         if answers.has_turn(call.request):
             return False
         is_received = attempt.payload.is_eof() and not attempt.close_delimited
+        limit = self._limits[call]
         if is_received:
             attempt.finish()
             call.service.finish(token, outcome)
+            # It is delivered, also if the requests before it take longer.
+            limit.reschedule(None)
         try:
             await answers.wait_turn(call.request)
+            if is_received:
+                now = asyncio.get_running_loop().time()
+                limit.reschedule(max(call.deadline, now + LATE_DELIVERY_S))
         except BaseException:
             if not is_received:
                 attempt.abort()
--- a/coltsfootchute/entry/listeners.py
+++ b/coltsfootchute/entry/listeners.py
@@ -62,9 +62,15 @@
         self._open: set[pipelines.CallerConnection] = set()
         # Connections with a request in progress, or with an answer that closes them.
         self._occupied: set[pipelines.CallerConnection] = set()
+        # Number of requests that were started before their turn and have not ended.
+        self.early_requests = 0
         self._all_closed = asyncio.Event()
         self._is_closing = False
 
+    def end_early_request(self, _: asyncio.Task[typing.Any]) -> None:
+        """Count the end of a request that was started before its turn."""
+        self.early_requests -= 1
+
     async def _handle(
         self, request: aiohttp.web.BaseRequest
     ) -> answers.WrittenAnswer | aiohttp.web.StreamResponse:
--- a/coltsfootchute/entry/pipelines.py
+++ b/coltsfootchute/entry/pipelines.py
@@ -17,6 +17,8 @@
 # Maximum number of requests of one connection that are handled before their turn. Each
 # of them may hold a response of up to `requests.BUFFERED_RESPONSE_BYTES`.
 MAX_EARLY_REQUESTS = 8
+# The same for all connections of a server.
+MAX_ALL_EARLY_REQUESTS = 128
 HEAD_END = b"\r\n\r\n"
 
 Handler = collections.abc.Callable[
@@ -136,7 +138,7 @@
         """Start queued requests as long as no answer before them closes."""
         if self._may_run_early is None or self._force_close or self._close:
             return
-        if not self._request_in_progress and len(self._messages) < 2:
+        if not self._request_in_progress:
             # The base class starts a request that has none before it.
             return
         while len(self._early) < min(len(self._messages), MAX_EARLY_REQUESTS):
@@ -147,10 +149,13 @@
     def _try_early(
         self, message: typing.Any, payload: aiohttp.streams.StreamReader
     ) -> bool:
+        server = self._manager
+        if server.early_requests >= MAX_ALL_EARLY_REQUESTS:
+            return False
         if not isinstance(message, aiohttp.http.RawRequestMessage):
             return False
         writer = aiohttp.http.StreamWriter(self, self._loop)
-        request = self._manager.request_factory(
+        request = server.request_factory(
             message, payload, self, writer, self._task_handler
         )
         if not self._may_run_early(request):
@@ -158,6 +163,8 @@
         self._will_close = _closes_connection(message)
         answers.defer_turn(request)
         task = self._loop.create_task(self._handler(request))
+        server.early_requests += 1
+        task.add_done_callback(server.end_early_request)
         self._early.append((request, task))
         return True
 
--- a/coltsfootchute/entry/tests/test_pipelines.py
+++ b/coltsfootchute/entry/tests/test_pipelines.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from coltsfootchute.entry import pipelines
 from coltsfootchute.entry.tests import fakes, test_declared
 
 READ = {"prefix": "/read/", "timeout_s": 5}
@@ -267,3 +268,41 @@
         await fakes.wait_until(lambda: not sum(v.in_flight for v in views))
 
     run(scenario, script)
+
+
+def test_a_response_that_is_ready_is_delivered_after_its_time_limit():
+    """Only the requests before it are late; it must not be replaced by a failure."""
+    script = Script("/read/1")
+
+    async def scenario(harness, reader, writer):
+        writer.write(request("/read/1"))
+        writer.write(request("/read/2", "GET", b"", "X-Deadline: 300"))
+        await fakes.wait_until(lambda: len(script.started) == 2)
+        await asyncio.sleep(0.5)
+        script.released["/read/1"].set()
+        assert await read_answer(reader) == (200, "/read/1", True)
+        assert await read_answer(reader) == (200, "/read/2", True)
+
+    run(scenario, script)
+
+
+def test_the_number_of_requests_run_ahead_on_all_connections_is_bounded(monkeypatch):
+    monkeypatch.setattr(pipelines, "MAX_ALL_EARLY_REQUESTS", 3)
+    script = Script("/read/0")
+
+    async def scenario(harness, reader, writer):
+        second_reader, second = await harness.connect()
+        for each in (writer, second):
+            each.write(b"".join(request(path) for path in ("/read/0", "/read/1") * 2))
+        await fakes.wait_until(lambda: len(script.started) >= 5)
+        await asyncio.sleep(0.1)
+        # Two requests have their turn, and three of the others may run.
+        assert len(script.started) == 5
+        script.released["/read/0"].set()
+        for each in (reader, second_reader):
+            got = [(await read_answer(each))[1] for _ in range(4)]
+            assert got == ["/read/0", "/read/1"] * 2
+        await fakes.wait_until(lambda: not harness.entry._calls_server.early_requests)
+        second.close()
+
+    run(scenario, script)
