entry: run background tasks again after an unhandled error

Cause: a background task of an entry that met an unexpected error ended and nothing noticed: without the reports control forgets the entry, and without the probes idle targets are not measured. Found by reading after the watcher ended by an odd target.

Change: `background.keep_running` logs the error and runs the task again after 1 s. A stop caps the limit of a response that waits for its turn instead of replacing it by the time limit of its request.

Before / after: the test of the reports fails with a single run of the task, and passes now.

--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -148,7 +148,8 @@
         for call, limit in self._limits.items():
             call.deadline = min(call.deadline, end_s)
             if not limit.expired():
-                limit.reschedule(call.deadline)
+                when = limit.when()
+                limit.reschedule(end_s if when is None else min(when, end_s))
 
     def refuse_new(self) -> None:
         """Refuse new calls, and close the connection after each answer."""
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -8,7 +8,7 @@
 import grpclib.server
 import loguru
 
-from coltsfootchute import cancellations, errors, logs, settings
+from coltsfootchute import background, cancellations, errors, logs, settings
 from coltsfootchute.control import feeds
 from coltsfootchute.entry import (
     apis,
@@ -177,12 +177,12 @@
         prober = measurements.Prober(
             self.services, self._forwarder, self.client, name, self.metrics
         )
+        loops = [self._watcher.run, prober.run]
+        if entry.calls is not None:
+            loops.append(self._report_periodically)
         self._tasks = [
-            asyncio.ensure_future(self._watcher.run()),
-            asyncio.ensure_future(prober.run()),
+            asyncio.ensure_future(background.keep_running(loop)) for loop in loops
         ]
-        if entry.calls is not None:
-            self._tasks.append(asyncio.ensure_future(self._report_periodically()))
         loguru.logger.info("entry: listening for calls at {}", self.calls_address)
 
     async def _start_peer(self, address: str) -> str:
--- a/coltsfootchute/entry/tests/test_odd_targets.py
+++ b/coltsfootchute/entry/tests/test_odd_targets.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from coltsfootchute.entry import watches
+from coltsfootchute import background
+from coltsfootchute.entry import daemons, watches
 from coltsfootchute.entry.tests import fakes
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 from coltsfootchute.state import machines
@@ -50,6 +51,28 @@
     fakes.run(scenario, fakes.respond())
 
 
+@pytest.mark.parametrize("name", ["_send_report", "own_instance"])
+def test_reports_go_on_after_an_unhandled_error(monkeypatch, name):
+    """An entry whose reports end is left out of the addresses that callers get."""
+    monkeypatch.setattr(background, "RESTART_PAUSE_S", 0.01)
+    monkeypatch.setattr(daemons, "REPORT_MAX_INTERVAL_S", 0.0)
+
+    async def scenario(harness):
+        work = getattr(harness.entry, name)
+        failures = iter([ValueError("odd")])
+
+        def fail_once():
+            for exc in failures:
+                raise exc
+            return work()
+
+        monkeypatch.setattr(harness.entry, name, fail_once)
+        sent = len(harness.control.reports)
+        await fakes.wait_until(lambda: len(harness.control.reports) > sent)
+
+    fakes.run(scenario, fakes.respond())
+
+
 def test_a_stored_odd_target_is_loaded_and_the_entries_skip_it():
     """A version of control that accepted it may have left it in a log or snapshot."""
     machine = machines.Machine()
