--- a/coltsfootchute/entry/pipelines.py
+++ b/coltsfootchute/entry/pipelines.py
@@ -8,7 +8,6 @@
 import aiohttp.http
 import aiohttp.streams
 import aiohttp.web
-import aiohttp.web_protocol
 
 from coltsfootchute.entry import answers
 
