entry/tests: bound what the entry holds of an endless body

Ruled out: memory of the entry. The rest was in the receive buffers of two connections, which the kernel may enlarge to 32 MiB each, so the limit of the check was below them.

Change: the test bounds the bytes that the entry holds to 1 MiB, and the limit of a flood is above the buffers of the kernel.

--- a/coltsfootchute/entry/tests/test_unending.py
+++ b/coltsfootchute/entry/tests/test_unending.py
@@ -5,11 +5,15 @@
 
 import pytest
 
+from coltsfootchute.entry import stops
 from coltsfootchute.entry.tests import fakes, test_declared
 
 BLOCK_BYTES = 1 << 16
-# Well above the size of the socket buffers of one connection.
-SENT_LIMIT_BYTES = 1 << 24
+# Well above the size of the socket buffers of two connections in a row. The kernel may
+# enlarge the receive buffer of each of them to 32 MiB.
+SENT_LIMIT_BYTES = 1 << 27
+# Bound on the bytes of a response in the process of the entry.
+MAX_HELD_BYTES = 1 << 20
 OK = b"HTTP/1.1 200 OK\r\nX-Seal: 1\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 HELLO = b"5\r\nhello\r\n"
@@ -140,7 +144,15 @@
         reader, writer = await harness.connect()
         writer.write(b"GET /quick/1 HTTP/1.1\r\nHost: x\r\nX-Id: r1\r\n\r\n")
         assert (await reader.readline()).startswith(b"HTTP/1.1 200")
-        await fakes.wait_until(lambda: harness.targets[0].closed_connections)
+        held = []
+        server = harness.entry._calls_server
+
+        def is_closed():
+            held.append(stops.unsent_bytes(stops.transports_of(server)))
+            return harness.targets[0].closed_connections
+
+        await fakes.wait_until(is_closed)
+        assert 0 < max(held) < MAX_HELD_BYTES
         with pytest.raises(ConnectionResetError):
             while await reader.read(BLOCK_BYTES):
                 pass
