tests: keep the entry's own probes out of the scenario world

The probes of the entry ended by an error in the world, which has no connections for them, and run again since then, so that they took leases from the loop of the scenario.

Change: the world switches them off. The lease clock is a parameter of its own in `ProbeShares.begin`, without a conversion of times.

--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -344,8 +344,7 @@
         view = self._views.get(target_id)
         if view is None:
             return None
-        idle_s = now - view.last_response_s
-        return self.probes.begin(target_id, lease_now - idle_s, lease_now)
+        return self.probes.begin(target_id, view.last_response_s, now, lease_now)
 
     def end_probe(
         self, permit: probes.ProbePermit, spent_s: float, is_ok: bool, now: float
--- a/coltsfootchute/balancing/probes.py
+++ b/coltsfootchute/balancing/probes.py
@@ -81,10 +81,23 @@
         self._shares[target_id] = _Share(time_s, requested_s, expires_s)
 
     def begin(
-        self, target_id: ids.TargetId, last_response_s: float, now: float
+        self,
+        target_id: ids.TargetId,
+        last_response_s: float,
+        now: float,
+        lease_now: float | None = None,
     ) -> ProbePermit | None:
         """Reserve time for a probe.
 
+        Parameters
+        ----------
+        target_id
+            The target to probe.
+        last_response_s, now
+            Time of its last response, and the current time of the same clock.
+        lease_now
+            Current time of the clock of the leases; None if it is the same clock.
+
         Returns
         -------
         ProbePermit or None
@@ -93,7 +106,8 @@
         share = self._shares.get(target_id)
         if share is None or now - last_response_s < RECENT_RESPONSE_S:
             return None
-        limit_s = min(share.remaining_s, share.expires_s - now)
+        lease_now = now if lease_now is None else lease_now
+        limit_s = min(share.remaining_s, share.expires_s - lease_now)
         if limit_s < TYPICAL_PROBE_S:
             return None
         limit_s = min(limit_s, 4 * TYPICAL_PROBE_S)
--- a/tests/scenario_language/entries.py
+++ b/tests/scenario_language/entries.py
@@ -6,7 +6,7 @@
 import types
 
 from coltsfootchute import errors, settings
-from coltsfootchute.entry import daemons, forwards
+from coltsfootchute.entry import daemons, forwards, measurements
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 from tests import checkers
 from tests.scenario_language import clocks, links, targets
@@ -178,15 +178,23 @@
 
 @contextlib.contextmanager
 def fake_connections():
-    """Let entries prepare connections to targets without sockets."""
-    originals = forwards.Endpoint, forwards.Forwarder
+    """Let entries prepare connections to targets without sockets.
+
+    The entries send no probes of their own; scenarios have the loop of `Entry.probe`.
+    """
+    originals = forwards.Endpoint, forwards.Forwarder, measurements.Prober.run
     forwards.Endpoint = targets.Endpoint
     forwards.Forwarder = lambda: types.SimpleNamespace(close=_close)
+    measurements.Prober.run = _probe_nothing
     try:
         yield
     finally:
-        forwards.Endpoint, forwards.Forwarder = originals
+        forwards.Endpoint, forwards.Forwarder, measurements.Prober.run = originals
 
 
 async def _close():
     pass
+
+
+async def _probe_nothing(_):
+    await asyncio.Event().wait()
