entry: turn away from a frozen leader also with a large declaration

Cause: found by reading the last changes: the time for a reply grew with the size of a message at 64 KiB/s, and the attempts of an operator share one transfer, so a frozen leader could hold up a declaration of 1,540 routes for 10 s, beyond the 4 s in which operators expect a reply.

Change: the time grows at 512 KiB/s.

Before / after: the new test in test_operations failed with 64 KiB/s; it and the test of the slow link pass.

--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -16,9 +16,10 @@
 __all__ = ["ControlClient", "RejectedError"]
 
 CONNECT_TIMEOUT_S = 0.5
-# Time for a reply, and the slowest transfer of a message to which it is added.
+# Time for a reply, to which the transfer of the message at the lowest rate is added. An
+# instance that does not reply must not hold up a large message for long.
 CALL_TIMEOUT_S = 1.0
-MIN_BYTES_PER_S = 1 << 16
+MIN_BYTES_PER_S = 1 << 19
 # Longer than an election (1.2 to 2.4 s), for callers that can wait.
 FIND_LEADER_TIMEOUT_S = 3.0
 RETRY_INTERVAL_S = 0.1
