entry, control: reuse what the last changes wrote twice

Cause: read again, the change since matched requests to routes and rules in two places (`Matcher.is_repeatable` and `_match`), tracked calls of the client beside `_spawn`, wrapped a document check beside that of `Declare`, repeated limits of targets in the `api` listener, and waited for the turn of an answer a second time, where no handler arrives without it (a repeatable rule can't require a key). A None check in `may_close` served only the fake request of the scenarios, which has the method now.

Change: one look-up of a route and one of a rule serve both users; the others call the existing piece. Behaviour is the same.

Ruled out: the copy of the port check in one condition changes only the text of an error, which names the range in both cases now.

--- a/coltsfootchute/announcements.py
+++ b/coltsfootchute/announcements.py
@@ -62,10 +62,10 @@
     ValueError: port '65536' is not a number from 1 to 65535
     """
     host, _, port = address.rpartition(":")
-    if not (port.isascii() and port.isdecimal() and len(port) <= 5):
-        raise ValueError(f"port {port[:MAX_TEXT_CHARS]!r} is not a number")
-    if not 1 <= int(port) <= MAX_PORT:
-        raise ValueError(f"port {port!r} is not a number from 1 to {MAX_PORT}")
+    is_number = port.isascii() and port.isdecimal() and len(port) <= 5
+    if not (is_number and 1 <= int(port) <= MAX_PORT):
+        detail = f"port {port[:MAX_TEXT_CHARS]!r} is not a number from 1 to {MAX_PORT}"
+        raise ValueError(detail)
     if len(host) > MAX_TEXT_CHARS:
         raise ValueError(f"the host is longer than {MAX_TEXT_CHARS} characters")
     if host.startswith("[") and host.endswith("]"):
--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -20,6 +20,7 @@
 )
 
 Handler = collections.abc.Callable[[typing.Any, typing.Any], typing.Any]
+Check = collections.abc.Callable[[typing.Any], typing.Any]
 
 
 def _unary(handler: Handler) -> Handler:
@@ -40,9 +41,9 @@
         raise grpclib.GRPCError(grpclib.const.Status.INVALID_ARGUMENT, reason)
 
 
-def _require_announceable(target: pb.Target) -> None:
+def _require_valid(check: Check, document: typing.Any) -> None:
     try:
-        announcements.check(target)
+        check(document)
     except errors.DocumentError as exc:
         _require(False, str(exc))
 
@@ -155,10 +156,7 @@
         """Put a declaration in force if its version is the highest so far."""
         self._count("declarations")
         _require(request.version > 0, "version: missing")
-        try:
-            declarations.parse(request.document)
-        except errors.DocumentError as exc:
-            _require(False, str(exc))
+        _require_valid(declarations.parse, request.document)
         command = pb.Command(declaration=request)
         return pb.DeclareReply(**await self._commit(command))
 
@@ -186,7 +184,7 @@
         )
         _require(bool(command.target.target_id), "target_id: missing")
         if command.kind == pb.TargetCommand.KIND_ANNOUNCE:
-            _require_announceable(command.target)
+            _require_valid(announcements.check, command.target)
         return pb.AnnounceReply(**await self._commit(pb.Command(target=command)))
 
     @_unary
--- a/coltsfootchute/entry/answers.py
+++ b/coltsfootchute/entry/answers.py
@@ -127,8 +127,7 @@
 
 def may_close(request: aiohttp.web.BaseRequest) -> bool:
     """Return whether the answer, whose turn has come, may close the connection."""
-    conn = request.protocol
-    return conn is None or conn.may_close()
+    return request.protocol.may_close()
 
 
 def keeps_open(request: aiohttp.web.BaseRequest, wants_close: bool) -> bool:
@@ -166,7 +165,6 @@
     is_close_delimited
         Whether the close of the connection marks the end of the body.
     """
-    await wait_turn(request)
     writer = request._payload_writer
     empty = request.method == "HEAD" or status in {204, 304}
     if not (empty or is_close_delimited or "Content-Length" in headers):
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -6,7 +6,7 @@
 import loguru
 import msgspec
 
-from coltsfootchute import declarations, errors, expositions, logs
+from coltsfootchute import announcements, declarations, errors, expositions, logs
 from coltsfootchute.entry import (
     addresses,
     clients,
@@ -56,8 +56,10 @@
         str, msgspec.Meta(pattern=r"^(\d+\.\d+\.\d+\.\d+|\[[0-9a-fA-F:]+\]):\d+$")
     ]
     failure_domain: _Name
-    services: typing.Annotated[list[_Name], msgspec.Meta(min_length=1, max_length=64)]
-    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+    services: typing.Annotated[
+        list[_Name], msgspec.Meta(min_length=1, max_length=announcements.MAX_SERVICES)
+    ]
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=announcements.MAX_SLOTS)]
 
 
 class _IncarnationBody(msgspec.Struct, forbid_unknown_fields=True):
--- a/coltsfootchute/entry/clients.py
+++ b/coltsfootchute/entry/clients.py
@@ -280,18 +280,10 @@
         self, method: str, request: typing.Any, limit_s: float
     ) -> asyncio.Task[typing.Any]:
         """Start an idempotent call that goes on if the code that awaits it gives up."""
-        task = asyncio.ensure_future(
-            self.call(method, request, limit_s, repeatable=True)
-        )
-        self._resend_tasks.add(task)
-        task.add_done_callback(self._finish_call)
+        task = self._spawn(self.call(method, request, limit_s, repeatable=True))
+        task.add_done_callback(_log_failure)
         return task
 
-    def _finish_call(self, task: asyncio.Task[typing.Any]) -> None:
-        self._resend_tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            loguru.logger.debug("entry: a call failed: {!r}", task.exception())
-
     def settle(self, command: coltsfootchute_pb2.SettleCommand) -> None:
         """Send a settlement or a release until it is acknowledged."""
         self.resend("Settle", command)
@@ -311,10 +303,13 @@
             return
         self._spawn(self._resend(method, command))
 
-    def _spawn(self, work: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    def _spawn(
+        self, work: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> asyncio.Task[typing.Any]:
         task = asyncio.ensure_future(work)
         self._resend_tasks.add(task)
         task.add_done_callback(self._resend_tasks.discard)
+        return task
 
     async def _resend(self, method: str, command: typing.Any) -> None:
         while True:
@@ -418,3 +413,8 @@
         fut.set_exception(result)
     else:
         fut.set_result(result)
+
+
+def _log_failure(task: asyncio.Task[typing.Any]) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        loguru.logger.debug("entry: a call failed: {!r}", task.exception())
--- a/coltsfootchute/entry/descriptions.py
+++ b/coltsfootchute/entry/descriptions.py
@@ -52,9 +52,10 @@
 
 def state_name(target: coltsfootchute_pb2.Target) -> str:
     """Return the name of a target's state, or its number if that is unknown."""
-    known = coltsfootchute_pb2.TargetState.DESCRIPTOR.values_by_number
-    value = known.get(target.state)
-    return str(target.state) if value is None else value.name
+    try:
+        return coltsfootchute_pb2.TargetState.Name(target.state)
+    except ValueError:
+        return str(target.state)
 
 
 def describe_status(
--- a/coltsfootchute/entry/matches.py
+++ b/coltsfootchute/entry/matches.py
@@ -2,7 +2,7 @@
 
 import aiohttp.web
 
-from coltsfootchute import declarations, settings, verdicts
+from coltsfootchute import declarations, sections, settings, verdicts
 from coltsfootchute.entry import pools, requests, watches
 
 __all__ = ["Matcher"]
@@ -72,23 +72,35 @@
         """Return whether a known rule allows that a request runs more than once."""
         try:
             if self._view.routes is not None:
-                path, _ = requests.check_path(request.raw_path)
-                host = request.headers.get("Host", "")
-                route = self._view.routes.match(host, path)
-                return route is not None and route.guarantee == "repeatable"
-            name, path, _ = requests.split_target(request.raw_path)
+                route, _ = self._find_route(self._view.routes, request)
+                return route.guarantee == "repeatable"
+            _, rule, _ = self._find_rule(request)
+            return rule.repeatable
         except pools.RefusedError:
             return False
-        service = self._services.get(name)
-        if service is None:
-            return False
-        rule = service.rule_table.match(request.method, path)
-        return rule is not None and rule.repeatable
 
     def _match(self, request: aiohttp.web.BaseRequest, now: float) -> requests.Call:
         routes = self._view.routes
-        if routes is not None:
-            return self._match_route(request, routes, now)
+        if routes is None:
+            service, rule, path_query = self._find_rule(request)
+        else:
+            route, path_query = self._find_route(routes, request)
+            service = self._services[routes.select_service(route)]
+            rule = requests.rule_of(route, routes.declaration.limits)
+        return requests.Call(
+            request,
+            service,
+            rule,
+            path_query,
+            now,
+            names=self._names,
+            is_declared=routes is not None,
+        )
+
+    def _find_rule(
+        self, request: aiohttp.web.BaseRequest
+    ) -> tuple[pools.Service, sections.Rule, tuple[str, str]]:
+        """Return the service and the rule of a request, and its path and query."""
         if not self._view.rule_tables:
             raise requests.refused(
                 verdicts.Reason.STALE, "the entry knows no declared service yet"
@@ -101,29 +113,16 @@
         if rule is None:
             detail = f"no rule of {name!r} matches {request.method} {path}"
             raise requests.refused(verdicts.Reason.NO_RULE, detail)
-        path_query = (path, query)
-        return requests.Call(request, service, rule, path_query, now, names=self._names)
+        return service, rule, (path, query)
 
-    def _match_route(
-        self,
-        request: aiohttp.web.BaseRequest,
-        routes: declarations.RouteTable,
-        now: float,
-    ) -> requests.Call:
+    def _find_route(
+        self, routes: declarations.RouteTable, request: aiohttp.web.BaseRequest
+    ) -> tuple[declarations.Route, tuple[str, str]]:
+        """Return the route of a request, and its path and query."""
         path_query = requests.check_path(request.raw_path)
         host = request.headers.get("Host", "")
         route = routes.match(host, path_query[0])
         if route is None:
             detail = f"no route of {host!r} matches {path_query[0]}"
             raise requests.refused(verdicts.Reason.NO_RULE, detail)
-        service = self._services[routes.select_service(route)]
-        rule = requests.rule_of(route, routes.declaration.limits)
-        return requests.Call(
-            request,
-            service,
-            rule,
-            path_query,
-            now,
-            names=self._names,
-            is_declared=True,
-        )
+        return route, path_query
--- a/tests/scenario_language/targets.py
+++ b/tests/scenario_language/targets.py
@@ -141,12 +141,11 @@
 class Request:
     """A request of a caller, and the answer that was written to its connection.
 
-    It stands for aiohttp's request, payload writer and transport at once.
+    It stands for aiohttp's request, connection, payload writer and transport at once.
     """
 
     version = (1, 1)
     keep_alive = True
-    protocol = None
     body_exists = False
     content_length = 0
     content = None
@@ -159,7 +158,7 @@
         self.headers = multidict.CIMultiDictProxy(headers)
         self.status, self.answer_headers, self.body = 0, {}, b""
         self.is_whole = self.is_cut = False
-        self._payload_writer = self.transport = self
+        self._payload_writer = self.transport = self.protocol = self
         self._state = {}
 
     def __setitem__(self, name, value):
@@ -168,6 +167,11 @@
     def get(self, name, default=None):
         return self._state.get(name, default)
 
+    # Interface of the connection.
+
+    def may_close(self):
+        return True
+
     # Interface of the payload writer.
 
     async def write_headers(self, line, headers):
