entry: send both kinds of probes by one method of the forwarder

Cause: only the probes before a request skipped a late response to an earlier request; those of the measuring budget use the same kept connections and did not, although docs/PROOFS.md says so of probes. The two also repeated the same call and its constant.

Change: `Forwarder.probe` sends a probe, skips responses with an id and discards the body, for both.

Before / after: the new test fails for both kinds without the name of the id header at the forwarder. test_late_responses, test_measurements, test_placements, test_unending and test_daemons of the entry: 111 passed.

--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -154,7 +154,7 @@
             If the address of a listener is in use.
         """
         entry = self._cfg.entry
-        self._forwarder = forwards.Forwarder()
+        self._forwarder = forwards.Forwarder(entry.headers.request_id)
         self._sampler = samplers.Sampler(self._forwarder, entry.samples, entry.headers)
         samples = entry.samples.per_target_s > 0
         self._calls = calls.Calls(
--- a/coltsfootchute/entry/forwards.py
+++ b/coltsfootchute/entry/forwards.py
@@ -31,6 +31,7 @@
 # the attempts at a target that sends data on each new connection before any request.
 MAX_CONNECT_ATTEMPTS = 3
 
+_NO_BODY = attempts.Body(b"", None)
 _NO_TRACES: list[typing.Any] = []
 _TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
 
@@ -54,6 +55,12 @@
 class Forwarder:
     """Connections to targets.
 
+    Parameters
+    ----------
+    request_id_name
+        Name of the header with the id of a request, which targets echo; None if they
+        do not.
+
     Notes
     -----
     Pooled connections are used for repeatable requests only. The target may close a
@@ -61,7 +68,8 @@
     target while it runs the request.
     """
 
-    def __init__(self):
+    def __init__(self, request_id_name: str | None = None):
+        self._request_id_name = request_id_name
         self._pooled = _connector(keepalive_timeout=KEEP_ALIVE_S)
         self._unpooled = _connector(force_close=True)
 
@@ -112,6 +120,45 @@
             attempt.abort()
             raise
 
+    async def probe(
+        self,
+        attempt: attempts.Attempt,
+        endpoint: Endpoint,
+        request_line: str,
+        headers: multidict.CIMultiDict[str],
+    ) -> None:
+        """Send a probe, which has no id, and discard the body of its response.
+
+        Parameters
+        ----------
+        attempt
+            Receives the response.
+        endpoint
+            The target's address.
+        request_line, headers
+            Request line and headers of the probe.
+
+        Raises
+        ------
+        AttemptError
+            If the attempt failed.
+        TruncatedError
+            If the response is incomplete or too large.
+        """
+        if self._request_id_name is not None:
+            # A late response to a request must not be taken for that to the probe.
+            attempt.request_id = (self._request_id_name, None)
+        await self.send(
+            attempt,
+            endpoint,
+            request_line,
+            headers,
+            _NO_BODY,
+            fresh=False,
+            head_only=False,
+        )
+        await attempt.discard_body(attempts.MAX_PROBE_RESPONSE_BYTES)
+
     async def _connect(
         self, endpoint: Endpoint, fresh: bool
     ) -> aiohttp.connector.Connection:
--- a/coltsfootchute/entry/measurements.py
+++ b/coltsfootchute/entry/measurements.py
@@ -22,7 +22,6 @@
 TIMEOUT_FRACTION = 0.7
 # RFC 9110, section 9.3.7: `OPTIONS *` asks for no resource and serves as a no-op.
 PROBE_REQUEST_LINE = "OPTIONS * HTTP/1.1"
-_NO_BODY = attempts.Body(b"", None)
 
 
 class Prober:
@@ -123,16 +122,10 @@
         started_s = time.monotonic()
         try:
             async with asyncio.timeout(limit_s * TIMEOUT_FRACTION):
-                await self._forwarder.send(
-                    attempt,
-                    service.endpoint(address),
-                    PROBE_REQUEST_LINE,
-                    headers,
-                    _NO_BODY,
-                    fresh=False,
-                    head_only=False,
+                endpoint = service.endpoint(address)
+                await self._forwarder.probe(
+                    attempt, endpoint, PROBE_REQUEST_LINE, headers
                 )
-                await attempt.discard_body(attempts.MAX_PROBE_RESPONSE_BYTES)
             is_ok = attempt.message.code < 500
         except (TimeoutError, attempts.AttemptError, attempts.TruncatedError) as exc:
             loguru.logger.debug("entry: probe of {} failed: {!r}", address, exc)
--- a/coltsfootchute/entry/samplers.py
+++ b/coltsfootchute/entry/samplers.py
@@ -18,7 +18,6 @@
 PROBE_TIMEOUT_S = 0.5
 # A request with less time left until its deadline is sent without probes.
 MIN_REMAINING_S = 0.1
-_NO_BODY = attempts.Body(b"", None)
 
 
 class Sampler:
@@ -95,24 +94,13 @@
     async def _probe(self, service: pools.Service, view: balancing.TargetView) -> None:
         address = view.target.address
         attempt = attempts.Attempt()
-        if self._header_names.request_id is not None:
-            # A late response to a request must not be taken for that to the probe.
-            attempt.request_id = (self._header_names.request_id, None)
         request_line = f"GET {service.health_path} HTTP/1.1"
         headers = multidict.CIMultiDict({"Host": address})
         view.probe_sent_s = min(view.probe_sent_s, time.monotonic())
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
-                await self._forwarder.send(
-                    attempt,
-                    service.endpoint(address),
-                    request_line,
-                    headers,
-                    _NO_BODY,
-                    fresh=False,
-                    head_only=False,
-                )
-                await attempt.discard_body(attempts.MAX_PROBE_RESPONSE_BYTES)
+                endpoint = service.endpoint(address)
+                await self._forwarder.probe(attempt, endpoint, request_line, headers)
         except (TimeoutError, attempts.AttemptError, attempts.TruncatedError) as exc:
             loguru.logger.debug("entry: probe of {} failed: {!r}", address, exc)
             return
--- a/coltsfootchute/entry/tests/test_late_responses.py
+++ b/coltsfootchute/entry/tests/test_late_responses.py
@@ -5,23 +5,33 @@
 
 import asyncio
 
+import multidict
 import pytest
 
+from coltsfootchute.entry import attempts
 from coltsfootchute.entry.tests import fakes, test_declared
 
 REFUSAL = (
     b"HTTP/1.1 503 -\r\nContent-Length: 0\r\nX-Not-Run: 1\r\nX-Load: 0,0,4\r\n%s\r\n"
 )
+PROBES = ["GET /health HTTP/1.1", "OPTIONS * HTTP/1.1"]
 SAMPLES = {"per_target_s": 1000, "fan_out": 1, "wait_s": 0.2}
 
 
+def answer_to(head):
+    """Return a response whose body is the line with the id of the request."""
+    line = next(h for h in head.split("\r\n") if h.startswith("X-Id"))
+    body = line.encode()
+    lines = ["HTTP/1.1 200 OK", f"Content-Length: {len(body)}", "X-Seal: 1", line]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
 class CopyingTarget:
     """A script that refuses one probe, and copies that before the next response."""
 
-    def __init__(self, copy, delay_s=0.0, answers=True):
+    def __init__(self, copy, delay_s=0.0):
         self.copy = copy
         self.delay_s = delay_s
-        self.answers = answers
         self.ran = []
         self.probed = set()
 
@@ -31,14 +41,11 @@
             writer.write(REFUSAL % b"")
             return await writer.drain()
         await fakes.read_body(head, reader)
-        request_id = next(h for h in head.split("\r\n") if h.startswith("X-Id"))
-        self.ran.append(request_id)
+        self.ran.append(head)
         if writer in self.probed:
             writer.write(self.copy)
         await asyncio.sleep(self.delay_s)
-        body = request_id.encode()
-        lines = ["HTTP/1.1 200 OK", f"Content-Length: {len(body)}", "X-Seal: 1"]
-        writer.write("\r\n".join([*lines, request_id, "", ""]).encode() + body)
+        writer.write(answer_to(head))
         await writer.drain()
 
 
@@ -95,10 +102,7 @@
             self.last = b""
 
         async def __call__(self, target, head, reader, writer):
-            line = next(h for h in head.split("\r\n") if h.startswith("X-Id"))
-            body = line.encode()
-            lines = ["HTTP/1.1 200 OK", f"Content-Length: {len(body)}", "X-Seal: 1"]
-            answer = "\r\n".join([*lines, line, "", ""]).encode() + body
+            answer = answer_to(head)
             writer.write(self.last + answer)
             self.last = answer
             await writer.drain()
@@ -116,10 +120,7 @@
     """The first bytes after an idle time are not the answer to the next request."""
 
     async def script(target, head, reader, writer):
-        line = next(h for h in head.split("\r\n") if h.startswith("X-Id"))
-        body = line.encode()
-        lines = ["HTTP/1.1 200 OK", f"Content-Length: {len(body)}", "X-Seal: 1"]
-        answer = "\r\n".join([*lines, line, "", ""]).encode() + body
+        answer = answer_to(head)
         writer.write(answer)
         await writer.drain()
         await asyncio.sleep(idle_s / 2)
@@ -135,3 +136,30 @@
             assert harness.targets[0].connections == 4
 
     test_declared.run_declared(scenario, script)
+
+
+@pytest.mark.parametrize("line", PROBES)
+def test_a_copied_answer_is_not_that_to_a_probe(line):
+    """A probe must not measure the target by the response to an earlier request."""
+    copies = []
+
+    async def script(target, head, reader, writer):
+        if head.startswith("GET /read"):
+            copies.append(answer_to(head))
+            writer.write(copies[0])
+        else:
+            writer.write(copies[0] + REFUSAL % b"")
+        await writer.drain()
+
+    async def scenario(harness):
+        assert (await test_declared.send_request(harness)).status == 200
+        service = harness.entry.services.by_name["shop"]
+        endpoint = service.endpoint(harness.targets[0].address)
+        attempt = attempts.Attempt()
+        headers = multidict.CIMultiDict({"Host": "x"})
+        await harness.entry._forwarder.probe(attempt, endpoint, line, headers)
+        assert attempt.message.code == 503
+        attempt.finish()
+        assert harness.targets[0].connections == 1
+
+    test_declared.run_declared(scenario, script)
--- a/tests/scenario_language/entries.py
+++ b/tests/scenario_language/entries.py
@@ -184,7 +184,7 @@
     """
     originals = forwards.Endpoint, forwards.Forwarder, measurements.Prober.run
     forwards.Endpoint = targets.Endpoint
-    forwards.Forwarder = lambda: types.SimpleNamespace(close=_close)
+    forwards.Forwarder = lambda _: types.SimpleNamespace(close=_close)
     measurements.Prober.run = _probe_nothing
     try:
         yield
