standins: kill a target of the demo in the middle of a run

The load of a target also counts requests that wait for a slot, and a run may end between the look at the load and the signal.

Ruled out: a lost or repeated request; the demo passed its own checks.

Change: the demo pauses the target, looks for a run without an end in its record, and resumes it if there is none. Checks and bounds are unchanged.

Before / after: the new test with that delay failed before and passes.

--- a/coltsfootchute/standins/demos.py
+++ b/coltsfootchute/standins/demos.py
@@ -191,6 +191,8 @@
             for _ in range(BURST_CALLS):
                 self._start_call(group)
             await self._wait_for_burst()
+            if self._plan.kill == "target":
+                await self._pause_in_run()
             _print_progress(f"{self._plan.kill} {self._killed.name} gets SIGKILL")
             self._killed.signal(signal.SIGKILL)
 
@@ -212,6 +214,25 @@
             is_working, "the last target has requests in progress", KILL_TIMEOUT_S
         )
 
+    async def _pause_in_run(self) -> None:
+        """Pause the target that is killed next in the middle of a run.
+
+        Its load also counts requests that wait for a slot, and a run may end before
+        the signal arrives.
+        """
+        path = self._cluster.runs_path(self._killed.name)
+
+        async def is_paused_in_run() -> bool:
+            self._killed.pause()
+            if records.read_unfinished([path]):
+                return True
+            self._killed.resume()
+            return False
+
+        await fleets.wait_until(
+            is_paused_in_run, "the target runs a request", KILL_TIMEOUT_S
+        )
+
     async def _find_exit_problems(self) -> list[str]:
         """Return a description of each process that ended unexpectedly."""
         problems = []
--- a/coltsfootchute/standins/fleets.py
+++ b/coltsfootchute/standins/fleets.py
@@ -77,6 +77,15 @@
         with contextlib.suppress(ProcessLookupError):
             self._popen.send_signal(signum)
 
+    def pause(self) -> None:
+        """Pause the process; return when it has stopped."""
+        self.signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, self.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
+
+    def resume(self) -> None:
+        """Resume the process after `pause`."""
+        self.signal(signal.SIGCONT)
+
     async def wait(self, timeout_s: float) -> int | None:
         """Wait for the end of the process; return its exit code, or None if it runs."""
         end = time.monotonic() + timeout_s
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -51,6 +51,26 @@
     assert _children(tmp_path) == []
 
 
+def test_a_target_is_killed_in_a_run_also_if_the_demo_is_delayed(tmp_path):
+    """Otherwise the demo may pass without the fault that it is meant to show."""
+    code = f"""
+import time
+from coltsfootchute.standins import demos
+note = demos._print_progress
+demos._print_progress = lambda text: (note(text), time.sleep(2 * ("KILL" in text)))
+demos.main({[*SMALL, "--kill", "target"]})
+"""
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={"TMPDIR": str(tmp_path)},
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert re.search(EXPECTED_OUTPUT["target"], done.stdout), done.stdout
+
+
 def test_an_interrupt_leaves_no_process_and_no_file(tmp_path):
     with subprocess.Popen(
         [*COMMAND, *SMALL],
