review: let the target that left exit, and show the lost requests

Cause: the script showed that requests reach the target late, but not what that does to their callers.

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -454,6 +454,7 @@
         self.reachable = asyncio.Event()
         self.reachable.set()
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
         self._report_task: asyncio.Task | None = None
         self.address = ""
 
@@ -497,22 +498,25 @@
                 with contextlib.suppress(CannotRunError):
                     await self.report()
 
-    async def stop(self) -> None:
-        """Stop listening and reporting."""
-        if self._report_task is not None:
-            self._report_task.cancel()
-        if self._server is not None:
-            self._server.close()
+    def exit(self) -> None:
+        """End like a process: nothing more is reported, and all connections close."""
+        self.is_reporting = False
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self.record.write(f"{self.name} exits")
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         try:
             while await self._serve_one(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError, ValueError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _serve_one(
