entry: stop accepting calls while their callers cannot know of the stop

With `stop_s` 10 an entry accepted requests for 0.45 of it, 4.5 s, and cut those in progress at 8.4 s. Two requests sent 3.9 s and 4.2 s after the SIGTERM were passed on and answered 504 "may have run".

Ruled out: the end of the calls (0.84 of the bound). It lies in the last sixth, and a later end would not help a target that works longer. The requests sent at 3.3 s and 3.6 s were served only because their work fit.

Change: a new module plans a stop (`entry.schedules`, no I/O). Calls are accepted for 0.45 of the bound and at most 0.9 of the 3 s in which the stop is propagated. The checker of the end-to-end tests and the soak allowed cuts of requests sent in the first half of the bound; now of those sent within 3 s at most.

Conclusion: a request that is read late is refused as not run, or its connection is closed unread; its caller turns to another entry.

--- a/coltsfootchute/entry/__main__.py
+++ b/coltsfootchute/entry/__main__.py
@@ -6,7 +6,7 @@
 import uvloop
 
 from coltsfootchute import errors, expositions, logs, settings, signals
-from coltsfootchute.entry import daemons
+from coltsfootchute.entry import daemons, schedules
 
 __all__ = ["main"]
 
@@ -44,7 +44,7 @@
         service,
         catch_signals=(),
         log_config=False,
-        shutdown_timeout=daemons.STOP_TIMEOUT_S,
+        shutdown_timeout=schedules.STOP_TIMEOUT_S,
     ):
         await service.signalled.wait()
 
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -25,48 +25,25 @@
     placements,
     pools,
     samplers,
+    schedules,
     stops,
     watches,
 )
 from coltsfootchute.proto import coltsfootchute_pb2
 
-__all__ = ["STOP_PROPAGATION_S", "STOP_TIMEOUT_S", "Daemon"]
+__all__ = ["Daemon"]
 
-# Within this time every other entry has received the report that this one is stopping.
-STOP_PROPAGATION_S = 3.0
-# Requests in progress end by their deadlines, which are at most 600 s long.
-FINISH_TIMEOUT_S = 610.0
 # Connections that look idle are closed only after this time, because a request may
 # already be on its way to the entry.
 IDLE_GRACE_S = 0.2
-SETTLE_TIMEOUT_S = 5.0
 # Time limit for requests in progress from operators and targets.
 API_TIMEOUT_S = 30.0
-# The largest `keep_s` that the settings allow.
-MAX_KEEP_S = 300.0
-# Parts of the time for a planned stop after which its steps end; see `_StopSchedule`.
-ACCEPT_FRACTION = 0.45
-API_FRACTION = 0.7
-FINISH_FRACTION = 0.84
-DELIVER_FRACTION = 0.86
-SETTLE_FRACTION = 0.86
-STOP_TIMEOUT_S = STOP_PROPAGATION_S + MAX_KEEP_S + FINISH_TIMEOUT_S + SETTLE_TIMEOUT_S
 REPORT_CHECK_INTERVAL_S = 0.5
 REPORT_MAX_INTERVAL_S = 1.5
 REPORT_TIMEOUT_S = 1.0
 SHUTDOWN_TIMEOUT_S = 0.05
 
 
-class _StopSchedule(typing.NamedTuple):
-    """When each step of a planned stop ends, in seconds since the stop began."""
-
-    accept_s: float  # New calls are accepted until then.
-    api_s: float  # New requests of operators and targets are accepted until then.
-    finish_s: float  # Calls in progress are answered by then.
-    deliver_s: float  # Answers have been sent to the callers by then.
-    settle_s: float  # Control has replied to the settlements by then.
-
-
 class Daemon:
     """The entry role of one instance.
 
@@ -228,7 +205,7 @@
         stop_s = self._cfg.entry.stop_s
         if end_s is not None:
             stop_s = max(0.0, end_s - began_s)
-        schedule = self._stop_schedule(stop_s)
+        schedule = schedules.plan(stop_s, self._cfg.entry.keep_s)
         self._stop.begin(**schedule._asdict(), **self._progress_fields())
         self._instance.state = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
         async with asyncio.TaskGroup() as group:
@@ -241,7 +218,9 @@
                 [calls_task], timeout=_remaining_s(began_s + schedule.api_s)
             )
             await self._stop_api(began_s, schedule)
-        settle_s = min(SETTLE_TIMEOUT_S, _remaining_s(began_s + schedule.settle_s))
+        settle_s = min(
+            schedules.SETTLE_TIMEOUT_S, _remaining_s(began_s + schedule.settle_s)
+        )
         await self.client.drain(settle_s)
         self._stop.log_step("settlements sent", **self._progress_fields())
         transports = stops.transports_of(self._calls_server)
@@ -258,23 +237,8 @@
             "unsent_bytes": stops.unsent_bytes(transports),
         }
 
-    def _stop_schedule(self, stop_s: float | None) -> _StopSchedule:
-        if stop_s is not None:
-            fractions = (
-                ACCEPT_FRACTION,
-                API_FRACTION,
-                FINISH_FRACTION,
-                DELIVER_FRACTION,
-                SETTLE_FRACTION,
-            )
-            return _StopSchedule(*(fraction * stop_s for fraction in fractions))
-        accept_s = STOP_PROPAGATION_S + self._cfg.entry.keep_s
-        finish_s = accept_s + FINISH_TIMEOUT_S
-        settle_s = finish_s + SETTLE_TIMEOUT_S
-        return _StopSchedule(accept_s, finish_s, finish_s, settle_s, settle_s)
-
     async def _stop_calls(
-        self, began_s: float, schedule: _StopSchedule, is_bounded: bool
+        self, began_s: float, schedule: schedules.Schedule, is_bounded: bool
     ) -> None:
         if self._listener is None:
             return
@@ -304,7 +268,7 @@
         message = "requests remain" if self._calls.in_progress else "requests finished"
         self._stop.log_step(message, **self._progress_fields())
 
-    async def _stop_api(self, began_s: float, schedule: _StopSchedule) -> None:
+    async def _stop_api(self, began_s: float, schedule: schedules.Schedule) -> None:
         if self._api_server is None:
             return
         now_s = asyncio.get_running_loop().time()
--- a/coltsfootchute/entry/tests/test_bounded_stops.py
+++ b/coltsfootchute/entry/tests/test_bounded_stops.py
@@ -9,7 +9,7 @@
 import pytest
 import uvloop
 
-from coltsfootchute.entry import daemons
+from coltsfootchute.entry import schedules
 from coltsfootchute.entry.tests import fakes
 
 STOP_S = 4.0
@@ -300,7 +300,7 @@
 def test_a_request_that_arrives_while_the_process_is_delayed_is_answered(is_new):
     """A step of the stop that is overdue must not run before data that has arrived."""
     # The delay spans the step that refuses connections, or the one that closes them.
-    delay_after_s = daemons.ACCEPT_FRACTION * STOP_S + (-0.3 if is_new else 0.1)
+    delay_after_s = schedules.ACCEPT_FRACTION * STOP_S + (-0.3 if is_new else 0.1)
     delay_s = 0.6
 
     async def scenario(harness):
@@ -345,3 +345,35 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(main())
+
+
+@pytest.mark.parametrize("stop_s", [1.0, 4.0, 6.0, 8.0, 10.0, 30.0, 600.0])
+def test_a_longer_bound_does_not_accept_calls_that_are_cut_at_its_end(stop_s):
+    """A request that was sent after its caller could know of the stop was cut off."""
+    schedule = schedules.plan(stop_s, keep_s=5.0)
+    assert 0 < schedule.accept_s < schedules.STOP_PROPAGATION_S
+    assert schedule.accept_s < schedule.api_s < schedule.finish_s
+    assert schedule.finish_s > stop_s * 5 / 6
+
+
+def test_a_request_late_in_a_long_stop_is_refused_before_it_reaches_a_target():
+    """It was sent to a target, and cut off with "may have run" at the end."""
+    stop_s, sent_s = 7.5, 3.1
+
+    async def scenario(harness):
+        reader, writer = await harness.connect()
+        # The first half of a head keeps the connection open during the stop.
+        writer.write(GET[:10])
+        stop = await begin_stop(harness)
+        await asyncio.sleep(sent_s)
+        count = len(harness.targets[0].heads)
+        writer.write(GET[10:])
+        raw = await read_to_end(reader, stop_s)
+        # The connection may have been closed before the request was sent.
+        if raw != b"":
+            assert fakes.Answer(raw).refusal == "not_run stopping 503"
+        assert len(harness.targets[0].heads) == count
+        writer.close()
+        await stop
+
+    fakes.run(scenario, slow_after_first(60), stop_s=stop_s, section={"rules": RULES})
--- a/coltsfootchute/entry/tests/test_daemons.py
+++ b/coltsfootchute/entry/tests/test_daemons.py
@@ -9,14 +9,14 @@
 
 import pytest
 
-from coltsfootchute.entry import daemons
+from coltsfootchute.entry import schedules
 from coltsfootchute.entry.tests import fakes
 
 pb = fakes.pb
 
 
 def test_a_stop_is_announced_and_cuts_off_no_request(monkeypatch):
-    monkeypatch.setattr(daemons, "STOP_PROPAGATION_S", 0.1)
+    monkeypatch.setattr(schedules, "STOP_PROPAGATION_S", 0.1)
     may_answer = asyncio.Event()
 
     async def scenario(harness):
--- a/tests/end_to_end/exchanges.py
+++ b/tests/end_to_end/exchanges.py
@@ -28,8 +28,10 @@
 # If the connection ends within this time after the last byte was sent, the entry may
 # have closed it before it received the request.
 CLOSE_TOLERANCE_S = 0.2
-# Requests sent before the first fraction of a stop may be cut after the second one.
+# Requests sent before the first fraction of a stop, while their callers cannot have
+# heard of it, may be cut after the second one.
 EARLY_FRACTION, LAST_FRACTION = 1 / 2, 5 / 6
+EARLY_LIMIT_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -226,7 +228,8 @@
         ran_s = began.get(sent.request_id)
         if ran_s is None:
             return sent.ended_s > sent.sent_s + CLOSE_TOLERANCE_S + sent.loop_lag_s
-        early = sent.sent_s <= stop.at_s + stop.limit_s * EARLY_FRACTION
+        early_s = min(stop.limit_s * EARLY_FRACTION, EARLY_LIMIT_S)
+        early = sent.sent_s <= stop.at_s + early_s
         late = ran_s + sent.work_s > stop.at_s + stop.limit_s * LAST_FRACTION
         return not (early and late)
 
--- a/tests/end_to_end/test_exchanges.py
+++ b/tests/end_to_end/test_exchanges.py
@@ -66,6 +66,11 @@
     early, late = cut(102.9, 4.0, 105.5), cut(103.1, 4.0, 105.5)
     assert exchanges.find_lost([early], [run(102.9)], STOP) == []
     assert exchanges.find_lost([late], [run(103.1)], STOP) == [late]
+    # A longer bound does not make later requests early.
+    long_stop = exchanges.Stop(at_s=100.0, limit_s=10.0)
+    early, late = cut(102.9, 8.0, 108.4), cut(103.1, 8.0, 108.4)
+    assert exchanges.find_lost([early], [run(102.9)], long_stop) == []
+    assert exchanges.find_lost([late], [run(103.1)], long_stop) == [late]
 
 
 def test_the_check_finds_a_refusal_of_a_request_that_ran():
