entry: find the majority at once when control is split

An entry left a control instance of the minority only with the next message after its proof was 2 s old, then spent up to 2 s with the other one, because each control instance got 2 s to find its leader. Its first message had said how old its state was.

Ruled out: the feed of the majority.

Change: `entry.sources.Order` chooses the next source from the ends of the watches before it (no I/O). A source is judged by its own proof; a message with an old one, or a timer, ends the watch at once. The wait for a new leader comes once, after more than half of the control instances stated an old proof. test_watches called `_receive` and read `is_cancelled`; it checks the returned end now, which is as strict.

Conclusion: an entry leaves the minority 2 s after its last proof. A second feed from another instance would find a split sooner and costs twice the fan-out; not done.

--- a/coltsfootchute/control/feed_streams.py
+++ b/coltsfootchute/control/feed_streams.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections.abc
+import math
 import time
 import typing
 
@@ -102,9 +103,14 @@
         self._idle_timeout_s = idle_timeout_s
         self.message_started_at = float("-inf")
 
-    async def next(self) -> pb.FeedMessage | None:
+    async def next(self, limit_s: float = math.inf) -> pb.FeedMessage | None:
         """Return the next complete message, or None at the end of the stream.
 
+        Parameters
+        ----------
+        limit_s
+            Bound in seconds on the timeout for the message, or for its first part.
+
         Raises
         ------
         TimeoutError
@@ -112,7 +118,7 @@
         google.protobuf.message.DecodeError
             If the joined parts are not a valid message.
         """
-        received = await self._receive()
+        received = await self._receive(limit_s)
         self.message_started_at = clock()
         if received is None or not received.part:
             return received
@@ -126,8 +132,8 @@
         message.proof_age_ms = received.proof_age_ms
         return message
 
-    async def _receive(self) -> pb.FeedMessage | None:
-        async with asyncio.timeout(self._timeout_s):
+    async def _receive(self, limit_s: float = math.inf) -> pb.FeedMessage | None:
+        async with asyncio.timeout(max(0.0, min(self._timeout_s, limit_s))):
             received = await self._stream.recv_message()
         self._timeout_s = self._idle_timeout_s
         return received
--- a/coltsfootchute/entry/tests/test_watches.py
+++ b/coltsfootchute/entry/tests/test_watches.py
@@ -11,7 +11,7 @@
 
 from coltsfootchute.control import feed_streams, feeds
 from coltsfootchute.control import links as control_links
-from coltsfootchute.entry import watches
+from coltsfootchute.entry import sources, watches
 from coltsfootchute.entry.tests import fakes
 from coltsfootchute.standins import links
 
@@ -243,7 +243,7 @@
 
 def test_a_long_view_of_another_entry_is_applied_over_a_slow_link():
     bytes_per_s = 50_000
-    size_bytes = int(1.5 * bytes_per_s * watches.PEER_WATCH_S)
+    size_bytes = int(1.5 * bytes_per_s * sources.PEER_WATCH_S)
 
     async def scenario():
         source = fakes.FakeControl()
@@ -305,7 +305,6 @@
         self._view = view
         self._deliveries = iter(deliveries)
         self.now_s = 0.0
-        self.is_cancelled = False
         for module in (watches, feed_streams):
             monkeypatch.setattr(module, "clock", lambda: self.now_s)
 
@@ -315,9 +314,6 @@
         self._view.last_run_at = self.now_s
         return received
 
-    async def cancel(self):
-        self.is_cancelled = True
-
 
 @pytest.mark.parametrize("took_s", [0.4, 2 * watches.MAX_PROOF_AGE_S])
 @pytest.mark.parametrize("is_proof_old", [False, True])
@@ -339,9 +335,9 @@
             deliveries.append((arrival_s, part))
         stream = TimedStream(monkeypatch, view, *deliveries)
         watcher = watches.Watcher(view, "e1", ["127.0.0.1:9"])
-        await watcher._receive("127.0.0.1:9", stream, None)
+        end, _ = await watcher._receive(sources.Source("127.0.0.1:9"), stream)
         assert percent_in_force(view) == 10
-        assert stream.is_cancelled is is_proof_old
+        assert (end is sources.End.OUTDATED) is is_proof_old
 
     asyncio.run(scenario())
 
@@ -402,3 +398,33 @@
             await control.stop()
 
     asyncio.run(scenario())
+
+
+def test_a_split_of_control_does_not_keep_entries_on_an_old_state():
+    """A source that was cut off from the leader was replaced by another such one."""
+
+    async def scenario():
+        controls = [fakes.FakeControl() for _ in range(5)]
+        for control in controls:
+            await control.start()
+            control.section(retry_budget_percent=10)
+        addresses = [control.address for control in controls]
+        async with running_watchers(addresses) as watchers:
+            views = [watcher._view for watcher in watchers]
+            await fakes.wait_until(lambda: all(view.revision == 1 for view in views))
+            for control in controls:
+                control.publish_proof()
+            split_at = watches.clock()
+            for control in controls[2:]:
+                control.section(retry_budget_percent=20)
+            while any(view.revision != 2 for view in views):
+                assert watches.clock() - split_at < watches.STALE_AFTER_S
+                await asyncio.sleep(0.05)
+                for control in controls[2:]:
+                    control.publish_proof()
+            minority = [w for w in watchers if w.source in addresses[:2]]
+            assert not minority
+        for control in controls:
+            await control.stop()
+
+    asyncio.run(scenario())
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -1,10 +1,9 @@
 """The entry's view of the replicated state, and the feed client that updates it."""
 
 import asyncio
-import collections.abc
 import contextlib
 import enum
-import random
+import math
 import typing
 
 import google.protobuf.message
@@ -14,7 +13,7 @@
 
 from coltsfootchute import logs
 from coltsfootchute.control import feed_streams
-from coltsfootchute.entry import state_tables
+from coltsfootchute.entry import sources, state_tables
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
 __all__ = ["STALE_AFTER_S", "ApplyResult", "View", "Watcher", "clock"]
@@ -27,9 +26,7 @@
 # entry cut off from three control instances took up to 4.5 s to ask another entry.
 FIRST_PART_TIMEOUT_S = 0.5
 RETRY_PAUSE_S = 0.1
-# After watching another entry for this time, an entry tries control again.
-PEER_WATCH_S = 5.0
-# If the last proof is older than this, the watcher changes to another source.
+# A source whose last proof is older than this is left for another one.
 MAX_PROOF_AGE_S = 2.0
 FREEZE_CHECK_INTERVAL_S = 0.25
 # If the event loop did not run for this long, the process was frozen. The age of a
@@ -226,10 +223,11 @@
         self._name = name
         self._control = control
         self._seeds = list(control)
-        # Entries that lose control together must not all ask the same source next.
-        self._next_control = self._next_peer = random.Random(name).getrandbits(16)
+        self._order = sources.Order(name)
         self._freeze_count = 0
         self._foreign_addresses: set[str] = set()
+        # Whether the source that is watched has had a current state.
+        self._was_current = False
         # Address of the source of the last message; empty after that source is lost.
         self.source = ""
 
@@ -247,61 +245,42 @@
         freeze_task = asyncio.ensure_future(self._watch_freezes())
         try:
             while True:
-                await self._watch_round()
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await self._watch_next()
         finally:
             freeze_task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await freeze_task
 
-    async def _watch_round(self) -> None:
-        for address, limit_s in self._sources():
-            await self._watch_safely(address, limit_s)
-
-    def _sources(self) -> collections.abc.Iterator[tuple[str, float | None]]:
-        """Return the sources in order, each with the time for which to watch it.
-
-        Notes
-        -----
-        If one control instance is lost, the next source is another one. After that,
-        other entries alternate with control, so that an entry that is cut off from all
-        control instances tries at most two of them before it asks another entry.
-        """
-        self._next_control += 1
-        split = self._next_control % max(len(self._control), 1)
-        control = self._control[split:] + self._control[:split]
-        yield from ((address, None) for address in control[:1])
-        if len(control) < 2:
-            yield from self._next_peer_source()
-        for address in control[1:]:
-            yield address, None
-            yield from self._next_peer_source()
-        # All known control instances may have been replaced meanwhile.
-        others = [address for address in self._seeds if address not in control]
-        yield from ((address, None) for address in others)
-
-    def _next_peer_source(self) -> collections.abc.Iterator[tuple[str, float | None]]:
-        # Read only now, since the previous source may have been watched for days.
-        peers = self._peers()
-        if peers:
-            self._next_peer += 1
-            yield peers[self._next_peer % len(peers)], PEER_WATCH_S
+    async def _watch_next(self) -> None:
+        source = self._order.choose(self._control, self._seeds, self._peers())
+        if source is None:
+            await asyncio.sleep(RETRY_PAUSE_S)
+            return
+        began_at = clock()
+        self._was_current = False
+        end = await self._watch_safely(source)
+        self._order.record_end(source, end, was_current=self._was_current)
+        if self._was_current and clock() - began_at < RETRY_PAUSE_S:
+            await asyncio.sleep(RETRY_PAUSE_S)
 
     def _peers(self) -> list[str]:
         known = self._view.instances.values()
         return [i.peer_address for i in known if i.name != self._name]
 
-    async def _watch_safely(self, address: str, limit_s: float | None) -> None:
+    async def _watch_safely(self, source: sources.Source) -> sources.End:
+        end = sources.End.LOST
         try:
-            await self._watch(address, limit_s)
-            reason = "the stream ended"
+            end, reason = await self._watch(source)
         except _STREAM_ERRORS as exc:
             reason = repr(exc)
         except Exception as exc:
             # Without the watcher the entry would keep its view for good.
-            loguru.logger.exception("feed: unhandled error in a message of {}", address)
+            loguru.logger.exception(
+                "feed: unhandled error in a message of {}", source.address
+            )
             reason = repr(exc)
-        self._log_lost(address, reason)
+        self._log_lost(source.address, reason)
+        return end
 
     def _log_lost(self, address: str, reason: str) -> None:
         logs.log_event(
@@ -319,8 +298,9 @@
             self.source = address
             logs.log_event("feed", "source found", source=address)
 
-    async def _watch(self, address: str, limit_s: float | None) -> None:
-        host, _, port = address.rpartition(":")
+    async def _watch(self, source: sources.Source) -> tuple[sources.End, str]:
+        """Watch a source; return how that ended, and the reason for the log."""
+        host, _, port = source.address.rpartition(":")
         channel = feed_streams.open_channel(host.strip("[]"), int(port))
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
@@ -328,7 +308,10 @@
             stub = coltsfootchute_grpc.FeedStub(channel)
             async with stub.Watch.open() as stream:
                 await stream.send_message(self._request(), end=True)
-                await self._receive(address, stream, limit_s)
+                end, reason = await self._receive(source, stream)
+                if end is not sources.End.LOST:
+                    await stream.cancel()
+                return end, reason
         finally:
             channel.close()
 
@@ -340,34 +323,42 @@
         )
 
     async def _receive(
-        self, address: str, stream: _Stream, limit_s: float | None
-    ) -> None:
-        watch_until = clock() + (limit_s or float("inf"))
-        # A control instance gets time to find its leader. Another entry does not: two
-        # entries without control would watch each other during that time.
-        grace_from = clock() if address in self._control else float("-inf")
+        self, source: sources.Source, stream: _Stream
+    ) -> tuple[sources.End, str]:
+        began_at = clock()
+        watch_until = began_at + (source.limit_s or math.inf)
+        hold_until = began_at + source.hold_s
+        # Time at which the proof of the source becomes too old.
+        proven_until = math.inf
         freeze_count = self._freeze_count
         receiver = feed_streams.Receiver(stream, FIRST_PART_TIMEOUT_S, IDLE_TIMEOUT_S)
         while True:
-            message = await receiver.next()
+            try:
+                message = await receiver.next(max(proven_until, hold_until) - clock())
+            except TimeoutError:
+                if clock() < max(proven_until, hold_until):
+                    raise
+                return sources.End.OUTDATED, "the proof became too old"
             if message is None:
-                return
+                return sources.End.LOST, "the stream ended"
             now = clock()
             self._check_freeze(now)
             if self._freeze_count != freeze_count:
-                await stream.cancel()
-                return
-            self._log_found(address)
+                return sources.End.LEFT, "the process was frozen"
             result = self._view.apply(message, now)
             if result is ApplyResult.FOREIGN_CLUSTER:
-                self._log_foreign(address, message.cluster_id)
-                await stream.cancel()
-                return
-            proven_at = max(self._view.proof_at, grace_from)
-            is_proof_old = receiver.message_started_at - proven_at > MAX_PROOF_AGE_S
-            if is_proof_old or now >= watch_until:
-                await stream.cancel()
-                return
+                self._log_foreign(source.address, message.cluster_id)
+                return sources.End.LEFT, "foreign cluster"
+            # A long message does not make its source outdated.
+            transfer_s = now - receiver.message_started_at
+            age_s = message.proof_age_ms / 1000 if message.has_proof else math.inf
+            proven_until = now - age_s + transfer_s + MAX_PROOF_AGE_S
+            if now > max(proven_until, hold_until):
+                return sources.End.OUTDATED, f"the proof is {age_s:.1f} s old"
+            self._was_current |= now <= proven_until
+            self._log_found(source.address)
+            if now >= watch_until:
+                return sources.End.LEFT, "the time for another entry has passed"
 
     def _log_foreign(self, address: str, cluster_id: str) -> None:
         if address not in self._foreign_addresses:
