--- a/coltsfootchute/entry/tests/test_unending.py
+++ b/coltsfootchute/entry/tests/test_unending.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import tracemalloc
 
 import pytest
 
@@ -47,6 +48,8 @@
     "chunks": (CHUNKED, b"1000\r\n" + b"a" * 4096 + b"\r\n"),
     "close": (OK + b"\r\n", b"a"),
 }
+LARGE_CASES = ("garbage", "header line", "garbage for a chunk", "length", "close")
+CONCURRENT_CALLS = 24
 EXTRAS = {
     "garbage": b"\xff",
     "blank lines": b"\r\n",
@@ -224,3 +227,26 @@
     samples = {"per_target_s": 1000, "wait_s": 1}
     scripts = endless(sent, on="/health"), test_declared.echo()
     run_flood(scenario, *scripts, samples=samples)
+
+
+@cases({k: (HEADS | FRAMES | BODIES)[k] for k in LARGE_CASES})
+def test_many_endless_responses_take_little_memory(sent):
+    """An entry kept what a target sent, and its other requests ended with it."""
+
+    async def scenario(harness):
+        async def call():
+            reader, writer = await harness.connect()
+            writer.write(b"GET /quick/1 HTTP/1.1\r\nHost: x\r\nX-Id: r1\r\n\r\n")
+            await reader.readline()
+            await asyncio.sleep(0.3)
+            writer.close()
+
+        tracemalloc.start()
+        try:
+            await asyncio.gather(*(call() for _ in range(CONCURRENT_CALLS)))
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert peak < CONCURRENT_CALLS * 2 * MAX_HELD_BYTES
+
+    run_flood(scenario, endless(sent))
