state: let a departure after the end of the lease bind

A target was cut off for longer than its lease, so the register forgot it. Its withdrawal met an unknown target and left no trace; a delayed report then registered it again, and it got requests until it exited.

Ruled out: the sequence number of reports. A drain is sticky for an incarnation and a withdrawal ends it, so the order within an incarnation does not matter once both are remembered.

A withdrawal of an expired or newer incarnation binds.

Conclusion: another target at the address and a new start of the same id are registered at once, as before.

--- a/coltsfootchute/state/machines.py
+++ b/coltsfootchute/state/machines.py
@@ -116,6 +116,7 @@
             floors=self.claims.dump_floors(),
             declaration=self.declaration.newest,
             withdrawn=self.targets.withdrawn(),
+            expired=self.targets.expired(),
         )
         return snapshot.SerializeToString(deterministic=True) + self.claims.dump()
 
@@ -133,7 +134,9 @@
         self.clock_ms = snapshot.clock_ms
         self.sections.load(list(snapshot.sections))
         self.outcomes.load(list(snapshot.outcomes))
-        self.targets.load(list(snapshot.targets), list(snapshot.withdrawn))
+        self.targets.load(
+            list(snapshot.targets), list(snapshot.withdrawn), list(snapshot.expired)
+        )
         self.declaration.load(snapshot.declaration)
         self.claims.load(snapshot.claims, snapshot.floors)
         self.quarantines.load(list(snapshot.quarantines))
--- a/coltsfootchute/state/targets.py
+++ b/coltsfootchute/state/targets.py
@@ -5,8 +5,8 @@
 
 __all__ = ["TargetRegister"]
 
-# Number of withdrawn incarnations to remember, since an announcement that a partition
-# delayed may arrive long after the target was withdrawn.
+# Number of withdrawn incarnations to remember, and of expired ones, since an
+# announcement that a partition delayed may arrive long after the target has left.
 MAX_WITHDRAWN = 1000
 
 Kind = pb.TargetCommand.Kind
@@ -26,13 +26,19 @@
     remembered, so that a late announcement does not register it again. Of two
     incarnations at the same address only the later one is registered.
 
+    One that expired while it was serving may be announced again. It is remembered too:
+    a target that was cut off for longer than its lease may withdraw without stating
+    its incarnation.
+
     The targets returned by `get` and `all` are never modified: a change replaces the
     object, so callers may keep references to them.
     """
 
     def __init__(self):
         self._targets: dict[str, pb.Target] = {}
+        # Incarnations by target id, oldest first.
         self._withdrawn: dict[str, int] = {}
+        self._expired: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._targets)
@@ -47,17 +53,22 @@
 
     def withdrawn(self) -> list[pb.Target]:
         """Return the withdrawn incarnations that are remembered, oldest first."""
-        return [
-            pb.Target(target_id=target_id, incarnation=incarnation)
-            for target_id, incarnation in self._withdrawn.items()
-        ]
+        return _dump(self._withdrawn)
+
+    def expired(self) -> list[pb.Target]:
+        """Return the expired incarnations that are remembered, oldest first."""
+        return _dump(self._expired)
 
     def load(
-        self, targets: list[pb.Target], withdrawn: list[pb.Target] | None = None
+        self,
+        targets: list[pb.Target],
+        withdrawn: list[pb.Target] | None = None,
+        expired: list[pb.Target] | None = None,
     ) -> None:
         """Replace the contents of the register by dumped targets."""
         self._targets = {target.target_id: target for target in targets}
         self._withdrawn = {t.target_id: t.incarnation for t in withdrawn or []}
+        self._expired = {t.target_id: t.incarnation for t in expired or []}
 
     def apply(
         self, command: pb.TargetCommand, time_ms: int
@@ -68,7 +79,7 @@
         ----------
         command
             The command. An incarnation of 0 in a drain or a withdrawal means the
-            registered one.
+            registered one, or the one that expired last.
         time_ms
             Clock of the machine in ms.
 
@@ -81,6 +92,8 @@
         registered = self._targets.get(requested.target_id)
         if command.kind == Kind.KIND_ANNOUNCE:
             return self._announce(requested, registered, time_ms)
+        if command.kind == Kind.KIND_WITHDRAW and _is_newer(requested, registered):
+            return self._withdraw_unregistered(requested, registered)
         if registered is None:
             return _outcome(pb.ANNOUNCEMENT_STATUS_UNKNOWN_TARGET, 0), []
         by_id = requested.incarnation == 0 and command.kind in _BY_ID
@@ -121,6 +134,7 @@
                 new.state = registered.state
             new.announced_ms = registered.announced_ms
             new.warm_up_ms = registered.warm_up_ms
+        self._expired.pop(new.target_id, None)
         accepted = _outcome(pb.ANNOUNCEMENT_STATUS_ACCEPTED, requested.incarnation)
         changed = [other.target_id for other in others]
         if new != registered:
@@ -139,10 +153,27 @@
 
     def _withdraw(self, registered: pb.Target) -> None:
         del self._targets[registered.target_id]
-        self._withdrawn.pop(registered.target_id, None)
-        self._withdrawn[registered.target_id] = registered.incarnation
-        if len(self._withdrawn) > MAX_WITHDRAWN:
-            del self._withdrawn[next(iter(self._withdrawn))]
+        _remember(self._withdrawn, registered.target_id, registered.incarnation)
+
+    def _withdraw_unregistered(
+        self, requested: pb.Target, registered: pb.Target | None
+    ) -> tuple[pb.AnnouncementOutcome, list[str]]:
+        """Withdraw an incarnation that has expired or was not announced yet."""
+        target_id = requested.target_id
+        known = [
+            incarnations[target_id]
+            for incarnations in (self._expired, self._withdrawn)
+            if target_id in incarnations
+        ]
+        if not (known or requested.incarnation):
+            return _outcome(pb.ANNOUNCEMENT_STATUS_UNKNOWN_TARGET, 0), []
+        incarnation = max(requested.incarnation, *known, 0)
+        self._expired.pop(target_id, None)
+        if registered is not None:
+            del self._targets[target_id]
+        _remember(self._withdrawn, target_id, incarnation)
+        outcome = _outcome(pb.ANNOUNCEMENT_STATUS_ACCEPTED, incarnation)
+        return outcome, [] if registered is None else [target_id]
 
     def _set_state(self, registered: pb.Target, state: pb.TargetState) -> bool:
         if registered.state == state:
@@ -170,6 +201,7 @@
             # A partition may have blocked the reports of a running target, so the
             # incarnation may announce itself again.
             del self._targets[registered.target_id]
+            _remember(self._expired, registered.target_id, registered.incarnation)
         return True
 
     @handlers.register("KIND_SUSPECT")
@@ -187,3 +219,22 @@
 
 
 _BY_ID = (Kind.KIND_DRAIN, Kind.KIND_WITHDRAW)
+
+
+def _is_newer(requested: pb.Target, registered: pb.Target | None) -> bool:
+    """Return whether a target is not registered with a command's incarnation yet."""
+    return registered is None or requested.incarnation > registered.incarnation
+
+
+def _remember(incarnations: dict[str, int], target_id: str, incarnation: int) -> None:
+    incarnations.pop(target_id, None)
+    incarnations[target_id] = incarnation
+    if len(incarnations) > MAX_WITHDRAWN:
+        del incarnations[next(iter(incarnations))]
+
+
+def _dump(incarnations: dict[str, int]) -> list[pb.Target]:
+    return [
+        pb.Target(target_id=target_id, incarnation=incarnation)
+        for target_id, incarnation in incarnations.items()
+    ]
--- a/coltsfootchute/state/tests/test_targets.py
+++ b/coltsfootchute/state/tests/test_targets.py
@@ -1,5 +1,9 @@
 """Guards against late, repeated and conflicting commands in the target register."""
 
+import tracemalloc
+
+import pytest
+
 from coltsfootchute import declarations
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 from coltsfootchute.state import machines, targets
@@ -7,6 +11,7 @@
 Kind = pb.TargetCommand.Kind
 ACCEPTED = pb.ANNOUNCEMENT_STATUS_ACCEPTED
 OLD = pb.ANNOUNCEMENT_STATUS_OLD_INCARNATION
+UNKNOWN = pb.ANNOUNCEMENT_STATUS_UNKNOWN_TARGET
 
 
 class Register:
@@ -23,6 +28,12 @@
         index = self.machine.index + 1
         return self.machine.apply(index, pb.Command(time_ms=1, target=command))
 
+    def restart(self):
+        """Continue with the state of a snapshot."""
+        restarted = machines.Machine()
+        restarted.load(self.machine.dump())
+        self.machine = restarted
+
     def ids(self):
         return [target.target_id for target in self.machine.targets.all()]
 
@@ -50,6 +61,59 @@
     assert register.ids() == []
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+@pytest.mark.parametrize("stated", [0, 5])
+@pytest.mark.parametrize("incarnation", [0, 5])
+def test_a_target_that_left_after_its_lease_ended_is_not_registered_again(
+    incarnation, stated, is_restarted
+):
+    """Requests were sent to it until it exited, after a report that was delayed."""
+    register = Register()
+    register.apply(Kind.KIND_ANNOUNCE, "a", incarnation)
+    register.apply(Kind.KIND_EXPIRE, "a", incarnation)
+    if is_restarted:
+        register.restart()
+    assert register.apply(Kind.KIND_WITHDRAW, "a", stated).reply.status == ACCEPTED
+    if is_restarted:
+        register.restart()
+    late = register.apply(Kind.KIND_ANNOUNCE, "a", incarnation)
+    assert (late.reply.status, late.changes, register.ids()) == (OLD, [], [])
+    # The withdrawal may be sent again, and neither a new start nor another target at
+    # the address has to wait.
+    assert register.apply(Kind.KIND_WITHDRAW, "a", stated).reply.status == ACCEPTED
+    assert register.apply(Kind.KIND_ANNOUNCE, "b", 7).reply.status == ACCEPTED
+    register.apply(Kind.KIND_ANNOUNCE, "a", 9, address="2.2.2.2:2")
+    assert register.ids() == ["b", "a"]
+
+
+def test_a_withdrawal_that_overtakes_the_announcement_binds():
+    register = Register()
+    register.apply(Kind.KIND_ANNOUNCE, "a", 5)
+    applied = register.apply(Kind.KIND_WITHDRAW, "a", 6)
+    assert (applied.reply.status, register.ids()) == (ACCEPTED, [])
+    assert [c.removed_target_id for c in applied.changes] == ["a"]
+    assert register.apply(Kind.KIND_ANNOUNCE, "a", 6).reply.status == OLD
+    assert register.apply(Kind.KIND_WITHDRAW, "x", 0).reply.status == UNKNOWN
+
+
+def test_the_memory_of_departures_is_bounded():
+    """At 860 targets, a whole release of them is remembered in 0.5 MB."""
+    register = Register()
+    tracemalloc.start()
+    for number in range(3 * targets.MAX_WITHDRAWN):
+        name, address = f"i-{number:010x}", f"10.0.{number // 250}.{number % 250}:8080"
+        register.apply(Kind.KIND_ANNOUNCE, name, 1 << 40, address)
+        register.apply(Kind.KIND_EXPIRE, name, 1 << 40)
+        if number % 2:
+            register.apply(Kind.KIND_WITHDRAW, name, 0)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    machine = register.machine
+    for remembered in (machine.targets.expired(), machine.targets.withdrawn()):
+        assert 860 <= len(remembered) <= targets.MAX_WITHDRAWN
+    assert held < 500_000
+
+
 def test_a_late_serving_announcement_does_not_end_a_drain():
     register = Register()
     draining = pb.TARGET_STATE_DRAINING
