entry: keep updating a removed service while requests wait for it

A declaration left a service out; the entry dropped it from its table and with it all updates of its pool. Requests that waited were sent to targets that had been draining for over 2 s, and were lost with their exit.

Ruled out: the feed; the entry had applied the drains.

Change: `pools.Services` keeps removed services in a weak table and updates their targets. Queued requests of a pool without serving targets are refused at once (`Pool.pop_refused`), as new ones are.

Conclusion: a request accepted under the older declaration may still run at a target that serves; nothing else is sent to the others.

--- a/coltsfootchute/balancing/admissions.py
+++ b/coltsfootchute/balancing/admissions.py
@@ -174,6 +174,14 @@
         leaving, self._replaced = self._replaced + expired, []
         return [(ticket, _expiry_refusal(ticket, now)) for ticket in leaving]
 
+    def pop_all(
+        self, reason: verdicts.Reason, detail: str
+    ) -> list[tuple[Ticket, verdicts.Refusal]]:
+        """Remove all requests, and return each ticket with a refusal."""
+        leaving = self._replaced + self._waiting
+        self._replaced, self._waiting = [], []
+        return [(ticket, refusal(reason, detail)) for ticket in leaving]
+
     def next_expiry(self) -> float | None:
         """Return the time at which `pop_expired` has to be called, or None.
 
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -22,6 +22,7 @@
 
 # Interval at which selection is repeated for a request that waits for a faster target.
 RESELECT_INTERVAL_S = 0.005
+NO_TARGET_DETAIL = "no target is serving"
 # Smoothing factors of the typical response time for a slower and for a faster response.
 # Faster responses weigh more, so that the slow responses of an overload do not become
 # the typical ones.
@@ -77,7 +78,7 @@
        a claim: `restart_timer`. On the response head: `record_response`. At the end
        of each attempt, on every path and exactly once: `finish_attempt`.
     4. After each `finish_attempt`, and at `next_wake(now)`: `start_queued`, whose
-       tickets are granted, and then `admission.pop_expired`, whose tickets are
+       tickets are granted, and then `pop_refused`, whose tickets are
        refused. A grant whose caller has disconnected is finished as `CANCELLED`.
     5. A repeatable request without a response head after `hedge_delay` may be
        hedged: ``view = pool.select(now, exclude=tried, kind=HEDGE)``. If there
@@ -156,8 +157,8 @@
             view = self.select(now)
             if view is not None:
                 return view
-        if not self._in_use():
-            return admissions.refusal(verdicts.Reason.NO_TARGET, "no target is serving")
+        if not self.is_serving:
+            return admissions.refusal(verdicts.Reason.NO_TARGET, NO_TARGET_DETAIL)
         service_s = self._typical_latency_s(now)
         interval_s = service_s / self._capacity(now)
         return self.admission.offer(priority, deadline_s, now, service_s, interval_s)
@@ -283,8 +284,22 @@
             granted.append(admissions.Grant(ticket, view.start_attempt(now)))
         return granted
 
+    def pop_refused(
+        self, now: float
+    ) -> list[tuple[admissions.Ticket, verdicts.Refusal]]:
+        """Remove the queued requests that can't be served any more.
+
+        Returns
+        -------
+        list of tuple
+            Each removed ticket with its refusal.
+        """
+        if self.is_serving:
+            return self.admission.pop_expired(now)
+        return self.admission.pop_all(verdicts.Reason.NO_TARGET, NO_TARGET_DETAIL)
+
     def next_wake(self, now: float) -> float | None:
-        """Return the time of the next `start_queued` and `admission.pop_expired`.
+        """Return the time of the next `start_queued` and `pop_refused`.
 
         This is the time at which a queued request expires, or the ejection or pause
         of a target ends; None while the queue is empty. If a target has room but the
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 import time
+import weakref
 
 from coltsfootchute import balancing, ids, sections, settings, verdicts
 from coltsfootchute.entry import forwards, watches
@@ -149,7 +150,7 @@
         self._refuse_expired()
 
     def _refuse_expired(self) -> None:
-        for ticket, refusal in self.pool.admission.pop_expired(time.monotonic()):
+        for ticket, refusal in self.pool.pop_refused(time.monotonic()):
             fut = self._queued.pop(ticket, None)
             if fut is not None and not fut.done():
                 fut.set_result(refusal)
@@ -209,15 +210,28 @@
         self._rng = random.Random()
         self._entries = 1
         self.by_name: dict[str, Service] = {}
+        # Services that are no longer in the state, as long as calls hold them.
+        self._retired: weakref.WeakValueDictionary[str, Service] = (
+            weakref.WeakValueDictionary()
+        )
 
     def refresh(self, names: set[str]) -> None:
-        """Update the named services after a feed message."""
+        """Update the named services after a feed message.
+
+        Notes
+        -----
+        Requests that were accepted for a service that has been removed may still be
+        sent to its targets, but only to those that are serving at that time.
+        """
         for name in names:
             table = self._view.rule_tables.get(name)
-            if table is None:
-                self.by_name.pop(name, None)
-            else:
+            if table is not None:
                 self._refresh(name, table)
+                continue
+            service = self.by_name.pop(name, None) or self._retired.get(name)
+            if service is not None:
+                self._retired[name] = service
+                self._update_targets(service)
 
     def update_slot_shares(self) -> None:
         """Divide the targets' slots among the entries that are serving."""
@@ -258,16 +272,20 @@
         )
 
     def _refresh(self, name: str, table: sections.RuleTable) -> None:
-        service = self.by_name.get(name)
+        service = self.by_name.get(name) or self._retired.pop(name, None)
         if service is None:
-            service = self.by_name[name] = Service(name, table, self._pool(name, table))
+            service = Service(name, table, self._pool(name, table))
         elif service.rule_table is not table:
             service.rule_table = table
             service.pool.update_settings(self._pool_settings(table.section))
             service.pool.update_share(self._slots_share(table.section))
+        self.by_name[name] = service
         service.health_path = self._view.health_paths.get(name, "")
+        self._update_targets(service)
+
+    def _update_targets(self, service: Service) -> None:
         now = time.monotonic()
-        targets = [_target(t, now) for t in self._view.targets_of(name)]
+        targets = [_target(t, now) for t in self._view.targets_of(service.name)]
         service.pool.update_targets(targets, now)
         used = {t.address for t in targets}
         for address in service.endpoints.keys() - used:
