entry: count crashes of a request also with its headers

Crashes are counted by request line and body, and each complete response to an equal request clears the count. While other callers sent the same GET, the request of one caller crashed 24 targets in 24 s.

Ruled out: counting by content without clearing. In this case it would refuse the four callers whose requests are served.

Change: a crash is counted under two digests; the second covers the headers without those that differ between attempts (deadline, id, key, trace). The digests moved to `entry.digests`. test_keys expects both reports of each crash now and checks each digest as before.

--- a/coltsfootchute/balancing/quarantines.py
+++ b/coltsfootchute/balancing/quarantines.py
@@ -1,8 +1,10 @@
 """Detection of requests that crash the targets that run them."""
 
 import collections
+import collections.abc
 import dataclasses
 import hashlib
+import itertools
 
 from coltsfootchute import ids
 
@@ -23,8 +25,9 @@
     body: bytes | None,
     length: int = 0,
     content_type: str = "",
+    headers: collections.abc.Iterable[tuple[str, str]] = (),
 ) -> bytes:
-    """Return the crash digest, which identifies equal requests.
+    """Return a crash digest, which identifies equal requests.
 
     Parameters
     ----------
@@ -34,10 +37,16 @@
         The body if it can be replayed; if None, `length` and `content_type` are used.
     length, content_type
         Used only if `body` is None.
+    headers
+        Name and value of the headers that distinguish requests, in any order.
     """
     content = f"{length} {content_type}".encode() if body is None else body
     kind = b"headers" if body is None else b"body"
-    texts = [part.encode() for part in (service, method, path, query)]
+    named = itertools.chain.from_iterable(sorted(headers))
+    texts = [
+        part.encode("utf-8", "surrogateescape")
+        for part in (service, method, path, query, *named)
+    ]
     hashed = hashlib.sha256()
     for part in [*texts, kind, content]:
         hashed.update(len(part).to_bytes(8, "big"))
--- a/coltsfootchute/entry/crashes.py
+++ b/coltsfootchute/entry/crashes.py
@@ -4,7 +4,7 @@
 import time
 
 from coltsfootchute import balancing, ids, logs
-from coltsfootchute.entry import attempts, clients, requests
+from coltsfootchute.entry import attempts, clients, digests, requests
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["CrashReporter"]
@@ -80,30 +80,30 @@
     ) -> None:
         service = call.service
         service.has_crashes = True
-        report = service.pool.crashes.record_crash(
-            call.crash_digest(),
-            ids.TargetId(target_id),
-            attempt.started_s,
-            attempt.revision,
-            time.monotonic(),
-        )
-        if report is None:
-            return
-        command = coltsfootchute_pb2.CrashCommand(
-            service=service.name,
-            digest=report.digest,
-            target_id=report.target_id,
-            seen_revision=report.started_revision,
-            earlier_target_ids=sorted(report.earlier_target_ids),
-        )
-        self._client.report_crash(command)
+        for digest in digests.crash_digests(call):
+            report = service.pool.crashes.record_crash(
+                digest,
+                ids.TargetId(target_id),
+                attempt.started_s,
+                attempt.revision,
+                time.monotonic(),
+            )
+            if report is None:
+                continue
+            command = coltsfootchute_pb2.CrashCommand(
+                service=service.name,
+                digest=report.digest,
+                target_id=report.target_id,
+                seen_revision=report.started_revision,
+                earlier_target_ids=sorted(report.earlier_target_ids),
+            )
+            self._client.report_crash(command)
 
     def record_response(self, call: requests.Call) -> None:
-        """Clear the crash count of a request after a complete response."""
-        digest = call.crash_digest()
-        if not call.service.pool.crashes.clear_count(digest):
-            return
-        command = coltsfootchute_pb2.CrashCommand(
-            service=call.service.name, digest=digest, cleared=True
-        )
-        self._client.report_crash(command)
+        """Clear the crash counts of a request after a complete response."""
+        for digest in digests.crash_digests(call):
+            if call.service.pool.crashes.clear_count(digest):
+                command = coltsfootchute_pb2.CrashCommand(
+                    service=call.service.name, digest=digest, cleared=True
+                )
+                self._client.report_crash(command)
--- a/coltsfootchute/entry/dispatches.py
+++ b/coltsfootchute/entry/dispatches.py
@@ -7,6 +7,7 @@
 from coltsfootchute.entry import (
     attempts,
     crashes,
+    digests,
     forwards,
     keys,
     metrics,
@@ -78,8 +79,10 @@
         # so that a request that has already run still gets its stored answer.
         if call.rule.key == "required" or not call.service.has_crashes:
             return
-        crashes = call.service.pool.crashes
-        if crashes.is_quarantined(call.crash_digest(), time.monotonic()):
+        guard, now = call.service.pool.crashes, time.monotonic()
+        if any(
+            guard.is_quarantined(digest, now) for digest in digests.crash_digests(call)
+        ):
             raise requests.refused(verdicts.Reason.QUARANTINED, keys.QUARANTINE_DETAIL)
 
     async def _run_attempts(self, call: requests.Call, token: balancing.AttemptToken):
--- a/coltsfootchute/entry/keys.py
+++ b/coltsfootchute/entry/keys.py
@@ -3,7 +3,7 @@
 import uuid
 
 from coltsfootchute import errors, verdicts
-from coltsfootchute.entry import clients, requests
+from coltsfootchute.entry import clients, digests, requests
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["CLAIM_TIMEOUT_S", "QUARANTINE_DETAIL", "Claims"]
@@ -81,11 +81,11 @@
         command = coltsfootchute_pb2.ClaimCommand(
             service=call.service.name,
             key=key,
-            digest=call.claim_digest(),
+            digest=digests.claim_digest(call),
             entry=self._entry,
             attempt_id=attempt_id,
             retention_s=call.service.section.key_retention_s,
-            crash_digest=call.crash_digest(),
+            crash_digest=digests.crash_digests(call)[0],
         )
         call.claim = (key, attempt_id)
         try:
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -1,7 +1,6 @@
 """State of a call, with the request of the caller."""
 
 import collections.abc
-import hashlib
 import uuid
 
 import aiohttp
@@ -9,7 +8,6 @@
 import multidict
 
 from coltsfootchute import balancing, declarations, sections, settings, verdicts
-from coltsfootchute.balancing import quarantines
 from coltsfootchute.entry import attempts, phases, pools
 
 __all__ = [
@@ -168,18 +166,18 @@
 
     __slots__ = (
         "_earlier_wait_s",
-        "_names",
         "attempts",
         "body",
         "claim",
+        "crash_digests",
         "deadline",
-        "digest",
         "headers",
         "is_body_consumed",
         "is_declared",
         "keep_alive",
         "loads",
         "may_retry",
+        "names",
         "path",
         "phase",
         "query",
@@ -206,7 +204,7 @@
         self.request = request
         # Whether the rule comes from a route of the declaration.
         self.is_declared = is_declared
-        self._names = names
+        self.names = names
         self.service = service
         self.rule = rule
         self.path, self.query = path_query
@@ -238,7 +236,8 @@
         # Load of each tried target as known at its selection, for the log.
         self.loads: list[str] = []
         self.claim: tuple[bytes, bytes] | None = None
-        self.digest: bytes | None = None
+        # Set by `digests.crash_digests`.
+        self.crash_digests: tuple[bytes, bytes] | None = None
         self.keep_alive = False
 
     @property
@@ -275,7 +274,7 @@
     @property
     def request_id(self) -> tuple[str, str] | None:
         """Name and value of the header that identifies the request, if it has one."""
-        return request_id_of(self.request, self._names)
+        return request_id_of(self.request, self.names)
 
     @property
     def has_attempts_left(self) -> bool:
@@ -308,49 +307,13 @@
         """Return the headers for one attempt at a target."""
         headers = self.headers.copy()
         remaining_ms = max(1, int((self.deadline - now) * 1000))
-        headers[self._names.deadline] = str(remaining_ms)
-        if self._names.expected_target is not None:
-            headers[self._names.expected_target] = target_id
+        headers[self.names.deadline] = str(remaining_ms)
+        if self.names.expected_target is not None:
+            headers[self.names.expected_target] = target_id
         if not self.rule.repeatable:
             headers["Connection"] = "close"
         return headers
 
-    def claim_digest(self) -> bytes:
-        """Return the digest that distinguishes requests with the same key.
-
-        Notes
-        -----
-        It covers headers instead of the body, because the claim is made before
-        the body has arrived.
-        """
-        headers = self.request.headers
-        parts = [self.request.method, self.path, self.query]
-        parts += [
-            "\0".join(headers.getall(name, ["-"]))
-            for name in ("Content-Length", "Content-Type", "Content-Digest")
-        ]
-        hashed = hashlib.sha256()
-        for part in parts:
-            data = part.encode("utf-8", "surrogateescape")
-            hashed.update(len(data).to_bytes(8, "big"))
-            hashed.update(data)
-        return hashed.digest()
-
-    def crash_digest(self) -> bytes:
-        """Return the digest under which crashes are counted; computed once."""
-        if self.digest is None:
-            is_buffered = self.body.rest is None
-            self.digest = quarantines.digest_of(
-                self.service.pool.service,
-                self.request.method,
-                self.path,
-                self.query,
-                body=self.body.head if is_buffered else None,
-                length=self.request.content_length or 0,
-                content_type=self.request.headers.get("Content-Type", ""),
-            )
-        return self.digest
-
 
 async def read_body(call: Call) -> attempts.Body:
     """Read the body of the request, up to the size that can be replayed.
--- a/coltsfootchute/entry/tests/test_keys.py
+++ b/coltsfootchute/entry/tests/test_keys.py
@@ -132,10 +132,13 @@
     async def scenario(harness):
         answer = await harness.send("GET", "/shop/items/bad")
         assert answer.refusal == "may_have_run quarantined 422"
-        await fakes.wait_until(lambda: len(harness.control.crashes) == 2)
-        first, second = harness.control.crashes
-        assert first.digest == second.digest
-        assert first.target_id != second.target_id
+        # Each crash is reported with both digests of the request.
+        await fakes.wait_until(lambda: len(harness.control.crashes) == 4)
+        digests = {crash.digest for crash in harness.control.crashes}
+        assert len(digests) == 2
+        for digest in digests:
+            crashes = [c for c in harness.control.crashes if c.digest == digest]
+            assert len({c.target_id for c in crashes}) == len(crashes) == 2
         heads = sum(len(t.heads) for t in harness.targets)
         assert heads == 2
         refused = await harness.send("GET", "/shop/items/bad")
