entry: apply the limit on header fields of the state in force

Proper requests with a field of over 8,190 bytes or over 128 fields got 400, because the HTTP library's limits stood in for `max_header_bytes` of the declaration.

Ruled out: raising the library's limits alone. They are fixed when a connection opens, so a changed declaration would not bind there, and 1,000 slow heads would not be bounded.

Change: `entry.heads` counts each head and asks the view for the limit; beyond it 431, one log line, and the connection closes.

Conclusion: header and idle timeouts of the declaration still have no effect; open.

--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -181,7 +181,7 @@
 
     async def _start_calls(self, address: str) -> str:
         self._calls_server = listeners.Server(
-            self._calls.handle, self._calls.may_run_early
+            self._calls.handle, self._calls.may_run_early, self.view.max_head_bytes
         )
         self._listener = await listeners.listen(self._calls_server, address)
         return listeners.bound_address(self._listener, address)
--- a/coltsfootchute/entry/listeners.py
+++ b/coltsfootchute/entry/listeners.py
@@ -7,7 +7,7 @@
 
 import aiohttp.web
 
-from coltsfootchute.entry import answers, pipelines
+from coltsfootchute.entry import answers, heads, pipelines
 
 __all__ = [
     "AppServer",
@@ -39,6 +39,9 @@
     may_run_early
         Whether a request may be handled while earlier ones of its connection are
         unanswered; None if none may.
+    max_head_bytes
+        Returns the limit on the header fields of a request; None for the default of
+        declarations.
     options
         Options of the base class that replace the defaults.
 
@@ -53,12 +56,14 @@
         self,
         handler: Handler,
         may_run_early: pipelines.Predicate | None = None,
+        max_head_bytes: heads.Limit | None = None,
         **options: typing.Any,
     ):
         defaults = {"handler_cancellation": True, "auto_decompress": False}
         super().__init__(self._handle, access_log=None, **{**defaults, **options})
         self._handler = handler
         self._may_run_early = may_run_early
+        self._max_head_bytes = max_head_bytes
         self._open: set[pipelines.CallerConnection] = set()
         # Connections with a request in progress, or with an answer that closes them.
         self._occupied: set[pipelines.CallerConnection] = set()
@@ -88,7 +93,12 @@
     def __call__(self) -> pipelines.CallerConnection:
         """Return the protocol of a new connection."""
         return pipelines.CallerConnection(
-            self, self._handler, self._may_run_early, loop=self._loop, **self._kwargs
+            self,
+            self._handler,
+            self._may_run_early,
+            self._max_head_bytes,
+            loop=self._loop,
+            **self._kwargs,
         )
 
     def connection_made(
--- a/coltsfootchute/entry/pipelines.py
+++ b/coltsfootchute/entry/pipelines.py
@@ -9,7 +9,7 @@
 import aiohttp.streams
 import aiohttp.web
 
-from coltsfootchute.entry import answers
+from coltsfootchute.entry import answers, heads
 
 __all__ = ["CallerConnection"]
 
@@ -27,7 +27,7 @@
 _EarlyRequest = tuple[aiohttp.web.BaseRequest, asyncio.Task[typing.Any]]
 
 
-class CallerConnection(aiohttp.web.RequestHandler):
+class CallerConnection(heads.LimitedHeads):
     """A connection that handles some of its requests side by side.
 
     Parameters
@@ -39,6 +39,8 @@
     may_run_early
         Whether a request may be handled while earlier ones are unanswered; None if
         none may.
+    max_head_bytes
+        Returns the limit on the header fields of a request.
 
     Notes
     -----
@@ -55,9 +57,10 @@
         manager: aiohttp.web.Server,
         handler: Handler,
         may_run_early: Predicate | None,
+        max_head_bytes: heads.Limit | None = None,
         **options: typing.Any,
     ):
-        super().__init__(manager, **options)
+        super().__init__(manager, max_head_bytes, **options)
         self._handler = handler
         self._may_run_early = may_run_early
         self._early: collections.deque[_EarlyRequest] = collections.deque()
--- a/coltsfootchute/entry/state_tables.py
+++ b/coltsfootchute/entry/state_tables.py
@@ -32,6 +32,12 @@
         """Return the targets that announced a service."""
         return [t for t in self.targets.values() if service in t.services]
 
+    def max_head_bytes(self) -> int:
+        """Return the limit on the header fields of a request."""
+        if self.routes is None:
+            return declarations.Limits().max_header_bytes
+        return self.routes.declaration.limits.max_header_bytes
+
     def _apply_changes(
         self, message: coltsfootchute_pb2.FeedMessage, revision: int
     ) -> set[str]:
