--- a/tests/scenario_language/entries.py
+++ b/tests/scenario_language/entries.py
@@ -103,14 +103,14 @@
         await self.world.network.connect(self.name, address)
         return _Stub(self, address)
 
-    async def _watch(self, address, limit_s):
-        name = address.partition(":")[0]
-        source = self.world.network.hosts[name]
+    async def _watch(self, source):
+        name = source.address.partition(":")[0]
+        host = self.world.network.hosts[name]
         stream = await self.world.network.stream(
-            self.name, name, source.feed, self._watcher._request()
+            self.name, name, host.feed, self._watcher._request()
         )
         try:
-            await self._watcher._receive(address, stream, limit_s)
+            return await self._watcher._receive(source, stream)
         finally:
             await stream.cancel()
 
