entry: obey targets that leave or ask for rest in their responses

An entry read the statement of leaving only from served responses, forgot it when the target was registered again, and did not read `Retry-After`.

Change: `balancing.statements` keeps statements by incarnation, apart from the register; `entry.statements` reads them from the head of each response to a request or probe, whatever its status. A leaving target gets nothing until its next incarnation. A 503 with `Retry-After` stops requests and probes until its end, then one request goes before all others. If all targets of a service rest for too long, requests are refused at once as `targets_at_rest`, not run, with a spread `Retry-After`.

Ruled out: the pool's own mark alone. A late report registers the same incarnation with a new view; the test removes and adds the target.

--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -14,6 +14,7 @@
     policies,
     probes,
     quarantines,
+    statements,
     target_sets,
     views,
 )
@@ -23,6 +24,8 @@
 # Interval at which selection is repeated for a request that waits for a faster target.
 RESELECT_INTERVAL_S = 0.005
 NO_TARGET_DETAIL = "no target is serving"
+# Times after which refused callers return, as multiples of the first end of a rest.
+RETURN_FACTORS = (1.05, 1.5)
 # Smoothing factors of the typical response time for a slower and for a faster response.
 # Faster responses weigh more, so that the slow responses of an overload do not become
 # the typical ones.
@@ -69,7 +72,7 @@
     or `select`.
 
     1. On each feed message: `update_targets`, `update_settings`,
-       `update_share`. On a response with the draining header: `mark_draining`.
+       `update_share`. On a response that states it: `mark_draining`, `rest`.
     2. On a request: ``admitted = pool.admit(priority, deadline_s, now)``. If the
        result is a view: ``token = pool.start_attempt(view, now)`` and send the request.
        If it is a ticket: wait until it is granted or refused. If it is a refusal:
@@ -94,8 +97,10 @@
         failure_domain: ids.FailureDomain,
         slots_share: float,
         rng: random.Random,
+        *,
+        stated: statements.Statements | None = None,
     ):
-        super().__init__(settings, failure_domain, slots_share, rng)
+        super().__init__(settings, failure_domain, slots_share, rng, stated=stated)
         self.service = service
         wait_s = settings.queue_wait_s
         self.admission = admissions.AdmissionQueue(settings.queue_length, wait_s)
@@ -159,10 +164,42 @@
                 return view
         if not self.is_serving:
             return admissions.refusal(verdicts.Reason.NO_TARGET, NO_TARGET_DETAIL)
+        refusal = self.rest_refusal(
+            now, min(deadline_s, now + self._settings.queue_wait_s)
+        )
+        if refusal is not None:
+            return refusal
         service_s = self._typical_latency_s(now)
         interval_s = service_s / self._capacity(now)
         return self.admission.offer(priority, deadline_s, now, service_s, interval_s)
 
+    def rest_refusal(self, now: float, until_s: float) -> verdicts.Refusal | None:
+        """Refuse a request if all targets want no requests until it is too late.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        until_s
+            Time in seconds until which the request can wait for a target.
+
+        Returns
+        -------
+        verdicts.Refusal or None
+            None if a target is available before. The callers of several refusals are
+            asked to return at different times.
+        """
+        end_s = self.rest_end_s(now)
+        if end_s is None or end_s <= until_s:
+            return None
+        remaining_s = end_s - now
+        return verdicts.Refusal(
+            verdicts.Verdict.NOT_RUN,
+            verdicts.Reason.TARGETS_AT_REST,
+            f"all targets have asked for no requests for {remaining_s:.1f} s",
+            retry_after_s=remaining_s * self._rng.uniform(*RETURN_FACTORS),
+        )
+
     def deposit(self) -> None:
         """Add the part of a token that one request earns to the retry budget."""
         self._budget.deposit()
@@ -311,7 +348,8 @@
         if expiry_s is None:
             return None
         end_times_s = itertools.chain.from_iterable(
-            (view.paused_until_s, view.ejected_until_s) for view in self._in_use()
+            (view.paused_until_s, view.ejected_until_s, view.rest_until_s)
+            for view in self._in_use()
         )
         eligible_s = min(
             (time_s for time_s in end_times_s if time_s > now), default=expiry_s
--- a/coltsfootchute/balancing/target_sets.py
+++ b/coltsfootchute/balancing/target_sets.py
@@ -13,6 +13,7 @@
     policies,
     probes,
     samples,
+    statements,
     views,
 )
 
@@ -67,6 +68,8 @@
         Fraction of each target's slots that this entry may use.
     rng
         Random number generator.
+    stated
+        Statements of targets, which all services of an entry share; None for own ones.
     """
 
     def __init__(
@@ -75,7 +78,10 @@
         failure_domain: ids.FailureDomain,
         slots_share: float,
         rng: random.Random,
+        *,
+        stated: statements.Statements | None = None,
     ):
+        self._statements = stated or statements.Statements()
         self.probes = probes.ProbeShares()
         self._settings = settings
         self._failure_domain = failure_domain
@@ -117,7 +123,12 @@
             view = self._views.get(target_id)
             if view is None or view.target.incarnation != target.incarnation:
                 maximum = limits.max_limit(target.slots, self._slots_share)
-                self._views[target_id] = views.TargetView(target, maximum, typical_s)
+                view = views.TargetView(target, maximum, typical_s)
+                view.is_draining = self._statements.is_leaving(target)
+                rest_until_s = self._statements.rest_until_s(target)
+                if rest_until_s > now:
+                    view.rest(rest_until_s)
+                self._views[target_id] = view
             else:
                 self._update_view(view, target)
         self._samples.change(self._settings.samples_per_s * len(self._views))
@@ -161,12 +172,31 @@
         chosen = [*near[: count - 1], *far, *near[count - 1 :]][:count]
         return chosen[: self._samples.take(len(chosen), now)]
 
-    def mark_draining(self, target_id: ids.TargetId) -> None:
-        """Exclude a target from selection until its next incarnation."""
-        if target_id in self._views:
-            self._views[target_id].is_draining = True
+    def mark_draining(self, target: views.Target) -> None:
+        """Exclude an incarnation of a target from selection."""
+        for view in self._views_of(target):
+            view.is_draining = True
             self._in_use_changed = True
 
+    def rest(self, target: views.Target, until_s: float) -> None:
+        """Exclude an incarnation of a target from selection until a time."""
+        for view in self._views_of(target):
+            view.rest(until_s)
+
+    def _views_of(self, target: views.Target) -> list[views.TargetView]:
+        """Return the view of an incarnation of a target, if it is registered."""
+        view = self._views.get(target.target_id)
+        if view is None or view.target.incarnation != target.incarnation:
+            return []
+        return [view]
+
+    def rest_end_s(self, now: float) -> float | None:
+        """Return when the first target ends its rest; None unless all are at rest."""
+        in_use = self._in_use()
+        if not in_use or not all(view.is_at_rest(now) for view in in_use):
+            return None
+        return min(view.rest_until_s for view in in_use)
+
     @property
     def is_serving(self) -> bool:
         """Whether any target is serving or suspect, even if it has no room."""
--- a/coltsfootchute/balancing/tests/test_pools.py
+++ b/coltsfootchute/balancing/tests/test_pools.py
@@ -73,7 +73,9 @@
             states = [rng.choice(STATES) for _ in range(number % 9)]
             pool.update_targets(make_targets(number % 9, states, incarnation=0), now)
         elif operation == "drain":
-            pool.mark_draining(str(number % 9))
+            for view in pool.all_views:
+                if view.target.target_id == str(number % 9):
+                    pool.mark_draining(view.target)
         elif operation == "admit":
             admitted = pool.admit(number % 3, now + 1, now)
             if isinstance(admitted, views.TargetView):
@@ -159,7 +161,7 @@
 def test_a_drain_ends_with_the_next_incarnation_only():
     """Guards against a repeated feed message that ends a drain."""
     pool = make_pool_of(1)
-    pool.mark_draining("0")
+    pool.mark_draining(pool.all_views[0].target)
     pool.update_targets(make_targets(1), 0.0)
     assert pool.select(0.0) is None
     pool.update_targets(make_targets(1, incarnation=1), 0.0)
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -159,12 +159,14 @@
         "_reported_s",
         "ejected_until_s",
         "in_flight",
+        "is_cautious",
         "is_draining",
         "last_report_s",
         "last_response_s",
         "limit",
         "paused_until_s",
         "probe_sent_s",
+        "rest_until_s",
         "slots",
         "target",
     )
@@ -177,6 +179,10 @@
         self.is_draining = False
         self.last_response_s = -math.inf
         self.paused_until_s = -math.inf
+        # Until then the target wants no requests.
+        self.rest_until_s = -math.inf
+        # Whether only one request may be in flight, until a response.
+        self.is_cautious = False
         self._attempts: dict[int, AttemptToken] = {}
         self._latency_s = latency_s
         self._latency_updated_s = -math.inf
@@ -317,7 +323,9 @@
 
     def has_room(self, now: float) -> bool:
         """Tell whether another attempt fits the limit and no pause is in progress."""
-        if now < self.paused_until_s:
+        if now < self.paused_until_s or self.is_at_rest(now):
+            return False
+        if self.is_cautious and self.in_flight:
             return False
         age_s = now - self.target.up_since_s
         return self.in_flight < self.limit.current(age_s)
@@ -333,6 +341,15 @@
         pause_s = self._latency_s * rng.uniform(*SHED_PAUSE_FACTORS)
         self.paused_until_s = now + min(pause_s, MAX_SHED_PAUSE_S)
 
+    def rest(self, until_s: float) -> None:
+        """Send no requests until a time, and then one before all others."""
+        self.rest_until_s = max(self.rest_until_s, until_s)
+        self.is_cautious = True
+
+    def is_at_rest(self, now: float) -> bool:
+        """Tell whether the target has asked for no requests at present."""
+        return now < self.rest_until_s
+
     def is_serving(self) -> bool:
         """Tell whether the target is neither suspect nor draining."""
         return self.target.state is TargetState.SERVING and not self.is_draining
@@ -349,6 +366,7 @@
         """Reset the error count after a success, and shorten the next ejection."""
         self._consecutive_errors = 0
         self._ejection_level = max(0, self._ejection_level - 1)
+        self.is_cautious = False
 
     def record_error(self, outcome: Outcome, took_s: float) -> bool:
         """Count an error if it was fast.
--- a/coltsfootchute/commands/explanations.py
+++ b/coltsfootchute/commands/explanations.py
@@ -22,6 +22,8 @@
     "no_target": "no target of the service was registered and usable at the entry",
     "target_shed": "the target refused the request, because its slots were full or it "
     "was stopping",
+    "targets_at_rest": "all targets had answered 503 with Retry-After; see the lines "
+    "of the entry that name their rest",
     "misdirected": "another target has the address; the register was out of date",
     "connection_failed": "the target could not be reached but was still registered",
     "connection_lost": "the target closed the connection or sent a malformed response",
--- a/coltsfootchute/entry/answers.py
+++ b/coltsfootchute/entry/answers.py
@@ -53,6 +53,7 @@
     _R.CLAIM_UNAVAILABLE: 503,
     _R.TARGET_SHED: 503,
     _R.STOPPING: 503,
+    _R.TARGETS_AT_REST: 503,
     _R.MISDIRECTED: 503,
     _R.TARGET_FAILED: 502,
     _R.DEADLINE: 504,
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -22,6 +22,7 @@
     pools,
     relays,
     requests,
+    statements,
     stops,
     watches,
 )
@@ -58,6 +59,8 @@
         Records requests that end during a stop, or without an answer.
     placer
         Selects targets for requests of declared routes by probes; None for no probes.
+    recorder
+        Records what targets state in their responses.
     names
         Names of headers.
     retry_after_s
@@ -74,6 +77,7 @@
         reporter: crashes.CrashReporter,
         meters: metrics.Metrics,
         stop: stops.Stop,
+        recorder: statements.Recorder,
         placer: placements.Placer | None = None,
         names: settings.HeaderSettings | None = None,
         retry_after_s: float = answers.RETRY_AFTER_S,
@@ -84,6 +88,7 @@
             reporter=reporter,
             meters=meters,
             placer=placer,
+            recorder=recorder,
             names=names or settings.HeaderSettings(),
         )
         self._retry_after_s = retry_after_s
@@ -394,6 +399,10 @@
             refusal,
             keep_alive,
             headers,
-            retry_after_s=self._retry_after_s,
+            retry_after_s=(
+                self._retry_after_s
+                if refusal.retry_after_s is None
+                else refusal.retry_after_s
+            ),
             status=status,
         )
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -26,6 +26,7 @@
     pools,
     samplers,
     schedules,
+    statements,
     stops,
     watches,
 )
@@ -132,7 +133,12 @@
         """
         entry = self._cfg.entry
         self._forwarder = forwards.Forwarder(entry.headers.request_id)
-        self._sampler = samplers.Sampler(self._forwarder, entry.samples, entry.headers)
+        recorder = statements.Recorder(
+            self.services, entry.headers, entry.max_rest_s, self.metrics
+        )
+        self._sampler = samplers.Sampler(
+            self._forwarder, entry.samples, entry.headers, recorder
+        )
         samples = entry.samples.per_target_s > 0
         self._calls = calls.Calls(
             view=self.view,
@@ -142,6 +148,7 @@
             reporter=crashes.CrashReporter(self.client),
             meters=self.metrics,
             stop=self._stop,
+            recorder=recorder,
             placer=placements.Placer(self._sampler) if samples else None,
             names=entry.headers,
             retry_after_s=entry.retry_after_s,
--- a/coltsfootchute/entry/dispatches.py
+++ b/coltsfootchute/entry/dispatches.py
@@ -16,6 +16,7 @@
     pools,
     races,
     requests,
+    statements,
     watches,
 )
 
@@ -23,10 +24,9 @@
 
 # Limits the connections that one call tries while many targets are down.
 MAX_FREE_RETRIES = 3
-MISDIRECTED_STATUS = 421
 # Callers of declared routes take these statuses as a statement that the request has not
 # run, so only a target that states this itself may cause one of them.
-NOT_RUN_STATUSES = frozenset({408, MISDIRECTED_STATUS, 429, 503})
+NOT_RUN_STATUSES = frozenset({408, statements.MISDIRECTED_STATUS, 429, 503})
 _OUTCOMES = {
     verdicts.Reason.CONNECTION_FAILED: balancing.Outcome.CONNECTION_FAILED,
     verdicts.Reason.CONNECTION_LOST: balancing.Outcome.CONNECTION_LOST,
@@ -53,6 +53,8 @@
         Metrics.
     placer
         Selects targets for requests of declared routes by probes; None for no probes.
+    recorder
+        Records what targets state in their responses.
     names
         Names of headers.
     """
@@ -65,6 +67,7 @@
         reporter: crashes.CrashReporter,
         meters: metrics.Metrics,
         placer: placements.Placer | None,
+        recorder: statements.Recorder,
         names: settings.HeaderSettings,
     ):
         self._view = view
@@ -72,6 +75,7 @@
         self._crashes = reporter
         self._meters = meters
         self._placer = placer
+        self._recorder = recorder
         self._names = names
 
     def _check_quarantine(self, call: requests.Call) -> None:
@@ -190,7 +194,10 @@
         self._check_quarantine(call)
         token = await self._start_next(call, error, now)
         if token is None:
-            raise pools.RefusedError(refusal)
+            at_rest = None
+            if error.reason is verdicts.Reason.TARGET_SHED:
+                at_rest = call.service.pool.rest_refusal(now, now)
+            raise pools.RefusedError(at_rest or refusal)
         self._meters.retries.labels(error.reason.value).inc()
         logs.log_event(
             "entry",
@@ -274,6 +281,7 @@
                 fresh=not call.rule.repeatable,
                 head_only=call.request.method == "HEAD",
             )
+            self._recorder.record(target, attempt)
             self._check_shed(attempt)
             if call.is_declared:
                 self._check_status(attempt)
@@ -312,7 +320,7 @@
         attempt.was_shed = True
         attempt.abort()
         reason = verdicts.Reason.TARGET_SHED
-        if attempt.message.code == MISDIRECTED_STATUS:
+        if attempt.message.code == statements.MISDIRECTED_STATUS:
             reason = verdicts.Reason.MISDIRECTED
         detail = f"the target did not run the request (status {attempt.message.code})"
         raise attempts.AttemptError(verdicts.Verdict.NOT_RUN, reason, detail)
@@ -330,7 +338,10 @@
 
     def _states_not_run(self, attempt: attempts.Attempt) -> bool:
         code, headers = attempt.message.code, attempt.headers
-        if self._names.expected_target is not None and code == MISDIRECTED_STATUS:
+        if (
+            self._names.expected_target is not None
+            and code == statements.MISDIRECTED_STATUS
+        ):
             return True
         if self._names.not_run is not None:
             return code >= 400 and self._names.not_run in headers
@@ -355,8 +366,6 @@
         token: balancing.AttemptToken,
     ) -> None:
         pool = call.service.pool
-        if verdicts.DRAINING_HEADER in attempt.headers:
-            pool.mark_draining(token.view.target.target_id)
         if attempt.message.code < 500:
             pool.record_response(
                 token, time.monotonic(), requests.load_of(attempt, self._names)
--- a/coltsfootchute/entry/metrics.py
+++ b/coltsfootchute/entry/metrics.py
@@ -79,6 +79,13 @@
         )
         for kind in ("declaration", "report"):
             self.refused_documents.labels(kind)
+        self.statements = self._add_counter(
+            "coltsfootchute_target_statements",
+            "Responses in which a target stated that it leaves or wants no requests.",
+            ["kind"],
+        )
+        for kind in ("leaving", "rest", "unreadable"):
+            self.statements.labels(kind)
         self.probe_seconds = self._add_counter(
             "coltsfootchute_probe_seconds",
             "Time spent on probes of idle targets.",
--- a/coltsfootchute/entry/placements.py
+++ b/coltsfootchute/entry/placements.py
@@ -6,7 +6,7 @@
 import time
 
 from coltsfootchute import balancing, verdicts
-from coltsfootchute.entry import requests, samplers
+from coltsfootchute.entry import pools, requests, samplers
 
 __all__ = ["Placer"]
 
@@ -105,6 +105,9 @@
                 raise requests.refused(
                     verdicts.Reason.NO_TARGET, "no target is serving"
                 )
+            refusal = pool.rest_refusal(now, wait_until_s)
+            if refusal is not None:
+                raise pools.RefusedError(refusal)
             if is_last:
                 raise requests.refused(
                     verdicts.Reason.QUEUE_FULL,
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -209,6 +209,7 @@
         self._failure_domain = ids.FailureDomain(failure_domain)
         self._rng = random.Random()
         self._entries = 1
+        self.statements = balancing.statements.Statements()
         self.by_name: dict[str, Service] = {}
         # Services that are no longer in the state, as long as calls hold them.
         self._retired: weakref.WeakValueDictionary[str, Service] = (
@@ -233,6 +234,10 @@
                 self._retired[name] = service
                 self._update_targets(service)
 
+    def all_services(self) -> list[Service]:
+        """Return all services, also those that only calls in progress hold."""
+        return [*self.by_name.values(), *self._retired.values()]
+
     def update_slot_shares(self) -> None:
         """Divide the targets' slots among the entries that are serving."""
         stopping = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
@@ -299,6 +304,7 @@
             self._failure_domain,
             self._slots_share(table.section),
             self._rng,
+            stated=self.statements,
         )
 
     def _uses_probes(self, section: sections.Section) -> bool:
--- a/coltsfootchute/entry/samplers.py
+++ b/coltsfootchute/entry/samplers.py
@@ -10,7 +10,7 @@
 
 from coltsfootchute import balancing, cancellations, ids, settings
 from coltsfootchute.balancing import loads
-from coltsfootchute.entry import attempts, forwards, pools
+from coltsfootchute.entry import attempts, forwards, pools, statements
 
 __all__ = ["Sampler"]
 
@@ -31,6 +31,8 @@
         Number of targets to probe, and how long a request waits for the answers.
     header_names
         Names of headers, among them the one of a load report.
+    recorder
+        Records what targets state in their responses.
 
     Notes
     -----
@@ -44,10 +46,12 @@
         forwarder: forwards.Forwarder,
         cfg: settings.SampleSettings,
         header_names: settings.HeaderSettings,
+        recorder: statements.Recorder,
     ):
         self._forwarder = forwarder
         self._cfg = cfg
         self._header_names = header_names
+        self._recorder = recorder
         self._probes: set[asyncio.Task[None]] = set()
 
     async def sample(
@@ -107,6 +111,8 @@
         finally:
             view.probe_sent_s = math.inf
             attempt.finish()
+            if attempt.headers is not None:
+                self._recorder.record(view.target, attempt)
         report = attempt.headers.get(self._header_names.load)
         load = loads.FORMATS[self._header_names.load_format](report) if report else None
         # A target that responds without a load report counts as idle.
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -104,6 +104,10 @@
     not_run
         Present in the response of a target that did not run the request; None if
         targets send status 503 with the verdict header instead.
+    leaving
+        Has the value 1 in each response of a target that is leaving.
+    target_id
+        Id of the target in its responses to probes; None if targets do not send it.
     """
 
     deadline: str = "Coltsfootchute-Deadline-Ms"
@@ -113,6 +117,8 @@
     expected_target: str | None = None
     seal: str | None = None
     not_run: str | None = None
+    leaving: str = "Coltsfootchute-Draining"
+    target_id: str | None = None
 
 
 class RetrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -174,6 +180,9 @@
         in progress take.
     retry_after_s
         Seconds after which a caller should resend a refused request.
+    max_rest_s
+        Longest time in seconds for which a target that answers 503 with `Retry-After`
+        gets no requests.
     retries
         Limit on second attempts for declared services.
     samples
@@ -195,6 +204,7 @@
     keep_s: typing.Annotated[float, msgspec.Meta(ge=0.1, le=300)] = 5.0
     stop_s: typing.Annotated[float, msgspec.Meta(ge=1, le=3600)] | None = None
     retry_after_s: typing.Annotated[float, msgspec.Meta(ge=0, le=60)] = 1.0
+    max_rest_s: typing.Annotated[float, msgspec.Meta(ge=0, le=3600)] = 300.0
     retries: RetrySettings = RetrySettings()
     samples: SampleSettings = SampleSettings()
     headers: HeaderSettings = HeaderSettings()
--- a/coltsfootchute/verdicts.py
+++ b/coltsfootchute/verdicts.py
@@ -83,6 +83,7 @@
     TARGET_SHED = "target_shed"
     TARGET_TIMEOUT = "target_timeout"
     STOPPING = "stopping"
+    TARGETS_AT_REST = "targets_at_rest"
     BAD_REQUEST = "bad_request"
 
 
@@ -98,8 +99,11 @@
         Why it was refused.
     detail
         One sentence for a human reader.
+    retry_after_s
+        Seconds after which the caller should try again; None for the usual time.
     """
 
     verdict: Verdict
     reason: Reason
     detail: str = ""
+    retry_after_s: float | None = None
--- a/tests/scenario_language/clocks.py
+++ b/tests/scenario_language/clocks.py
@@ -16,6 +16,7 @@
     dispatches,
     keys,
     pools,
+    statements,
     stops,
 )
 
@@ -164,7 +165,17 @@
         clock_gettime=lambda _: loop.now,
         CLOCK_BOOTTIME=7,
     )
-    timed = (cores, feed_streams, calls, crashes, daemons, dispatches, pools, stops)
+    timed = (
+        cores,
+        feed_streams,
+        calls,
+        crashes,
+        daemons,
+        dispatches,
+        pools,
+        statements,
+        stops,
+    )
     replacements = [(module, "time", time) for module in timed]
     # Stores draw member ids from it, and the order of ids decides which member is
     # asked first.
@@ -176,7 +187,8 @@
     )
     seeded = types.SimpleNamespace(Random=lambda: random.Random(rng.random()))
     replacements += [(stores, "random", system_random), (keys, "uuid", uuids)]
-    replacements += [(pools, "random", seeded)]
+    drawn = types.SimpleNamespace(uniform=rng.uniform)
+    replacements += [(pools, "random", seeded), (statements, "random", drawn)]
     originals = [getattr(module, name) for module, name, _ in replacements]
     for module, name, replacement in replacements:
         setattr(module, name, replacement)
