declarations, proto, settings: prepare workspaces, evacuations and allotments

Cause: two deployments with hard load need keys, limits over all entries, evacuations and slow starts, of which nothing was declared, stored or sent. Their parts are built side by side and need one set of interfaces first.

Declarations have workspaces, public routes, regions, slow starts and ramps, with checks. The messages of evacuations, usage reports, throttles and changed instances are defined; both new calls of control are unimplemented until their parts land. A 429 has Retry-After like a 503.

Conclusion: the parts can be built on this commit.

--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -256,6 +256,14 @@
             return pb.LeaseProbesReply(header=self._header(is_leader=False))
         return pb.LeaseProbesReply(header=self._header(is_leader=True), shares=shares)
 
+    async def Evacuate(self, stream) -> None:  # noqa: N802
+        """Start or end the evacuation of a failure domain."""
+        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+
+    async def Account(self, stream) -> None:  # noqa: N802
+        """Count the requests of workspaces and limit them."""
+        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+
     @_unary
     async def Status(self, request, stream) -> pb.StatusReply:  # noqa: N802
         """Return the status of this instance; any control instance answers."""
--- a/coltsfootchute/declarations/schemas.py
+++ b/coltsfootchute/declarations/schemas.py
@@ -1,6 +1,7 @@
 """Schema and checks of declaration documents."""
 
 import collections
+import hashlib
 import typing
 import zlib
 
@@ -15,8 +16,10 @@
     "Route",
     "Service",
     "Share",
+    "Workspace",
     "check",
     "encode",
+    "key_digest",
     "pack",
     "parse",
     "unpack",
@@ -26,6 +29,11 @@
 Text = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86_400)]
+Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+KeyDigest = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+# Maximum number of keys of all workspaces together, which bounds the memory and the
+# size of the document that each entry holds.
+MAX_KEYS = 10_000
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -40,11 +48,19 @@
     max_connections
         Maximum number of connections that a target accepts from all entries
         together; 0 if no limit is stated.
+    slow_start_s
+        Seconds for which a target is cold after its start, unless it states otherwise;
+        0 if none is stated.
+    ramp_per_s
+        Requests per second that a cold target tolerates from all entries together; 0
+        if no limit is stated.
     """
 
     name: Text
     health_path: str = "/"
     max_connections: Count = 0
+    slow_start_s: typing.Annotated[float, msgspec.Meta(ge=0, le=86_400)] = 0.0
+    ramp_per_s: Rate = 0.0
 
 
 class Share(msgspec.Struct, frozen=True):
@@ -80,6 +96,11 @@
         Rank among the requests of a service; 0 is served first.
     attempts
         Maximum number of targets to which one request may be sent.
+    public
+        Whether requests need no key, where workspaces are declared.
+    regions
+        Regions whose targets may run the requests; empty for all. They are not
+        enforced yet.
     """
 
     name: str
@@ -91,6 +112,35 @@
     objective_s: Seconds | None = None
     priority: Count = 0
     attempts: typing.Annotated[int, msgspec.Meta(ge=1, le=1000)] = 1
+    public: bool = False
+    regions: list[Text] = []
+
+
+class Workspace(msgspec.Struct, frozen=True):
+    """A group of callers that share keys, a rank and a limit on requests.
+
+    Parameters
+    ----------
+    name
+        Stated to targets, and used in logs and metrics.
+    key_digests
+        SHA-256 of each key in hexadecimal, as `key_digest` returns it.
+    priority
+        Rank before the priority of routes; 0 is served first. None if it is not
+        stated.
+    rate_per_s, burst
+        Requests per second and beyond that at once, over all entries; a rate of 0 is
+        no limit.
+    regions
+        As in `Route`.
+    """
+
+    name: Text
+    key_digests: list[KeyDigest] = []
+    priority: Count | None = None
+    rate_per_s: Rate = 0.0
+    burst: Rate = 0.0
+    regions: list[Text] = []
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -103,12 +153,23 @@
 
 
 class Declaration(msgspec.Struct, frozen=True):
-    """All services, routes and limits that the operator declares, with a version."""
+    """All that the operator declares, with a version.
+
+    Parameters
+    ----------
+    version
+        The declaration with the highest version is in force.
+    services, routes, limits
+        See their types.
+    workspaces
+        Workspaces whose keys callers need; None if callers need no keys.
+    """
 
     version: typing.Annotated[int, msgspec.Meta(ge=1, le=(1 << 63) - 1)]
     services: list[Service]
     routes: list[Route]
     limits: Limits = Limits()
+    workspaces: list[Workspace] | None = None
 
 
 _DECODER = msgspec.json.Decoder(Declaration)
@@ -119,6 +180,17 @@
     return msgspec.json.encode(declaration).decode()
 
 
+def key_digest(key: str) -> str:
+    """Return the digest by which a key is looked up.
+
+    Examples
+    --------
+    >>> key_digest("a")[:8]
+    'ca978112'
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
 def pack(text: str) -> bytes:
     """Return a document compressed in the zlib format.
 
@@ -208,3 +280,23 @@
                 yield f"{path}.shares", f"service {share.service!r} is not declared"
         if sum(share.weight for share in route.shares) <= 0:
             yield f"{path}.shares", "the weights add up to 0"
+    yield from _workspace_problems(declaration.workspaces or [])
+
+
+def _workspace_problems(
+    workspaces: list[Workspace],
+) -> typing.Iterator[tuple[str, str]]:
+    names: set[str] = set()
+    holders: dict[str, str] = {}
+    for position, workspace in enumerate(workspaces):
+        path = f"$.workspaces[{position}]"
+        if workspace.name in names:
+            yield f"{path}.name", f"workspace {workspace.name!r} is declared twice"
+        names.add(workspace.name)
+        for digest in workspace.key_digests:
+            holder = holders.setdefault(digest, workspace.name)
+            if holder != workspace.name:
+                yield f"{path}.key_digests", f"workspace {holder!r} has the same key"
+    if len(holders) > MAX_KEYS:
+        reason = f"{len(holders)} keys; at most {MAX_KEYS} are allowed"
+        yield "$.workspaces", reason
--- a/coltsfootchute/entry/answers.py
+++ b/coltsfootchute/entry/answers.py
@@ -37,6 +37,7 @@
     _R.KEY_REQUIRED: 400,
     _R.KEY_MALFORMED: 400,
     _R.TOO_DEEP: 400,
+    _R.UNKNOWN_KEY: 401,
     _R.NO_SERVICE: 404,
     _R.NO_RULE: 404,
     _R.KEY_REUSED: 409,
@@ -45,6 +46,7 @@
     _R.ANSWER_NOT_KEPT: 409,
     _R.BODY_TOO_LARGE: 413,
     _R.QUARANTINED: 422,
+    _R.OVER_ALLOTMENT: 429,
     _R.CONNECTION_FAILED: 502,
     _R.CONNECTION_LOST: 502,
     _R.NO_TARGET: 503,
@@ -60,16 +62,19 @@
     _R.TARGET_TIMEOUT: 504,
 }
 RETRY_AFTER_S = 1
+_RETRY_AFTER_STATUSES = frozenset({429, 503})
 # `struct linger`: enabled, with a linger time of 0 s.
 _NO_LINGER = struct.pack("ii", 1, 0)
 
 _REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     409: "Conflict",
     413: "Content Too Large",
     422: "Unprocessable Content",
+    429: "Too Many Requests",
     502: "Bad Gateway",
     503: "Service Unavailable",
     504: "Gateway Timeout",
@@ -260,7 +265,7 @@
     headers["Content-Type"] = "application/json"
     headers[verdicts.VERDICT_HEADER] = refusal.verdict.value
     headers[verdicts.REASON_HEADER] = refusal.reason.value
-    if status == 503:
+    if status in _RETRY_AFTER_STATUSES:
         headers["Retry-After"] = f"{retry_after_s:g}"
     body = _RefusalBody(refusal.verdict.value, refusal.reason.value, refusal.detail)
     encoded = msgspec.json.encode(body)
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -188,6 +188,7 @@
         "started_s",
         "target_line",
         "tried_target_ids",
+        "workspace",
     )
 
     def __init__(
@@ -200,10 +201,13 @@
         *,
         names: settings.HeaderSettings,
         is_declared: bool = False,
+        workspace: declarations.Workspace | None = None,
     ):
         self.request = request
         # Whether the rule comes from a route of the declaration.
         self.is_declared = is_declared
+        # The caller's workspace; None if it has none.
+        self.workspace = workspace
         self.names = names
         self.service = service
         self.rule = rule
@@ -240,6 +244,18 @@
         self.crash_digests: tuple[bytes, bytes] | None = None
         self.keep_alive = False
 
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Priorities of the workspace and of the rule; the lowest is served first.
+
+        A workspace without a priority ranks as the rule does.
+        """
+        rule_rank = MAX_PRIORITY - self.rule.priority
+        workspace = self.workspace
+        if workspace is None or workspace.priority is None:
+            return rule_rank, rule_rank
+        return workspace.priority, rule_rank
+
     @property
     def is_answering(self) -> bool:
         """Whether the entry may have begun to write the answer."""
--- a/coltsfootchute/entry/tests/fakes.py
+++ b/coltsfootchute/entry/tests/fakes.py
@@ -7,6 +7,8 @@
 import time
 import uuid
 
+import grpclib
+import grpclib.const
 import grpclib.server
 
 from coltsfootchute import declarations, settings
@@ -157,6 +159,12 @@
         outcome = pb.DeclarationOutcome(version=self.declared.version, applied=True)
         await stream.send_message(pb.DeclareReply(outcome=outcome))
 
+    async def Evacuate(self, stream):  # noqa: N802
+        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+
+    async def Account(self, stream):  # noqa: N802
+        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+
     async def ReadDeclaration(self, stream):  # noqa: N802
         await stream.recv_message()
         await stream.send_message(pb.ReadDeclarationReply(declaration=self.declared))
--- a/coltsfootchute/proto/coltsfootchute_grpc.py
+++ b/coltsfootchute/proto/coltsfootchute_grpc.py
@@ -138,6 +138,14 @@
     async def ReadDeclaration(self, stream: 'grpclib.server.Stream[coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationRequest, coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Evacuate(self, stream: 'grpclib.server.Stream[coltsfootchute.proto.coltsfootchute_pb2.Evacuation, coltsfootchute.proto.coltsfootchute_pb2.EvacuateReply]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def Account(self, stream: 'grpclib.server.Stream[coltsfootchute.proto.coltsfootchute_pb2.UsageReport, coltsfootchute.proto.coltsfootchute_pb2.Throttles]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/coltsfootchute.Control/Propose': grpclib.const.Handler(
@@ -212,6 +220,18 @@
                 coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationRequest,
                 coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationReply,
             ),
+            '/coltsfootchute.Control/Evacuate': grpclib.const.Handler(
+                self.Evacuate,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                coltsfootchute.proto.coltsfootchute_pb2.Evacuation,
+                coltsfootchute.proto.coltsfootchute_pb2.EvacuateReply,
+            ),
+            '/coltsfootchute.Control/Account': grpclib.const.Handler(
+                self.Account,
+                grpclib.const.Cardinality.STREAM_STREAM,
+                coltsfootchute.proto.coltsfootchute_pb2.UsageReport,
+                coltsfootchute.proto.coltsfootchute_pb2.Throttles,
+            ),
         }
 
 
@@ -290,6 +310,18 @@
             coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationRequest,
             coltsfootchute.proto.coltsfootchute_pb2.ReadDeclarationReply,
         )
+        self.Evacuate = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/coltsfootchute.Control/Evacuate',
+            coltsfootchute.proto.coltsfootchute_pb2.Evacuation,
+            coltsfootchute.proto.coltsfootchute_pb2.EvacuateReply,
+        )
+        self.Account = grpclib.client.StreamStreamMethod(
+            channel,
+            '/coltsfootchute.Control/Account',
+            coltsfootchute.proto.coltsfootchute_pb2.UsageReport,
+            coltsfootchute.proto.coltsfootchute_pb2.Throttles,
+        )
 
 
 class FeedBase(abc.ABC):
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -18,6 +18,7 @@
     "InitialMember",
     "InstanceSettings",
     "LogSettings",
+    "QuotaSettings",
     "RetrySettings",
     "SampleSettings",
     "Settings",
@@ -49,6 +50,27 @@
     address: Address
 
 
+class QuotaSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Tolerance of the limits on the requests of workspaces, over all entries.
+
+    Within `window_s`, a workspace may run at most ``(rate_per_s * window_s + burst) *
+    (1 + overage) + slack`` requests.
+
+    Parameters
+    ----------
+    window_s
+        Length of the sliding window in seconds.
+    overage
+        Fraction by which a limit may be exceeded.
+    slack
+        Further requests within the window.
+    """
+
+    window_s: typing.Annotated[float, msgspec.Meta(gt=0, le=3600)] = 5.0
+    overage: typing.Annotated[float, msgspec.Meta(ge=0, le=10)] = 0.1
+    slack: typing.Annotated[float, msgspec.Meta(ge=0)] = 20.0
+
+
 class ControlSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Settings of the control role.
 
@@ -70,6 +92,8 @@
         Seconds for which a target counts as alive after its last report.
     metrics
         IP address and port of the HTTP listener for metrics; None for no listener.
+    quotas
+        Tolerance of the limits on workspaces.
     """
 
     peer: Address
@@ -81,6 +105,7 @@
     election_s: typing.Annotated[float, msgspec.Meta(ge=0.1, le=60)] = 1.2
     lease_s: typing.Annotated[float, msgspec.Meta(ge=1, le=3600)] = 30.0
     metrics: Address | None = None
+    quotas: QuotaSettings = QuotaSettings()
 
 
 class HeaderSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -108,6 +133,14 @@
         Has the value 1 in each response of a target that is leaving.
     target_id
         Id of the target in its responses to probes; None if targets do not send it.
+    credential
+        Key of a caller, which names its workspace and is never forwarded; None if
+        callers have no keys.
+    workspace
+        Name of the caller's workspace, which the entry states to targets.
+    cold
+        Milliseconds for which a target is still slow after its start, in its responses
+        to probes; None if targets do not send it.
     """
 
     deadline: str = "Coltsfootchute-Deadline-Ms"
@@ -119,6 +152,9 @@
     not_run: str | None = None
     leaving: str = "Coltsfootchute-Draining"
     target_id: str | None = None
+    credential: str | None = None
+    workspace: str = "Coltsfootchute-Workspace"
+    cold: str | None = None
 
 
 class RetrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -189,6 +225,8 @@
         Probes before requests of declared services.
     headers
         Names of headers.
+    quotas
+        Tolerance of the limits on workspaces.
     operators
         SHA-256 of the token of each team, in hexadecimal; if None, the team header is
         trusted.
@@ -208,6 +246,7 @@
     retries: RetrySettings = RetrySettings()
     samples: SampleSettings = SampleSettings()
     headers: HeaderSettings = HeaderSettings()
+    quotas: QuotaSettings = QuotaSettings()
     operators: dict[str, TokenHash] | None = None
 
 
--- a/coltsfootchute/verdicts.py
+++ b/coltsfootchute/verdicts.py
@@ -85,6 +85,8 @@
     STOPPING = "stopping"
     TARGETS_AT_REST = "targets_at_rest"
     BAD_REQUEST = "bad_request"
+    UNKNOWN_KEY = "unknown_key"
+    OVER_ALLOTMENT = "over_allotment"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
