balancing: don't wait for faster targets that are at rest

Cause: test_targets_at_rest_get_no_requests_under_load[3-False] failed on x86-64 in most runs (18 and 19 refusals where 12 are allowed). A trace of the refusals shows that from 0.4 s on each request waits 0.2 s and ends with "no target had room in time", while the only target in use is idle. The estimates of the three targets at rest decrease while they get no requests, so the one in use seems four times slower than the median, and requests wait for the others, which want none.

Ruled out: the retry budget (only the 2 to 4 first refusals are of shed requests) and the limit of the target (0 of 1 in flight).

Change: targets at rest are not compared with. The bound of the test stays; a test without a network shows the cause and fails without the change (waits at 1.6 s).

--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -245,8 +245,13 @@
         if hedge_delay_s is None or chosen.latency_s(now) <= hedge_delay_s:
             return chosen
         # While a serving target is eligible, suspect ones get no requests, so only
-        # targets of the same state are compared.
-        peers = [view for view in self._in_use() if not view.is_ejected(now)]
+        # targets of the same state are compared. One at rest won't get the request
+        # either, and its estimate decreases while it is idle.
+        peers = [
+            view
+            for view in self._in_use()
+            if not view.is_ejected(now) and not view.is_at_rest(now)
+        ]
         peers = [v for v in peers if v.is_serving() == chosen.is_serving()]
         fast = policies.without_slow(found, peers, now)
         if len(fast) == len(found):
--- a/coltsfootchute/balancing/tests/test_statements.py
+++ b/coltsfootchute/balancing/tests/test_statements.py
@@ -116,3 +116,19 @@
     for target in targets:
         stated.record_leaving(target)
     assert [stated.is_leaving(target) for target in targets] == [False, True, True]
+
+
+def test_requests_do_not_wait_for_targets_at_rest():
+    """While idle, their estimates decreased until the target in use seemed slow."""
+    pool = make_pool(4)
+    *resting, used = make_targets(4)
+    for target in resting:
+        pool.rest(target, 9.0)
+    for step in range(200):
+        now = step / 100
+        view = pool.select(now)
+        assert view is not None, f"waits at {now} s"
+        assert view.target == used
+        took_s = 0.005 if step % 20 == 0 else 0.001
+        token = pool.start_attempt(view, now)
+        pool.finish_attempt(token, views.Outcome.OK, now + took_s)
