state, entry, balancing: evacuate failure domains

Cause: operators could not keep requests away from the targets of a failure domain; draining each target leaves out those that join later.

Control.Evacuate commits it. A target in an evacuated failure domain has the state EVACUATED in the pools, so that no selection takes it, whatever its state in the register. PUT and DELETE on the api listener, the platform's POST and DELETE, and the command 'evacuation start|end|list' change it; 'status' shows it. Names that the setting failure_domains lacks get 404. FakeControl replies to Evacuate and Status now instead of failing.

--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -45,11 +45,12 @@
 
 
 class TargetState(enum.Enum):
-    """State of a target in the register."""
+    """State of a target in the register, or that its failure domain is evacuated."""
 
     SERVING = "serving"
     DRAINING = "draining"
     SUSPECT = "suspect"
+    EVACUATED = "evacuated"
 
 
 class AttemptKind(enum.Enum):
@@ -89,7 +90,7 @@
     slots
         Requests that the target runs at the same time.
     state
-        State in the register.
+        State in the register; evacuated, whatever that is, while its failure domain is.
     incarnation
         Number that increases with each start of the target.
     up_since_s
@@ -351,7 +352,7 @@
         return now < self.rest_until_s
 
     def is_serving(self) -> bool:
-        """Tell whether the target is neither suspect nor draining."""
+        """Tell whether the target is not suspect, draining or evacuated."""
         return self.target.state is TargetState.SERVING and not self.is_draining
 
     def is_suspect(self) -> bool:
--- a/coltsfootchute/commands/apis.py
+++ b/coltsfootchute/commands/apis.py
@@ -79,8 +79,9 @@
 async def send_change(
     addresses: typing.Sequence[str],
     path: str,
-    body: dict[str, typing.Any],
+    body: dict[str, typing.Any] | None,
     headers: dict[str, str],
+    method: str = "PUT",
 ) -> Reply:
     """Send a change, and resend it unaltered while its outcome is unknown.
 
@@ -91,9 +92,12 @@
     path
         Path of the request.
     body
-        JSON body with a ``request_id``, which makes it safe to resend the change.
+        JSON body with a ``request_id``, which makes it safe to resend the change; None
+        for a change that is idempotent without one.
     headers
         Headers that name the team.
+    method
+        HTTP method.
 
     Raises
     ------
@@ -111,7 +115,7 @@
             address = addresses[attempt % len(addresses)]
             try:
                 url = f"http://{address}{path}"
-                reply = await _request(session, "PUT", url, body, headers)
+                reply = await _request(session, method, url, body, headers)
             except aiohttp.ClientConnectorError as exc:
                 last_failure = f"{address}: {_describe(exc)}"
                 continue
@@ -123,7 +127,7 @@
             sent, last_failure = True, f"{address}: {reason(reply)}"
     if not sent:
         raise exits.UnreachableError(last_failure)
-    hint = f"resend with --request-id {body['request_id']}"
+    hint = f"resend with --request-id {body['request_id']}" if body else "resend it"
     raise exits.UnknownOutcomeError(f"outcome unknown ({last_failure}); {hint}")
 
 
--- a/coltsfootchute/commands/apps.py
+++ b/coltsfootchute/commands/apps.py
@@ -9,6 +9,7 @@
     checks,
     declarations,
     documents,
+    evacuations,
     explanations,
     statuses,
 )
@@ -34,6 +35,7 @@
     app.command(checks.check_section, name="check-section")
     app.command(statuses.addresses)
     app.command(_build_section())
+    app.command(_build_evacuation())
     app.command(statuses.status)
     app.command(statuses.targets)
     app.command(explanations.explain)
@@ -49,6 +51,15 @@
     return app
 
 
+def _build_evacuation() -> cyclopts.App:
+    text = "Keep requests away from the targets of a failure domain."
+    app = cyclopts.App(name="evacuation", help=text)
+    app.command(evacuations.start)
+    app.command(evacuations.end)
+    app.command(evacuations.show, name="list")
+    return app
+
+
 def control(path: pathlib.Path, /) -> None:
     """Run the control role.
 
--- a/coltsfootchute/commands/statuses.py
+++ b/coltsfootchute/commands/statuses.py
@@ -1,11 +1,19 @@
 """Commands that show the state of the system through an entry."""
 
+import datetime
 import typing
 import urllib.parse
 
 from coltsfootchute.commands import apis, options, tables
 
-__all__ = ["addresses", "leader_name", "print_status", "status", "targets"]
+__all__ = [
+    "addresses",
+    "leader_name",
+    "print_evacuations",
+    "print_status",
+    "status",
+    "targets",
+]
 
 
 def addresses(
@@ -95,6 +103,19 @@
     ]
     headings = ["entry", "calls", "failure domain", "state", "revision", "currency"]
     tables.print_table(headings, rows)
+    if found.get("evacuations"):
+        print_evacuations(found["evacuations"])
+
+
+def print_evacuations(found: list[dict[str, typing.Any]]) -> None:
+    """Print evacuations in force as a table, with their starts in UTC."""
+    rows = [[item["failure_domain"], _time(item["started_ms"])] for item in found]
+    tables.print_table(["evacuated failure domain", "since"], rows)
+
+
+def _time(time_ms: int) -> str:
+    started = datetime.datetime.fromtimestamp(time_ms / 1000, datetime.UTC)
+    return started.isoformat(" ", "seconds")
 
 
 def _seconds(value_ms: int | None) -> str | None:
--- a/coltsfootchute/commands/tests/test_documents.py
+++ b/coltsfootchute/commands/tests/test_documents.py
@@ -33,6 +33,7 @@
         self.replies = list(replies)
         self.requests = []
         self.sections = []
+        self.routes = []
 
     async def list_sections(self, req):
         return aiohttp.web.json_response({"sections": self.sections})
@@ -52,6 +53,7 @@
     app = aiohttp.web.Application()
     app.router.add_get("/v1/sections", api.list_sections)
     app.router.add_put("/v1/sections/{name}", api.put_section)
+    app.add_routes(api.routes)
     runner = aiohttp.web.AppRunner(app)
     loop.run_until_complete(runner.setup())
     site = aiohttp.web.TCPSite(runner, "127.0.0.1", 0)
--- a/coltsfootchute/control/feeds.py
+++ b/coltsfootchute/control/feeds.py
@@ -30,6 +30,8 @@
         return ("declaration",)
     if kind == "quarantine":
         return "quarantine", change.quarantine.service, change.quarantine.digest
+    if kind == "evacuation":
+        return "evacuation", change.evacuation.failure_domain
     if kind == "target":
         return "target", change.target.target_id
     return "target", change.removed_target_id
@@ -39,6 +41,8 @@
     kind = change.WhichOneof("body")
     if kind == "quarantine":
         return change.quarantine.removed
+    if kind == "evacuation":
+        return change.evacuation.ended
     return kind == "removed_target_id"
 
 
--- a/coltsfootchute/control/metrics.py
+++ b/coltsfootchute/control/metrics.py
@@ -18,7 +18,7 @@
 
 PREFIX = "coltsfootchute_control"
 MAX_PROOF_AGE_S = 3.0
-GAUGES = ("feed_watchers", "claims_stored")
+GAUGES = ("feed_watchers", "claims_stored", "evacuations_in_force")
 
 
 class _Collector:
--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -19,6 +19,9 @@
     pb.TargetCommand.KIND_WITHDRAW,
 )
 
+# Targets announce failure domains of at most this length.
+MAX_DOMAIN_CHARS = 128
+
 Handler = collections.abc.Callable[[typing.Any, typing.Any], typing.Any]
 Check = collections.abc.Callable[[typing.Any], typing.Any]
 
@@ -256,9 +259,16 @@
             return pb.LeaseProbesReply(header=self._header(is_leader=False))
         return pb.LeaseProbesReply(header=self._header(is_leader=True), shares=shares)
 
-    async def Evacuate(self, stream) -> None:  # noqa: N802
+    @_unary
+    async def Evacuate(self, request, stream) -> pb.EvacuateReply:  # noqa: N802
         """Start or end the evacuation of a failure domain."""
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        _require(
+            0 < len(request.failure_domain) <= MAX_DOMAIN_CHARS,
+            f"failure_domain: needs 1 to {MAX_DOMAIN_CHARS} characters",
+        )
+        self._count("evacuations")
+        command = pb.Command(evacuation=request)
+        return pb.EvacuateReply(**await self._commit(command))
 
     async def Account(self, stream) -> None:  # noqa: N802
         """Count the requests of workspaces and limit them."""
@@ -277,6 +287,8 @@
         counters["link_messages_dropped"] = self._core.links.dropped
         counters["feed_watchers"] = self._core.feed.watcher_count
         counters["claims_stored"] = len(self._core.machine.claims)
+        evacuations = self._core.machine.evacuations.dump()
+        counters["evacuations_in_force"] = len(evacuations)
         now = feeds.clock()
         return pb.StatusReply(
             header=pb.ReplyHeader(leader_address=self._core.leader_address),
@@ -291,6 +303,7 @@
             instances=self._maintenance.instances.all(),
             targets=self._maintenance.target_leases(now) if is_leader else [],
             counters=counters,
+            evacuations=evacuations,
         )
 
 
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -11,6 +11,7 @@
     addresses,
     clients,
     descriptions,
+    evacuations,
     metrics,
     operations,
     operators,
@@ -104,6 +105,8 @@
         Returns the description of this instance with its current state.
     keep_s
         Seconds for which callers may cache an address answer.
+    failure_domains
+        Names of the known failure domains; empty if any name is accepted.
     """
 
     def __init__(
@@ -115,6 +118,7 @@
         meters: metrics.Metrics,
         own_instance: typing.Callable[[], coltsfootchute_pb2.Instance],
         keep_s: float,
+        failure_domains: typing.Collection[str] = (),
     ):
         self._view = view
         self._client = client
@@ -123,7 +127,9 @@
         self._own_instance = own_instance
         self._keep_s = keep_s
         self._answer_count = 0
-        self.operations = operations.Operations(view, client, own_instance)
+        self.operations = operations.Operations(
+            view, client, own_instance, failure_domains
+        )
 
     @property
     def view(self) -> watches.View:
@@ -155,6 +161,7 @@
         app.router.add_post("/v1/targets", self.announce)
         app.router.add_post("/v1/targets/{id}/renew", self.renew)
         app.router.add_post("/v1/targets/{id}/{kind:drain|withdraw}", self.retire)
+        evacuations.Handlers(self.operations).add_routes(app.router)
         app.router.add_get("/v1/status", self.status)
         app.router.add_get("/metrics", self.metrics)
         app.router.add_get("/healthz", self.healthz)
@@ -356,6 +363,7 @@
         instance = self._own_instance()
         self._meters.stale.set(instance.stale)
         self._meters.revision.set(instance.revision)
+        self._meters.evacuated.set(len(self._view.evacuated))
         return self._meters.exposition()
 
     async def healthz(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -80,6 +80,7 @@
             meters=self.metrics,
             own_instance=self.own_instance,
             keep_s=entry.keep_s,
+            failure_domains=cfg.failure_domains,
         )
         self._instance = coltsfootchute_pb2.Instance(
             name=name,
@@ -354,6 +355,9 @@
                 fields["target"] = change.removed_target_id
             elif kind == "declaration":
                 fields["version"] = change.declaration.version
+            elif kind == "evacuation":
+                fields["failure_domain"] = change.evacuation.failure_domain
+                fields["ended"] = change.evacuation.ended
             logs.log_event("feed", f"received {kind}", **fields)
 
     def reload(self, cfg: settings.Settings) -> None:
--- a/coltsfootchute/entry/descriptions.py
+++ b/coltsfootchute/entry/descriptions.py
@@ -1,10 +1,11 @@
-"""JSON bodies of the `api` listener for sections, targets and instances."""
+"""JSON bodies of the `api` listener of sections, targets, instances, evacuations."""
 
 import typing
 
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = [
+    "describe_evacuation",
     "describe_instance",
     "describe_member",
     "describe_revision",
@@ -71,11 +72,22 @@
         "cluster_id": reply.membership.cluster_id,
         "members": [describe_member(m) for m in reply.membership.members],
         "instances": [describe_instance(i) for i in reply.instances],
+        "evacuations": [describe_evacuation(e) for e in reply.evacuations],
         "answered_by": describe_instance(own_instance),
         "counters": dict(reply.counters),
     }
 
 
+def describe_evacuation(
+    evacuation: coltsfootchute_pb2.Evacuation,
+) -> dict[str, typing.Any]:
+    """Describe an evacuation in force."""
+    return {
+        "failure_domain": evacuation.failure_domain,
+        "started_ms": evacuation.started_ms,
+    }
+
+
 def describe_member(member: coltsfootchute_pb2.Member) -> dict[str, typing.Any]:
     """Describe a control instance."""
     return {
--- a/coltsfootchute/entry/metrics.py
+++ b/coltsfootchute/entry/metrics.py
@@ -111,6 +111,10 @@
             "coltsfootchute_revision_in_force",
             "Log index of the last change in force.",
         ).labels()
+        self.evacuated = self._add_gauge(
+            "coltsfootchute_evacuated_failure_domains",
+            "Failure domains whose targets get no new requests from this entry.",
+        ).labels()
         self._meters: dict[str, CallMeter] = {}
 
     def _add(self, family: counters.Family) -> counters.Family:
--- a/coltsfootchute/entry/operations.py
+++ b/coltsfootchute/entry/operations.py
@@ -4,11 +4,11 @@
 import hashlib
 import typing
 
-from coltsfootchute import declarations, errors
+from coltsfootchute import declarations, errors, logs
 from coltsfootchute.entry import addresses, clients, watches
 from coltsfootchute.proto import coltsfootchute_pb2
 
-__all__ = ["Operations"]
+__all__ = ["Operations", "UnknownDomainError"]
 
 # Operators turn to another instance after 1 s without a response.
 DECLARATION_TIMEOUT_S = 0.9
@@ -19,10 +19,29 @@
 MAX_SUBMISSIONS = 8
 # Targets turn to another instance after 1 s without a response.
 REPORT_TIMEOUT_S = 0.9
+# The platform takes an evacuation without an answer within 1 s as failed.
+EVACUATION_TIMEOUT_S = 0.9
+
+
+class UnknownDomainError(errors.ColtsfootchuteError):
+    """The settings name the failure domains, and this one is not among them.
+
+    Parameters
+    ----------
+    domain
+        The unknown name.
+    known
+        The known names.
+    """
+
+    def __init__(self, domain: str, known: typing.Collection[str]):
+        self.known = sorted(known)
+        names = ", ".join(self.known)
+        super().__init__(f"no failure domain {domain!r:.100}; known are {names}")
 
 
 class Operations:
-    """Declarations, reports of targets, and the list of entries.
+    """Declarations, evacuations, reports of targets, and the list of entries.
 
     Parameters
     ----------
@@ -32,6 +51,8 @@
         The Control client.
     own_instance
         Returns the description of this instance with its current state.
+    failure_domains
+        Names of the known failure domains; empty if any name is accepted.
     """
 
     def __init__(
@@ -39,10 +60,12 @@
         view: watches.View,
         client: clients.ControlClient,
         own_instance: typing.Callable[[], coltsfootchute_pb2.Instance],
+        failure_domains: typing.Collection[str] = (),
     ):
         self._view = view
         self._client = client
         self._own_instance = own_instance
+        self._failure_domains = failure_domains
         # Transfers to control by the digest of what the operator sent.
         self._submissions: dict[bytes, asyncio.Task[typing.Any]] = {}
 
@@ -101,6 +124,52 @@
             ) from None
         return reply.outcome
 
+    async def evacuate(
+        self, domain: str, *, ended: bool
+    ) -> coltsfootchute_pb2.EvacuationOutcome:
+        """Commit the start or the end of the evacuation of a failure domain.
+
+        Parameters
+        ----------
+        domain
+            Name of the failure domain. It may have no targets yet.
+        ended
+            Whether the evacuation ends.
+
+        Raises
+        ------
+        UnknownDomainError
+            If the settings name the failure domains and this one is not among them.
+        coltsfootchute.errors.ColtsfootchuteError
+            If the command may not be in force after `EVACUATION_TIMEOUT_S`. It is safe
+            to send it again, to any entry.
+        """
+        if self._failure_domains and domain not in self._failure_domains:
+            raise UnknownDomainError(domain, self._failure_domains)
+        message = coltsfootchute_pb2.Evacuation(failure_domain=domain, ended=ended)
+        reply = await self._client.call(
+            "Evacuate", message, EVACUATION_TIMEOUT_S, repeatable=True
+        )
+        logs.log_event(
+            "api",
+            "evacuation ended" if ended else "evacuation started",
+            failure_domain=domain,
+            applied=reply.outcome.applied,
+        )
+        return reply.outcome
+
+    async def evacuations(
+        self, limit_s: float
+    ) -> typing.Sequence[coltsfootchute_pb2.Evacuation]:
+        """Return the evacuations in force, as the leader knows them if it replies.
+
+        Raises
+        ------
+        coltsfootchute.errors.ColtsfootchuteError
+            If no control instance replied.
+        """
+        return (await self._client.status(limit_s)).evacuations
+
     async def report_target(
         self, target: coltsfootchute_pb2.Target
     ) -> coltsfootchute_pb2.AnnouncementOutcome | None:
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -290,7 +290,11 @@
 
     def _update_targets(self, service: Service) -> None:
         now = time.monotonic()
-        targets = [_target(t, now) for t in self._view.targets_of(service.name)]
+        evacuated = self._view.evacuated
+        targets = [
+            _target(t, now, is_evacuated=t.failure_domain in evacuated)
+            for t in self._view.targets_of(service.name)
+        ]
         service.pool.update_targets(targets, now)
         used = {t.address for t in targets}
         for address in service.endpoints.keys() - used:
@@ -337,14 +341,17 @@
     )
 
 
-def _target(target: coltsfootchute_pb2.Target, now: float) -> balancing.Target:
+def _target(
+    target: coltsfootchute_pb2.Target, now: float, *, is_evacuated: bool
+) -> balancing.Target:
+    state = _STATES[target.state]
     age_s = max(0.0, time.time() - target.announced_ms / 1000)
     return balancing.Target(
         target_id=ids.TargetId(target.target_id),
         address=target.address,
         failure_domain=ids.FailureDomain(target.failure_domain),
         slots=target.slots,
-        state=_STATES[target.state],
+        state=balancing.TargetState.EVACUATED if is_evacuated else state,
         incarnation=target.incarnation,
         up_since_s=now - age_s,
     )
--- a/coltsfootchute/entry/state_tables.py
+++ b/coltsfootchute/entry/state_tables.py
@@ -1,4 +1,4 @@
-"""Sections, routes, targets and quarantines as an entry knows them."""
+"""Sections, routes, targets, quarantines and evacuations as an entry knows them."""
 
 import random
 
@@ -27,6 +27,8 @@
         self.health_paths: dict[str, str] = {}
         self.targets: dict[str, coltsfootchute_pb2.Target] = {}
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
+        # Failure domains whose targets get no new requests.
+        self.evacuated: set[str] = set()
 
     def targets_of(self, service: str) -> list[coltsfootchute_pb2.Target]:
         """Return the targets that announced a service."""
@@ -58,6 +60,7 @@
         for table in (self.sections, self.rule_tables, self.health_paths, self.targets):
             table.clear()
         self.quarantines.clear()
+        self.evacuated.clear()
         return changed
 
     def _apply(self, change: coltsfootchute_pb2.FeedChange) -> set[str]:
@@ -77,8 +80,19 @@
                 self.quarantines.pop(key, None)
             else:
                 self.quarantines[key] = change.quarantine
+        if kind == "evacuation":
+            return self._apply_evacuation(change.evacuation)
         return set()
 
+    def _apply_evacuation(self, evacuation: coltsfootchute_pb2.Evacuation) -> set[str]:
+        domain = evacuation.failure_domain
+        if evacuation.ended:
+            self.evacuated.discard(domain)
+        else:
+            self.evacuated.add(domain)
+        located = (t for t in self.targets.values() if t.failure_domain == domain)
+        return {service for target in located for service in target.services}
+
     def _apply_section(self, section: coltsfootchute_pb2.SectionInForce) -> set[str]:
         try:
             table = sections.RuleTable(sections.parse(section.document))
--- a/coltsfootchute/entry/tests/fakes.py
+++ b/coltsfootchute/entry/tests/fakes.py
@@ -53,6 +53,7 @@
         self.reports = []
         self.crashes = []
         self.commands = []
+        self.evacuations = []
         self.claim_reply = pb.ClaimReply(
             outcome=pb.ClaimOutcome(status=pb.CLAIM_STATUS_GRANTED)
         )
@@ -160,7 +161,14 @@
         await stream.send_message(pb.DeclareReply(outcome=outcome))
 
     async def Evacuate(self, stream):  # noqa: N802
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        self.evacuations.append(await stream.recv_message())
+        outcome = pb.EvacuationOutcome(applied=True)
+        reply = pb.EvacuateReply(header=self.header, outcome=outcome)
+        await stream.send_message(reply)
+
+    async def Status(self, stream):  # noqa: N802
+        await stream.recv_message()
+        await stream.send_message(pb.StatusReply())
 
     async def Account(self, stream):  # noqa: N802
         raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
@@ -177,7 +185,7 @@
         reply = pb.LeaseProbesReply(shares=self.shares)
         await stream.send_message(reply)
 
-    ReadSections = Status = _unused
+    ReadSections = _unused
 
 
 class FakeTarget:
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -267,6 +267,8 @@
     metrics
         IP address and port at which the process serves the metrics of its roles; None
         for no listener.
+    failure_domains
+        Names of the failure domains that may be evacuated; empty if any may be.
     """
 
     instance: InstanceSettings
@@ -274,6 +276,7 @@
     entry: EntrySettings | None = None
     log: LogSettings = LogSettings()
     metrics: Address | None = None
+    failure_domains: list[Name] = []
 
 
 def parse(text: str) -> Settings:
--- a/coltsfootchute/state/machines.py
+++ b/coltsfootchute/state/machines.py
@@ -5,6 +5,7 @@
 from coltsfootchute.state import (
     claims,
     declarations,
+    evacuations,
     outcomes,
     quarantines,
     registers,
@@ -17,7 +18,7 @@
 
 
 class Machine:
-    """Replicated state: declaration, sections, targets, claims and quarantines.
+    """Replicated state: all that the log changes and a snapshot contains.
 
     Notes
     -----
@@ -44,6 +45,7 @@
         self.targets = targets.TargetRegister()
         self.claims = claims.ClaimTable()
         self.quarantines = quarantines.QuarantineTable()
+        self.evacuations = evacuations.EvacuationRegister()
 
     def apply(self, index: int, command: pb.Command) -> outcomes.ApplyResult:
         """Apply one committed command.
@@ -100,6 +102,7 @@
             *({"section": self.sections.in_force(n)} for n in self.sections.names()),
             *({"target": target} for target in self.targets.all()),
             *({"quarantine": item} for item in self.quarantines.dump()),
+            *({"evacuation": item} for item in self.evacuations.dump()),
         ]
         return [pb.FeedChange(revision=self.revision, **field) for field in fields]
 
@@ -117,6 +120,7 @@
             declaration=self.declaration.newest,
             withdrawn=self.targets.withdrawn(),
             expired=self.targets.expired(),
+            evacuations=self.evacuations.dump(),
         )
         return snapshot.SerializeToString(deterministic=True) + self.claims.dump()
 
@@ -140,6 +144,7 @@
         self.declaration.load(snapshot.declaration)
         self.claims.load(snapshot.claims, snapshot.floors)
         self.quarantines.load(list(snapshot.quarantines))
+        self.evacuations.load(list(snapshot.evacuations))
 
 
 @commands.register("proposal")
@@ -209,3 +214,16 @@
     if changed is None:
         return outcomes.ApplyResult()
     return outcomes.ApplyResult(None, [pb.FeedChange(quarantine=changed)])
+
+
+@commands.register("evacuation")
+def _evacuate(machine: Machine, command: pb.Evacuation) -> outcomes.ApplyResult:
+    outcome = machine.evacuations.apply(command, machine.clock_ms)
+    if not outcome.applied:
+        return outcomes.ApplyResult(outcome)
+    changed = pb.Evacuation(
+        failure_domain=command.failure_domain,
+        ended=command.ended,
+        started_ms=0 if command.ended else machine.clock_ms,
+    )
+    return outcomes.ApplyResult(outcome, [pb.FeedChange(evacuation=changed)])
--- a/coltsfootchute/state/outcomes.py
+++ b/coltsfootchute/state/outcomes.py
@@ -14,6 +14,7 @@
     | pb.AnnouncementOutcome
     | pb.ClaimOutcome
     | pb.DeclarationOutcome
+    | pb.EvacuationOutcome
     | None
 )
 
