--- a/coltsfootchute/commands/evacuations.py
+++ b/coltsfootchute/commands/evacuations.py
@@ -36,12 +36,14 @@
 
 
 def show(*, common: options.CommonOptions = options.DEFAULTS) -> None:
-    """List the failure domains that are evacuated."""
+    """List the failure domains that an entry treats as evacuated."""
     found = apis.read(options.api_addresses(common), "/v1/evacuations")
     if common.json:
         tables.print_json(found)
         return
     statuses.print_evacuations(found["evacuations"])
+    if found["stale"]:
+        print("This entry has lost contact with control, and its list may be old.")
 
 
 def _send(method: str, domain: str, common: options.Common) -> None:
--- a/coltsfootchute/commands/tests/test_evacuations.py
+++ b/coltsfootchute/commands/tests/test_evacuations.py
@@ -31,7 +31,9 @@
         return aiohttp.web.json_response(body, status=status)
 
     async def list_evacuations(self, req):
-        return aiohttp.web.json_response({"evacuations": [STARTED]})
+        return aiohttp.web.json_response(
+            {"evacuations": [STARTED], "revision": 2, "stale": True}
+        )
 
 
 @pytest.mark.parametrize(
@@ -66,5 +68,7 @@
         assert main.main(["evacuation", "list", "--api", address]) == 0
     found = {"term": 1, "revision": 2, "members": [], "instances": []}
     statuses.print_status({**found, "evacuations": [STARTED]})
-    rows = [line.split() for line in capsys.readouterr().out.splitlines()]
+    shown = capsys.readouterr().out
+    assert "may be old" in shown
+    rows = [line.split() for line in shown.splitlines()]
     assert rows.count(["a/b", "2026-12-04", "07:29:06+00:00"]) == 2
--- a/coltsfootchute/entry/apis.py
+++ b/coltsfootchute/entry/apis.py
@@ -161,7 +161,7 @@
         app.router.add_post("/v1/targets", self.announce)
         app.router.add_post("/v1/targets/{id}/renew", self.renew)
         app.router.add_post("/v1/targets/{id}/{kind:drain|withdraw}", self.retire)
-        evacuations.Handlers(self.operations).add_routes(app.router)
+        evacuations.Handlers(self.operations, self._own_instance).add_routes(app.router)
         app.router.add_get("/v1/status", self.status)
         app.router.add_get("/metrics", self.metrics)
         app.router.add_get("/healthz", self.healthz)
--- a/coltsfootchute/entry/evacuations.py
+++ b/coltsfootchute/entry/evacuations.py
@@ -10,8 +10,6 @@
 
 __all__ = ["Handlers"]
 
-READ_TIMEOUT_S = 3.0
-
 
 class Handlers:
     """Handlers of evacuations.
@@ -20,10 +18,17 @@
     ----------
     ops
         Commits the changes.
+    own_instance
+        Returns the description of this instance with its current state.
     """
 
-    def __init__(self, ops: operations.Operations):
+    def __init__(
+        self,
+        ops: operations.Operations,
+        own_instance: typing.Callable[[], coltsfootchute_pb2.Instance],
+    ):
         self._operations = ops
+        self._own_instance = own_instance
 
     def add_routes(self, router: aiohttp.web.UrlDispatcher) -> None:
         """Add the routes of the handlers."""
@@ -33,9 +38,10 @@
         router.add_delete(path, self.end)
 
     async def read(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
-        """Return the evacuations in force."""
-        found = await self._operations.evacuations(READ_TIMEOUT_S)
-        return _json(_describe(found))
+        """Return the evacuations that this entry applies."""
+        found = _describe(self._operations.evacuations())
+        instance = self._own_instance()
+        return _json({**found, "revision": instance.revision, "stale": instance.stale})
 
     async def start(self, request: aiohttp.web.Request) -> aiohttp.web.Response:
         """Start the evacuation of a failure domain."""
--- a/coltsfootchute/entry/operations.py
+++ b/coltsfootchute/entry/operations.py
@@ -158,17 +158,25 @@
         )
         return reply.outcome
 
-    async def evacuations(
-        self, limit_s: float
-    ) -> typing.Sequence[coltsfootchute_pb2.Evacuation]:
-        """Return the evacuations in force, as the leader knows them if it replies.
+    def evacuations(self) -> list[coltsfootchute_pb2.Evacuation]:
+        """Return the evacuations that this entry applies.
 
         Raises
         ------
-        coltsfootchute.errors.ColtsfootchuteError
-            If no control instance replied.
+        coltsfootchute.errors.UnavailableError
+            If the entry has not received any state since its start.
+
+        Notes
+        -----
+        The status of a control instance is not used: until a restarted instance knows
+        what is committed, it would list no evacuation.
         """
-        return (await self._client.status(limit_s)).evacuations
+        if not self._view.cluster_id:
+            raise errors.UnavailableError("the entry has received no state yet")
+        return [
+            coltsfootchute_pb2.Evacuation(failure_domain=domain, started_ms=started_ms)
+            for domain, started_ms in self._view.evacuated.items()
+        ]
 
     async def report_target(
         self, target: coltsfootchute_pb2.Target
--- a/coltsfootchute/entry/state_tables.py
+++ b/coltsfootchute/entry/state_tables.py
@@ -27,8 +27,8 @@
         self.health_paths: dict[str, str] = {}
         self.targets: dict[str, coltsfootchute_pb2.Target] = {}
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
-        # Failure domains whose targets get no new requests.
-        self.evacuated: set[str] = set()
+        # Failure domains whose targets get no new requests, with the start in Unix ms.
+        self.evacuated: dict[str, int] = {}
 
     def targets_of(self, service: str) -> list[coltsfootchute_pb2.Target]:
         """Return the targets that announced a service."""
@@ -87,9 +87,9 @@
     def _apply_evacuation(self, evacuation: coltsfootchute_pb2.Evacuation) -> set[str]:
         domain = evacuation.failure_domain
         if evacuation.ended:
-            self.evacuated.discard(domain)
+            self.evacuated.pop(domain, None)
         else:
-            self.evacuated.add(domain)
+            self.evacuated[domain] = evacuation.started_ms
         located = (t for t in self.targets.values() if t.failure_domain == domain)
         return {service for target in located for service in target.services}
 
--- a/coltsfootchute/entry/tests/fakes.py
+++ b/coltsfootchute/entry/tests/fakes.py
@@ -166,10 +166,6 @@
         reply = pb.EvacuateReply(header=self.header, outcome=outcome)
         await stream.send_message(reply)
 
-    async def Status(self, stream):  # noqa: N802
-        await stream.recv_message()
-        await stream.send_message(pb.StatusReply())
-
     async def Account(self, stream):  # noqa: N802
         raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
 
@@ -185,7 +181,7 @@
         reply = pb.LeaseProbesReply(shares=self.shares)
         await stream.send_message(reply)
 
-    ReadSections = _unused
+    ReadSections = Status = _unused
 
 
 class FakeTarget:
--- a/coltsfootchute/standins/clusters.py
+++ b/coltsfootchute/standins/clusters.py
@@ -71,6 +71,8 @@
         Time for which callers may keep addresses, in s.
     entry_settings
         Additional settings of the entries.
+    failure_domains
+        Setting of the same name of the processes.
     route
         Coroutine function that takes the name of an entry and the addresses of
         the control instances, and returns the addresses to which the entry
@@ -103,6 +105,7 @@
         target_options: typing.Mapping[str, str] = types.MappingProxyType({}),
         keep_s: float = 5.0,
         entry_settings: typing.Mapping[str, typing.Any] = types.MappingProxyType({}),
+        failure_domains: typing.Sequence[str] = (),
         route: Route = direct,
         target_route: Route = direct,
     ):
@@ -113,6 +116,7 @@
         self._target_options = target_options
         self._keep_s = keep_s
         self._entry_settings = entry_settings
+        self._known_domains = list(failure_domains)
         self.apis: list[str] = []
         self.calls: list[str] = []
         self.control_addresses: list[str] = []
@@ -179,7 +183,8 @@
     def _start_role(self, name: str, number: int, cfg: dict[str, typing.Any]) -> None:
         (role,) = cfg
         instance = {"name": name, "failure_domain": self._failure_domain(number)}
-        self.fleet.start_role(name, role, {"instance": instance, **cfg})
+        cfg = {"instance": instance, "failure_domains": self._known_domains, **cfg}
+        self.fleet.start_role(name, role, cfg)
 
     def _failure_domain(self, number: int) -> str:
         return self._domains[number % len(self._domains)]
