entry: parse a body in large parts, whatever its bytes are

Cause: a connection cut received data at each blank line, so that the parser does not drop the requests before a malformed one. It did so inside bodies too: a body of blank lines was parsed in parts of four bytes and blocked the event loop.

Ruled out: the parser itself; handed over in one part, such a body takes as long as any other.

Change: the end of a body is found by its framing, and its bytes are handed over together. Heads are still parsed one at a time, also where their blank line arrives in two parts.

Conclusion: bodies of single-byte chunks still cost far more than plain ones; the library calls back for each chunk.

--- a/coltsfootchute/entry/pipelines.py
+++ b/coltsfootchute/entry/pipelines.py
@@ -9,7 +9,7 @@
 import aiohttp.streams
 import aiohttp.web
 
-from coltsfootchute.entry import answers, heads
+from coltsfootchute.entry import answers, framings, heads
 
 __all__ = ["CallerConnection"]
 
@@ -66,6 +66,9 @@
         self._early: collections.deque[_EarlyRequest] = collections.deque()
         # Whether the answer to the last request that was started closes the connection.
         self._will_close = False
+        # Framing of the body that is arriving, and the last bytes outside of bodies.
+        self._framing: framings.BodyFraming | None = None
+        self._last_bytes = b""
         if may_run_early is not None:
             self._request_factory = self._take_request
 
@@ -97,18 +100,47 @@
         return await task
 
     def data_received(self, data: bytes) -> None:
-        """Parse received data, at most one head at a time.
+        """Parse received data, at most one head or one part of a body at a time.
 
-        The parser drops the requests of a part in which an error follows them.
+        The parser drops the requests of a part in which an error follows them. Blank
+        lines of a body end no head: cut at each of them, a body of blank lines took
+        1,000 times as long as another one and blocked the event loop.
         """
+        if not data:
+            # The reader of a body has taken what the parser had held back.
+            super().data_received(data)
         start = 0
-        while 0 <= (end := data.find(HEAD_END, start)) < len(data) - len(HEAD_END):
-            end += len(HEAD_END)
-            super().data_received(data[start:end])
+        while start < len(data):
+            end = self._part_end(data, start)
+            part = data[start:end] if end - start < len(data) else data
+            count = self._request_count
+            super().data_received(part)
+            if self._framing is not None:
+                self._framing = None if self._framing.is_complete else self._framing
+            elif self._request_count > count:
+                self._begin_body()
+            self._last_bytes = part[1 - len(HEAD_END) :]
             start = end
-        super().data_received(data[start:] if start else data)
         self._start_early()
 
+    def _part_end(self, data: bytes, start: int) -> int:
+        """Return the end of the part of received data that begins at `start`."""
+        if self._framing is not None:
+            return self._framing.find_end(data, start)
+        # The end of a head may arrive in two parts.
+        tail = self._last_bytes if start == 0 else b""
+        joined = tail + data[start : start + len(HEAD_END)] if tail else b""
+        position = joined.find(HEAD_END)
+        if position >= 0:
+            return position + len(HEAD_END) - len(tail)
+        position = data.find(HEAD_END, start)
+        return len(data) if position < 0 else position + len(HEAD_END)
+
+    def _begin_body(self) -> None:
+        message = self._messages[-1][0] if self._messages else None
+        if isinstance(message, aiohttp.http.RawRequestMessage):
+            self._framing = framings.framing_of(message)
+
     def force_close(self) -> None:
         """Close the connection, with a reset in the middle of an answer.
 
