entry: identify workspaces by the keys of callers

Cause: deployments with workspaces need callers to be identified, and targets must be able to trust the stated workspace.

Change: keys are looked up by digest, at the match and again right before each send if the declaration has changed. 401 needs a recent view. The key is removed from forwarded requests, and the workspace header is set by the entry alone. Errors of the HTTP parser quote the head, so they are neither logged nor sent to the caller. Each version's changes of workspaces are logged once.

--- a/coltsfootchute/declarations/__init__.py
+++ b/coltsfootchute/declarations/__init__.py
@@ -15,6 +15,7 @@
     parse,
     unpack,
 )
+from coltsfootchute.declarations.workspaces import WorkspaceTable, workspace_changes
 
 __all__ = [
     "Declaration",
@@ -24,10 +25,12 @@
     "Service",
     "Share",
     "Workspace",
+    "WorkspaceTable",
     "check",
     "encode",
     "key_digest",
     "pack",
     "parse",
     "unpack",
+    "workspace_changes",
 ]
--- a/coltsfootchute/declarations/routes.py
+++ b/coltsfootchute/declarations/routes.py
@@ -4,7 +4,7 @@
 import collections
 import itertools
 
-from coltsfootchute.declarations import schemas
+from coltsfootchute.declarations import schemas, workspaces
 
 __all__ = ["RouteTable"]
 
@@ -56,6 +56,10 @@
 
     def __init__(self, declaration: schemas.Declaration, phase: float = 0.0):
         self.declaration = declaration
+        # None if callers need no keys.
+        self.workspaces: workspaces.WorkspaceTable | None = None
+        if declaration.workspaces is not None:
+            self.workspaces = workspaces.WorkspaceTable(declaration.workspaces)
         self._hosts: dict[str, dict[str, schemas.Route]] = collections.defaultdict(dict)
         self._selectors: dict[tuple[str, str], _WeightedSelector] = {}
         for route in declaration.routes:
--- a/coltsfootchute/declarations/schemas.py
+++ b/coltsfootchute/declarations/schemas.py
@@ -27,6 +27,10 @@
 
 Guarantee = typing.Literal["repeatable", "at_most_once"]
 Text = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=1024)]
+# Targets get the name in a header, which can't hold control characters.
+WorkspaceName = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[^\x00-\x1f\x7f]+\Z", max_length=1024)
+]
 Count = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
 Seconds = typing.Annotated[float, msgspec.Meta(gt=0, le=86_400)]
 Rate = typing.Annotated[float, msgspec.Meta(ge=0, le=1e9)]
@@ -135,7 +139,7 @@
         As in `Route`.
     """
 
-    name: Text
+    name: WorkspaceName
     key_digests: list[KeyDigest] = []
     priority: Count | None = None
     rate_per_s: Rate = 0.0
@@ -181,14 +185,19 @@
 
 
 def key_digest(key: str) -> str:
-    """Return the digest by which a key is looked up.
+    r"""Return the digest by which a key is looked up.
+
+    Notes
+    -----
+    Bytes of a header that are not UTF-8 are surrogates in its value. They are encoded
+    as the same bytes, so that such a key has a digest too, which no workspace has.
 
     Examples
     --------
-    >>> key_digest("a")[:8]
-    'ca978112'
+    >>> key_digest("a")[:8], key_digest("\udcff")[:8]
+    ('ca978112', 'a8100ae6')
     """
-    return hashlib.sha256(key.encode()).hexdigest()
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
 
 
 def pack(text: str) -> bytes:
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -31,8 +31,14 @@
 
 # The request itself is invalid, so the caller must not be asked to retry it.
 _INVALID_REQUEST_REASONS = frozenset(
-    {verdicts.Reason.BODY_TOO_LARGE, verdicts.Reason.BAD_REQUEST}
+    {
+        verdicts.Reason.BODY_TOO_LARGE,
+        verdicts.Reason.BAD_REQUEST,
+        verdicts.Reason.UNKNOWN_KEY,
+    }
 )
+# Why a request is not sent again after its key was looked up.
+_KEY_REASONS = frozenset({verdicts.Reason.UNKNOWN_KEY, verdicts.Reason.STALE})
 # Minimum time to deliver a response that has waited for earlier requests of its
 # connection.
 LATE_DELIVERY_S = 1.0
@@ -92,7 +98,7 @@
             names=names or settings.HeaderSettings(),
         )
         self._retry_after_s = retry_after_s
-        self._matcher = matches.Matcher(view, services, self._names)
+        self._matcher = matches.Matcher(view, services, self._names, self._checker)
         self._claims = claims
         self._stop = stop
         # Whether answers close their connections.
@@ -375,6 +381,9 @@
             # An earlier attempt of this call may have run.
             refusal = verdicts.Refusal(call.verdict, refusal.reason, refusal.detail)
         status = None
+        if call.may_have_run and refusal.reason in _KEY_REASONS:
+            # Callers take 401 and 503 as a statement that the request has not run.
+            status = 502
         if call.is_declared and refusal.verdict is verdicts.Verdict.NOT_RUN:
             # Callers of declared routes know the verdict from the status alone.
             status = None if refusal.reason in _INVALID_REQUEST_REASONS else 503
--- a/coltsfootchute/entry/dispatches.py
+++ b/coltsfootchute/entry/dispatches.py
@@ -18,6 +18,7 @@
     requests,
     statements,
     watches,
+    workspaces,
 )
 
 __all__ = ["Dispatcher", "selection_fields"]
@@ -77,6 +78,7 @@
         self._placer = placer
         self._recorder = recorder
         self._names = names
+        self._checker = workspaces.Checker(view, meters, names)
 
     def _check_quarantine(self, call: requests.Call) -> None:
         # For a request with a key, control checks the quarantine as part of the claim,
@@ -112,6 +114,8 @@
         may_retry = call.is_declared and call.rule.repeatable and call.can_resend
         if not may_retry or not call.has_attempts_left:
             return None
+        if await self._checker.renew(call) is not None:
+            return None
         pool, now = call.service.pool, time.monotonic()
         if self._uses_probes(call):
             view = await self._placer.find(call, placements.MAX_OCCUPANCY)
@@ -192,6 +196,9 @@
         if not allowed:
             raise pools.RefusedError(refusal)
         self._check_quarantine(call)
+        key_refusal = await self._checker.renew(call)
+        if key_refusal is not None:
+            raise pools.RefusedError(key_refusal)
         token = await self._start_next(call, error, now)
         if token is None:
             at_rest = None
@@ -269,9 +276,14 @@
         attempt.request_id = call.request_id
         call.attempts.append(attempt)
         call.phase = phases.Phase.AT_TARGET
-        attempt.revision = self._view.revision
-        attempt.started_s = time.monotonic()
         try:
+            key_refusal = await self._checker.renew(call)
+            if key_refusal is not None:
+                raise attempts.AttemptError(
+                    key_refusal.verdict, key_refusal.reason, key_refusal.detail
+                )
+            attempt.revision = self._view.revision
+            attempt.started_s = time.monotonic()
             await self._forwarder.send(
                 attempt,
                 call.service.endpoint(target.address),
--- a/coltsfootchute/entry/heads.py
+++ b/coltsfootchute/entry/heads.py
@@ -133,9 +133,17 @@
         exc: BaseException | None = None,
         message: str | None = None,
     ) -> aiohttp.web.StreamResponse:
-        """Return the answer to a request that could not be parsed."""
-        if status != TOO_LARGE_STATUS:
+        """Return the answer to a request that could not be parsed.
+
+        The message of the parser quotes the head, which may contain a key, so neither
+        the answer nor the log contains it.
+        """
+        if status >= 500:
             return super().handle_error(request, status, exc, message)
+        if status != TOO_LARGE_STATUS:
+            message = "the request could not be parsed"
+            kind = type(exc).__name__
+            logs.log_event("entry", "unreadable head", status=status, kind=kind)
         response = aiohttp.web.Response(status=status, text=message)
         response.headers["Connection"] = "close"
         response.force_close()
--- a/coltsfootchute/entry/matches.py
+++ b/coltsfootchute/entry/matches.py
@@ -3,15 +3,18 @@
 import aiohttp.web
 
 from coltsfootchute import declarations, sections, settings, verdicts
-from coltsfootchute.entry import pools, requests, watches
+from coltsfootchute.entry import pools, requests, watches, workspaces
 
 __all__ = ["Matcher"]
 
-# Maximum age of the view by which a request is refused as unknown. It is below the time
-# in which an accepted change has to be in force, and above the interval of proofs.
-MAX_REFUSAL_AGE_S = 1.5
 # Reasons of a refusal that a newer view may remove.
-_UNKNOWN_REASONS = frozenset({verdicts.Reason.NO_SERVICE, verdicts.Reason.NO_RULE})
+_UNKNOWN_REASONS = frozenset(
+    {
+        verdicts.Reason.NO_SERVICE,
+        verdicts.Reason.NO_RULE,
+        verdicts.Reason.UNKNOWN_KEY,
+    }
+)
 
 
 class Matcher:
@@ -25,6 +28,8 @@
         Prepared services by name.
     names
         Names of headers.
+    checker
+        Looks up the workspaces of callers.
     """
 
     def __init__(
@@ -32,10 +37,12 @@
         view: watches.View,
         services: pools.Services,
         names: settings.HeaderSettings,
+        checker: workspaces.Checker,
     ):
         self._view = view
         self._services = services.by_name
         self._names = names
+        self._checker = checker
 
     async def match(
         self, request: aiohttp.web.BaseRequest, now: float
@@ -52,19 +59,21 @@
         Raises
         ------
         RefusedError
-            If nothing matches. A view that may be out of date does not show that the
-            request is unknown, so this is stated only by a recent one.
+            If nothing matches, or the key is not known. A view that may be out of date
+            does not show that the request is unknown, so this is stated only by a
+            recent one.
         """
-        oldest_proof_at = watches.clock() - MAX_REFUSAL_AGE_S
+        oldest_proof_at = watches.clock() - workspaces.MAX_REFUSAL_AGE_S
         try:
             return self._match(request, now)
         except pools.RefusedError as exc:
-            if exc.refusal.reason not in _UNKNOWN_REASONS:
+            is_recent = self._view.proof_at >= oldest_proof_at
+            if is_recent or exc.refusal.reason not in _UNKNOWN_REASONS:
                 raise
         if not await self._view.wait_for_proof(oldest_proof_at):
             raise requests.refused(
                 verdicts.Reason.STALE,
-                "the route is not known, and control does not prove that there is none",
+                "the route or the key is not known, and control does not prove this",
             )
         return self._match(request, now)
 
@@ -81,10 +90,12 @@
 
     def _match(self, request: aiohttp.web.BaseRequest, now: float) -> requests.Call:
         routes = self._view.routes
+        route = workspace = None
         if routes is None:
             service, rule, path_query = self._find_rule(request)
         else:
             route, path_query = self._find_route(routes, request)
+            workspace = self._checker.find(routes, route, request)
             service = self._services[routes.select_service(route)]
             rule = requests.rule_of(route, routes.declaration.limits)
         return requests.Call(
@@ -95,6 +106,9 @@
             now,
             names=self._names,
             is_declared=routes is not None,
+            workspace=workspace,
+            routes=routes,
+            route=route,
         )
 
     def _find_rule(
--- a/coltsfootchute/entry/metrics.py
+++ b/coltsfootchute/entry/metrics.py
@@ -86,6 +86,13 @@
         )
         for kind in ("leaving", "rest", "unreadable"):
             self.statements.labels(kind)
+        self.key_checks = self._add_counter(
+            "coltsfootchute_key_checks",
+            "Look-ups of callers' keys on routes of deployments with workspaces.",
+            ["outcome"],
+        )
+        for outcome in ("known", "missing", "repeated", "unknown", "removed"):
+            self.key_checks.labels(outcome)
         self.probe_seconds = self._add_counter(
             "coltsfootchute_probe_seconds",
             "Time spent on probes of idle targets.",
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -183,6 +183,8 @@
         "query",
         "request",
         "requested_deadline",
+        "route",
+        "routes",
         "rule",
         "service",
         "started_s",
@@ -202,12 +204,17 @@
         names: settings.HeaderSettings,
         is_declared: bool = False,
         workspace: declarations.Workspace | None = None,
+        routes: declarations.RouteTable | None = None,
+        route: declarations.Route | None = None,
     ):
         self.request = request
         # Whether the rule comes from a route of the declaration.
         self.is_declared = is_declared
         # The caller's workspace; None if it has none.
         self.workspace = workspace
+        # The routes by which the workspace was looked up, and the one of the call.
+        self.routes = routes
+        self.route = route
         self.names = names
         self.service = service
         self.rule = rule
@@ -230,6 +237,8 @@
             )
         self.may_retry = _number(headers, verdicts.ATTEMPTS_HEADER, 1) > 0
         self.headers = _forwarded_headers(headers, None if is_declared else depth)
+        if names.credential is not None:
+            self.headers.popall(names.credential, None)
         target = "?".join(part for part in path_query if part)
         self.target_line = f"{request.method} {target} HTTP/1.1"
         self.body = attempts.Body(b"", None)
@@ -326,6 +335,10 @@
         headers[self.names.deadline] = str(remaining_ms)
         if self.names.expected_target is not None:
             headers[self.names.expected_target] = target_id
+        if self.routes is not None and self.routes.workspaces is not None:
+            headers.popall(self.names.workspace, None)
+            if self.workspace is not None:
+                headers[self.names.workspace] = self.workspace.name
         if not self.rule.repeatable:
             headers["Connection"] = "close"
         return headers
--- a/coltsfootchute/entry/state_tables.py
+++ b/coltsfootchute/entry/state_tables.py
@@ -4,11 +4,13 @@
 
 import loguru
 
-from coltsfootchute import announcements, declarations, errors, sections
+from coltsfootchute import announcements, declarations, errors, logs, sections
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["StateTables"]
 
+MAX_LOGGED_NAMES = 10
+
 
 class StateTables:
     """Tables that the changes of a feed update.
@@ -24,6 +26,9 @@
         self.rule_tables: dict[str, sections.RuleTable] = {}
         # Routes of the declaration in force; None as long as there is none.
         self.routes: declarations.RouteTable | None = None
+        # Version whose workspaces were logged, and these workspaces.
+        self._logged_version = 0
+        self._logged_workspaces: declarations.WorkspaceTable | None = None
         self.health_paths: dict[str, str] = {}
         self.targets: dict[str, coltsfootchute_pb2.Target] = {}
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
@@ -115,8 +120,31 @@
                 self.rule_tables[service.name] = sections.RuleTable(empty)
             self.health_paths[service.name] = service.health_path
         self.routes = declarations.RouteTable(declared, random.random())
+        self._log_workspaces()
         return removed | self.health_paths.keys()
 
+    def _log_workspaces(self) -> None:
+        """Log once for each version what it changes in the workspaces."""
+        declared, table = self.routes.declaration, self.routes.workspaces
+        if declared.version == self._logged_version:
+            return
+        changes = declarations.workspace_changes(self._logged_workspaces, table)
+        if any(changes.values()):
+            logs.log_event(
+                "feed", "workspaces changed", version=declared.version, **changes
+            )
+        limited = [r.name for r in declared.routes if r.regions]
+        limited += [w.name for w in declared.workspaces or () if w.regions]
+        if limited:
+            logs.log_event(
+                "feed",
+                "regions are stored but not enforced",
+                version=declared.version,
+                names=limited[:MAX_LOGGED_NAMES],
+            )
+        self._logged_version = declared.version
+        self._logged_workspaces = table
+
     def _apply_target(self, target: coltsfootchute_pb2.Target) -> set[str]:
         previous = self.targets.pop(target.target_id, None)
         try:
--- a/coltsfootchute/entry/tests/test_unknown_routes.py
+++ b/coltsfootchute/entry/tests/test_unknown_routes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from coltsfootchute.entry import daemons, matches, watches
+from coltsfootchute.entry import daemons, watches, workspaces
 from coltsfootchute.entry.tests import fakes, test_declared
 
 READ = test_declared.READ
@@ -37,7 +37,7 @@
 
     async def with_old_proof(harness):
         await fakes.wait_until(lambda: harness.entry.view.proof_at > 0)
-        old = matches.MAX_REFUSAL_AGE_S + 0.1
+        old = workspaces.MAX_REFUSAL_AGE_S + 0.1
         assert old < watches.STALE_AFTER_S
         harness.control.feed.set_proof(watches.clock() - old)
         harness.entry.view.proof_at = watches.clock() - old
