--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -183,6 +183,8 @@
         "query",
         "request",
         "requested_deadline",
+        "route",
+        "routes",
         "rule",
         "service",
         "started_s",
@@ -202,12 +204,17 @@
         names: settings.HeaderSettings,
         is_declared: bool = False,
         workspace: declarations.Workspace | None = None,
+        routes: declarations.RouteTable | None = None,
+        route: declarations.Route | None = None,
     ):
         self.request = request
         # Whether the rule comes from a route of the declaration.
         self.is_declared = is_declared
         # The caller's workspace; None if it has none.
         self.workspace = workspace
+        # The routes by which the workspace was looked up, and the one of the call.
+        self.routes = routes
+        self.route = route
         self.names = names
         self.service = service
         self.rule = rule
@@ -326,6 +333,12 @@
         headers[self.names.deadline] = str(remaining_ms)
         if self.names.expected_target is not None:
             headers[self.names.expected_target] = target_id
+        if self.routes is not None and self.routes.workspaces is not None:
+            headers.popall(self.names.workspace, None)
+            if self.names.credential is not None:
+                headers.popall(self.names.credential, None)
+            if self.workspace is not None:
+                headers[self.names.workspace] = self.workspace.name
         if not self.rule.repeatable:
             headers["Connection"] = "close"
         return headers
