control, entry: send changes of the list of instances, prefer near sources

Change: the feed sends changed and removed instances to watchers that accept them, and a whole list on a new stream. The watcher merges them before the message reaches the view, per stream, since a view ignores messages of a source that lags behind. An entry asks the control instance that it connects to for the failure domains (Peer.Hello), watches one of its own domain if there is one, and looks for it again at growing intervals while it watches another.

--- a/coltsfootchute/control/feeds.py
+++ b/coltsfootchute/control/feeds.py
@@ -8,7 +8,7 @@
 import itertools
 import typing
 
-from coltsfootchute.control import feed_streams
+from coltsfootchute.control import feed_streams, instance_lists
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
@@ -71,7 +71,8 @@
         self.name = request.watcher
         self.cluster_id = request.cluster_id
         self.revision = request.revision
-        self.instances_version = -1
+        self.accepts_instance_changes = request.accepts_instance_changes
+        self.instances_version = 0
         self.control_addresses: list[str] = []
         self.changed = asyncio.Event()
 
@@ -109,8 +110,7 @@
         # Revision of the last removal that was dropped.
         self._dropped_revision = 0
         self._proof_time_s: float | None = None
-        self._instances: list[pb.Instance] | None = None
-        self._instances_version = 0
+        self._instances = instance_lists.PublishedInstances()
         self._control_addresses: list[str] = []
         # A dict keeps the order of arrival, so that seeded runs are reproducible.
         self._watchers: dict[WatcherProgress, None] = {}
@@ -124,7 +124,7 @@
     @property
     def instances(self) -> list[pb.Instance]:
         """The list of instances that was published last."""
-        return self._instances or []
+        return self._instances.all()
 
     def publish(self, changes: list[pb.FeedChange], revision: int) -> None:
         """Add the changes of one revision.
@@ -197,12 +197,9 @@
         )
 
     def set_instances(self, instances: list[pb.Instance]) -> None:
-        """Replace the list of instances and send it to watchers if it changed."""
-        if instances == self._instances:
-            return
-        self._instances = instances
-        self._instances_version += 1
-        self._wake_watchers()
+        """Replace the list of instances and send its changes to watchers."""
+        if self._instances.replace(instances):
+            self._wake_watchers()
 
     def set_control_addresses(self, addresses: list[str]) -> None:
         """Replace the peer addresses of control; send them if they changed."""
@@ -238,11 +235,12 @@
             proof_age_ms=min(int(age_s * 1000) + 1, MAX_PROOF_AGE_MS),
         )
         self._add_changes(message, watcher)
-        has_instances = self._instances is not None
-        if has_instances and watcher.instances_version != self._instances_version:
-            watcher.instances_version = self._instances_version
-            message.has_instances = True
-            message.instances.extend(self._instances)
+        self._instances.add_to(
+            message,
+            watcher.instances_version,
+            whole=not watcher.accepts_instance_changes,
+        )
+        watcher.instances_version = self._instances.version
         if watcher.control_addresses != self._control_addresses:
             watcher.control_addresses = self._control_addresses
             message.control_addresses.extend(self._control_addresses)
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -72,7 +72,9 @@
             self.view, cfg.instance.failure_domain, entry.retries, entry.samples
         )
         self.feed = feeds.Feed()
-        self._watcher = watches.Watcher(self.view, name, entry.control)
+        self._watcher = watches.Watcher(
+            self.view, name, entry.control, cfg.instance.failure_domain
+        )
         self._api = apis.Api(
             view=self.view,
             client=self.client,
--- a/coltsfootchute/entry/sources.py
+++ b/coltsfootchute/entry/sources.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import enum
+import itertools
 import random
 import typing
 
@@ -33,6 +34,8 @@
     LOST = "lost"
     # Its proof of currency was too old.
     OUTDATED = "outdated"
+    # It was left for a control instance in the entry's own failure domain.
+    FAR = "far"
     # It was left for another reason, such as the time limit of the watch.
     LEFT = "left"
 
@@ -63,9 +66,12 @@
     """
 
     def __init__(self, name: str):
-        self._next_control = self._next_peer = random.Random(name).getrandbits(16)
+        start = random.Random(name).getrandbits(16)
+        self._next_near = self._next_control = self._next_peer = start
         self._outdated: list[str] = []
-        self._lost = self._tried = 0
+        self._lost = 0
+        # Control instances that were asked in this round.
+        self._tried: set[str] = set()
         self._is_peer_due = self._has_asked_peer = False
         # Whether a wait for a leader was in vain.
         self._has_held = False
@@ -75,6 +81,7 @@
         control: collections.abc.Sequence[str],
         seeds: collections.abc.Sequence[str],
         peers: collections.abc.Sequence[str],
+        near: collections.abc.Collection[str] = (),
     ) -> Source | None:
         """Return the next source; None at the end of a round without one.
 
@@ -87,6 +94,9 @@
             all of which may have been replaced meanwhile.
         peers
             Other entries.
+        near
+            Control instances in the entry's own failure domain, which are asked before
+            the others: bytes between failure domains have a cost.
         """
         if self._takes_peer(len(control)) and peers:
             self._has_asked_peer = True
@@ -94,14 +104,18 @@
             return Source(peers[self._next_peer % len(peers)], PEER_WATCH_S)
         if 2 * len(self._outdated) > len(control) and not self._has_held:
             return self._hold()
-        if self._tried < len(control):
-            self._tried += 1
-            self._next_control += 1
-            return Source(control[self._next_control % len(control)])
-        others = [address for address in seeds if address not in control]
-        if self._tried < len(control) + len(others):
-            self._tried += 1
-            return Source(others[self._tried - len(control) - 1])
+        own = [address for address in control if address in near]
+        if not self._tried.issuperset(own):
+            self._next_near = self._next_untried(own, self._next_near)
+            return self._try(own[self._next_near % len(own)])
+        far = [address for address in control if address not in near]
+        if not self._tried.issuperset(far):
+            self._next_control = self._next_untried(far, self._next_control)
+            return self._try(far[self._next_control % len(far)])
+        others = (a for a in seeds if a not in control and a not in self._tried)
+        other = next(others, None)
+        if other is not None:
+            return self._try(other)
         if self._outdated:
             return self._hold()
         self._begin_round()
@@ -121,10 +135,15 @@
         """
         if source.limit_s is not None:
             return
+        if end is End.FAR:
+            if was_current:
+                self._begin_round()
+            self._tried.discard(source.address)
+            return
         if was_current or source.hold_s:
             self._begin_round()
             # The next source is another one; this one is asked last.
-            self._tried = 1
+            self._tried = {source.address}
             self._has_held = not was_current
         if end is End.OUTDATED:
             self._outdated.append(source.address)
@@ -138,10 +157,22 @@
         has_enough = bool(self._outdated) and self._has_asked_peer
         return is_due and self._lost >= min(MAX_LOST, control_count) and not has_enough
 
+    def _next_untried(self, addresses: list[str], position: int) -> int:
+        """Return the next position of an address that was not asked in this round."""
+        positions = itertools.count(position + 1)
+        return next(
+            p for p in positions if addresses[p % len(addresses)] not in self._tried
+        )
+
+    def _try(self, address: str) -> Source:
+        self._tried.add(address)
+        return Source(address)
+
     def _hold(self) -> Source:
         return Source(self._outdated[-1], hold_s=HOLD_S)
 
     def _begin_round(self) -> None:
         self._outdated = []
-        self._lost = self._tried = 0
+        self._lost = 0
+        self._tried = set()
         self._is_peer_due = self._has_asked_peer = False
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -11,9 +11,9 @@
 import grpclib.exceptions
 import loguru
 
-from coltsfootchute import logs
-from coltsfootchute.control import feed_streams
-from coltsfootchute.entry import sources, state_tables
+from coltsfootchute import cancellations, logs
+from coltsfootchute.control import feed_streams, instance_lists
+from coltsfootchute.entry import domains, searches, sources, state_tables
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
 __all__ = ["STALE_AFTER_S", "ApplyResult", "View", "Watcher", "clock"]
@@ -21,7 +21,6 @@
 STALE_AFTER_S = 3.0
 # Three times the longest interval at which a source proves that its state is current.
 IDLE_TIMEOUT_S = 1.5
-CONNECT_TIMEOUT_S = 0.5
 # A source sends the first part of its message at once. With IDLE_TIMEOUT_S instead, an
 # entry cut off from three control instances took up to 4.5 s to ask another entry.
 FIRST_PART_TIMEOUT_S = 0.5
@@ -216,14 +215,21 @@
         Name of this instance.
     control
         Addresses of the feeds of the control instances.
+    failure_domain
+        Failure domain of this instance, whose control instances are preferred; empty
+        for no preference.
     """
 
-    def __init__(self, view: View, name: str, control: list[str]):
+    def __init__(
+        self, view: View, name: str, control: list[str], failure_domain: str = ""
+    ):
         self._view = view
         self._name = name
         self._control = control
         self._seeds = list(control)
         self._order = sources.Order(name)
+        self._domains = domains.ControlDomains(failure_domain)
+        self._search_delay = domains.SearchDelay(name)
         self._freeze_count = 0
         self._foreign_addresses: set[str] = set()
         # Whether the source that is watched has had a current state.
@@ -252,7 +258,8 @@
                 await freeze_task
 
     async def _watch_next(self) -> None:
-        source = self._order.choose(self._control, self._seeds, self._peers())
+        near = self._domains.near(self._control)
+        source = self._order.choose(self._control, self._seeds, self._peers(), near)
         if source is None:
             await asyncio.sleep(RETRY_PAUSE_S)
             return
@@ -260,6 +267,9 @@
         self._was_current = False
         end = await self._watch_safely(source)
         self._order.record_end(source, end, was_current=self._was_current)
+        is_near = bool(self._domains.near([source.address]))
+        if is_near and clock() - began_at >= domains.STABLE_S:
+            self._search_delay.reset()
         if self._was_current and clock() - began_at < RETRY_PAUSE_S:
             await asyncio.sleep(RETRY_PAUSE_S)
 
@@ -300,30 +310,54 @@
 
     async def _watch(self, source: sources.Source) -> tuple[sources.End, str]:
         """Watch a source; return how that ended, and the reason for the log."""
-        host, _, port = source.address.rpartition(":")
-        channel = feed_streams.open_channel(host.strip("[]"), int(port))
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await channel.__connect__()
+        async with searches.connect(source.address) as channel:
+            is_control = source.limit_s is None
+            if is_control and self._domains.unknown([source.address]):
+                await searches.ask(channel, source.address, self._domains)
+                if self._is_far(source):
+                    return sources.End.FAR, "another failure domain"
             stub = coltsfootchute_grpc.FeedStub(channel)
-            async with stub.Watch.open() as stream:
+            async with stub.Watch.open() as stream, self._searching(source) as search:
                 await stream.send_message(self._request(), end=True)
-                end, reason = await self._receive(source, stream)
+                end, reason = await self._receive(source, stream, search)
                 if end is not sources.End.LOST:
                     await stream.cancel()
                 return end, reason
+
+    def _is_far(self, source: sources.Source) -> bool:
+        """Tell whether another control instance is near, and this source is not."""
+        near = self._domains.near(self._control)
+        return bool(near) and source.address not in near
+
+    @contextlib.asynccontextmanager
+    async def _searching(
+        self, source: sources.Source
+    ) -> typing.AsyncIterator[asyncio.Task[None] | None]:
+        """Look for a near control instance while another one is watched."""
+        if source.limit_s is not None or self._domains.near([source.address]):
+            yield None
+            return
+        task = asyncio.ensure_future(
+            searches.run(self._domains, self._search_delay, lambda: self._control)
+        )
+        try:
+            yield task
         finally:
-            channel.close()
+            await cancellations.cancel_and_wait([task])
 
     def _request(self) -> coltsfootchute_pb2.WatchRequest:
         return coltsfootchute_pb2.WatchRequest(
             watcher=self._name,
             cluster_id=self._view.cluster_id,
             revision=self._view.revision,
+            accepts_instance_changes=True,
         )
 
     async def _receive(
-        self, source: sources.Source, stream: _Stream
+        self,
+        source: sources.Source,
+        stream: _Stream,
+        search: asyncio.Task[None] | None = None,
     ) -> tuple[sources.End, str]:
         began_at = clock()
         watch_until = began_at + (source.limit_s or math.inf)
@@ -332,6 +366,7 @@
         proven_until = math.inf
         freeze_count = self._freeze_count
         receiver = feed_streams.Receiver(stream, FIRST_PART_TIMEOUT_S, IDLE_TIMEOUT_S)
+        instances = instance_lists.ReceivedInstances()
         while True:
             try:
                 message = await receiver.next(max(proven_until, hold_until) - clock())
@@ -345,7 +380,10 @@
             self._check_freeze(now)
             if self._freeze_count != freeze_count:
                 return sources.End.LEFT, "the process was frozen"
+            instances.merge(message)
             result = self._view.apply(message, now)
+            if result is ApplyResult.APPLIED:
+                instances.record_applied()
             if result is ApplyResult.FOREIGN_CLUSTER:
                 self._log_foreign(source.address, message.cluster_id)
                 return sources.End.LEFT, "foreign cluster"
@@ -359,6 +397,8 @@
             self._log_found(source.address)
             if now >= watch_until:
                 return sources.End.LEFT, "the time for another entry has passed"
+            if search is not None and search.done() and search.exception() is None:
+                return sources.End.FAR, "a nearer control instance is up to date"
 
     def _log_foreign(self, address: str, cluster_id: str) -> None:
         if address not in self._foreign_addresses:
