control, entry: limit the requests of workspaces over all entries

Control.Account was unimplemented, and no entry refused a request of a workspace.

Change: control.allotments decides the fraction of requests to admit (token buckets scaled by the entries that report over the entries known), and control.accounts serves it. balancing.allotments applies it at an entry by error diffusion, and divides the rate by the entries without an owner. entry.accounts reports usage to the first control instance that answers. Calls are admitted before they wait for a target, refused with 429, and given back if they did not run.

--- a/coltsfootchute/balancing/__init__.py
+++ b/coltsfootchute/balancing/__init__.py
@@ -1,5 +1,6 @@
 """Target selection, concurrency limits, retry budgets and hedges, without I/O."""
 
+from coltsfootchute.balancing import allotments
 from coltsfootchute.balancing.admissions import AdmissionQueue, Grant, Ticket
 from coltsfootchute.balancing.loads import LoadReport
 from coltsfootchute.balancing.pools import Pool
@@ -32,4 +33,5 @@
     "TargetState",
     "TargetView",
     "Ticket",
+    "allotments",
 ]
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -12,6 +12,7 @@
 
 from coltsfootchute import (
     agreement,
+    background,
     cancellations,
     errors,
     expositions,
@@ -20,6 +21,7 @@
     signals,
 )
 from coltsfootchute.control import (
+    accounts,
     cores,
     feeds,
     joins,
@@ -120,7 +122,12 @@
             self.core, feeds.clock(), cfg.control.lease_s
         )
         self.joiner = joins.Joiner(self.core, cfg.control.initial, cfg.control.may_form)
-        self.control = services.ControlService(self.core, self.maintenance)
+        self.accounts = accounts.Accounts(
+            self.core, self.maintenance, cfg.control.quotas
+        )
+        self.control = services.ControlService(
+            self.core, self.maintenance, self.accounts
+        )
         handlers = [
             services.PeerService(self.core, self.joiner),
             self.control,
@@ -134,6 +141,7 @@
             asyncio.create_task(self._join()),
             asyncio.create_task(self._run_maintenance()),
             asyncio.create_task(self._advance_membership()),
+            asyncio.create_task(background.keep_running(self.accounts.run)),
         ]
         if cfg.control.metrics is not None:
             await self._start_metrics(cfg.control.metrics)
@@ -248,6 +256,7 @@
         await self._transfer(min(TRANSFER_TIMEOUT_S, TRANSFER_FRACTION * left_s))
         self._log_step("closing the feed", watchers=self.core.feed.watcher_count)
         self.core.feed.close()
+        self.accounts.close()
         feed_close_s = min(FEED_CLOSE_WAIT_S, FEED_CLOSE_FRACTION * left_s)
         await asyncio.sleep(feed_close_s if self.core.feed.watcher_count else 0)
         self._log_step("feed closed", watchers=self.core.feed.watcher_count)
--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -7,7 +7,14 @@
 import grpclib.const
 
 from coltsfootchute import announcements, declarations, errors, sections
-from coltsfootchute.control import cores, feeds, joins, maintenance, members
+from coltsfootchute.control import (
+    accounts,
+    cores,
+    feeds,
+    joins,
+    maintenance,
+    members,
+)
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
@@ -94,10 +101,18 @@
         The replicated state.
     maintenance
         Periodic maintenance, with the leases and the instance reports.
+    accounts
+        Limits on the requests of workspaces; None if this instance keeps none.
     """
 
-    def __init__(self, core: cores.Core, maintenance: maintenance.Maintenance):
+    def __init__(
+        self,
+        core: cores.Core,
+        maintenance: maintenance.Maintenance,
+        accounts: accounts.Accounts | None = None,
+    ):
         self._core = core
+        self._accounts = accounts
         self._maintenance = maintenance
 
     def _count(self, name: str) -> None:
@@ -262,7 +277,9 @@
 
     async def Account(self, stream) -> None:  # noqa: N802
         """Count the requests of workspaces and limit them."""
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        if self._accounts is None:
+            raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        await self._accounts.serve(stream)
 
     @_unary
     async def Status(self, request, stream) -> pb.StatusReply:  # noqa: N802
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -9,6 +9,7 @@
 
 from coltsfootchute import balancing, logs, settings, verdicts
 from coltsfootchute.entry import (
+    accounts,
     answers,
     attempts,
     crashes,
@@ -33,6 +34,8 @@
 _INVALID_REQUEST_REASONS = frozenset(
     {verdicts.Reason.BODY_TOO_LARGE, verdicts.Reason.BAD_REQUEST}
 )
+# Callers of declared routes know these statuses as "not run" as well.
+_OWN_STATUS_REASONS = _INVALID_REQUEST_REASONS | {verdicts.Reason.OVER_ALLOTMENT}
 # Minimum time to deliver a response that has waited for earlier requests of its
 # connection.
 LATE_DELIVERY_S = 1.0
@@ -61,6 +64,8 @@
         Selects targets for requests of declared routes by probes; None for no probes.
     recorder
         Records what targets state in their responses.
+    accounts
+        Limits on the requests of workspaces; None for no limits.
     names
         Names of headers.
     retry_after_s
@@ -79,6 +84,7 @@
         stop: stops.Stop,
         recorder: statements.Recorder,
         placer: placements.Placer | None = None,
+        accounts: accounts.Accounts | None = None,
         names: settings.HeaderSettings | None = None,
         retry_after_s: float = answers.RETRY_AFTER_S,
     ):
@@ -94,6 +100,7 @@
         self._retry_after_s = retry_after_s
         self._matcher = matches.Matcher(view, services, self._names)
         self._claims = claims
+        self._accounts = accounts
         self._stop = stop
         # Whether answers close their connections.
         self.closes_connections = False
@@ -194,6 +201,8 @@
             return await self._answer_timeout(call)
         finally:
             self._claims.release_unless_run(call)
+            if self._accounts is not None:
+                self._accounts.settle(call)
             meter.in_flight.dec()
             meter.latency.observe(time.monotonic() - started)
 
@@ -212,6 +221,8 @@
         # The entry may have begun to refuse requests while the body arrived.
         self._check_stopping()
         self._check_quarantine(call)
+        if self._accounts is not None:
+            self._accounts.admit(call)
         service = call.service
         if self._uses_probes(call):
             token = await self._placer.place(call)
@@ -357,6 +368,7 @@
         logs.log_event(
             "entry",
             "failed",
+            routine=refusal.reason is verdicts.Reason.OVER_ALLOTMENT,
             request=call.request_id,
             service=call.service.name,
             reason=refusal.reason.value,
@@ -377,7 +389,7 @@
         status = None
         if call.is_declared and refusal.verdict is verdicts.Verdict.NOT_RUN:
             # Callers of declared routes know the verdict from the status alone.
-            status = None if refusal.reason in _INVALID_REQUEST_REASONS else 503
+            status = None if refusal.reason in _OWN_STATUS_REASONS else 503
         return await self._refuse(call.request, refusal, status)
 
     async def _refuse(
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -11,6 +11,7 @@
 from coltsfootchute import background, cancellations, errors, logs, settings
 from coltsfootchute.control import feeds
 from coltsfootchute.entry import (
+    accounts,
     apis,
     calls,
     clients,
@@ -86,6 +87,14 @@
             failure_domain=cfg.instance.failure_domain,
             start_ms=int(time.time() * 1000),
         )
+        self.accounts = accounts.Accounts(
+            self.view,
+            entry.quotas,
+            name=name,
+            start_ms=self._instance.start_ms,
+            owners=entry.control,
+            meters=self.metrics,
+        )
         self._stop = stops.Stop(self.metrics)
         self._calls: calls.Calls | None = None
         self._forwarder: forwards.Forwarder | None = None
@@ -150,6 +159,7 @@
             stop=self._stop,
             recorder=recorder,
             placer=placements.Placer(self._sampler) if samples else None,
+            accounts=self.accounts,
             names=entry.headers,
             retry_after_s=entry.retry_after_s,
         )
@@ -163,7 +173,7 @@
         )
         loops = [self._watcher.run, prober.run]
         if entry.calls is not None:
-            loops.append(self._report_periodically)
+            loops += [self._report_periodically, self.accounts.run]
         self._tasks = [
             asyncio.ensure_future(background.keep_running(loop)) for loop in loops
         ]
@@ -332,6 +342,7 @@
             if self._cfg.entry.follow_members:
                 self.change_control(addresses)
         self.services.refresh(changed_services)
+        self.accounts.refresh()
         if message.has_instances:
             self.services.update_slot_shares()
             self.feed.set_instances(list(message.instances))
@@ -370,6 +381,7 @@
     def change_control(self, addresses: list[str]) -> None:
         """Replace the addresses of the control instances."""
         self.client.change_addresses(addresses)
+        self.accounts.change_owners(addresses)
         self._watcher.change_control(addresses)
 
     def _publish(self, message: coltsfootchute_pb2.FeedMessage) -> None:
--- a/coltsfootchute/entry/metrics.py
+++ b/coltsfootchute/entry/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of the entry role."""
 
-from coltsfootchute import verdicts
+from coltsfootchute import balancing, verdicts
 from coltsfootchute.entry import counters, phases
 
 __all__ = ["CallMeter", "Metrics"]
@@ -91,6 +91,22 @@
             "Time spent on probes of idle targets.",
             ["service"],
         )
+        self.allotments = self._add_counter(
+            "coltsfootchute_allotments",
+            "Requests of workspaces with a limit, by the decision on them.",
+            ["outcome"],
+        )
+        for outcome in balancing.allotments.Outcome:
+            self.allotments.labels(outcome.value)
+        self.allotments.labels("given_back")
+        self.owner_changes = self._add_counter(
+            "coltsfootchute_owner_changes",
+            "Control instances that became the owner of the limits on workspaces.",
+        ).labels()
+        self.owner_connected = self._add_gauge(
+            "coltsfootchute_owner_connected",
+            "1 while an owner of the limits on workspaces answers.",
+        ).labels()
         self.latency = self._add(
             counters.Family(
                 counters.Kind.HISTOGRAM,
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -184,6 +184,7 @@
         "request",
         "requested_deadline",
         "rule",
+        "ruling",
         "service",
         "started_s",
         "target_line",
@@ -208,6 +209,8 @@
         self.is_declared = is_declared
         # The caller's workspace; None if it has none.
         self.workspace = workspace
+        # Admission under the limit of the workspace; None if it has none.
+        self.ruling: balancing.allotments.Ruling | None = None
         self.names = names
         self.service = service
         self.rule = rule
