--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -186,6 +186,7 @@
         "route",
         "routes",
         "rule",
+        "ruling",
         "service",
         "started_s",
         "target_line",
@@ -215,6 +216,8 @@
         # The routes by which the workspace was looked up, and the one of the call.
         self.routes = routes
         self.route = route
+        # Admission under the limit of the workspace; None if it has none.
+        self.ruling: balancing.allotments.Ruling | None = None
         self.names = names
         self.service = service
         self.rule = rule
