--- a/coltsfootchute/entry/accounts.py
+++ b/coltsfootchute/entry/accounts.py
@@ -30,7 +30,7 @@
 REPORT_BURST = 3
 REPORT_GAP_S = 0.02
 # Interval of reports without usage, by which an owner knows that the entry runs.
-IDLE_REPORT_S = 0.5
+IDLE_REPORT_S = 1.0
 RETRY_PAUSE_S = 0.2
 # Range of the time after which an earlier owner in the order is tried again. Entries
 # return one after another, so that the earlier one gets their shares one by one.
