--- a/coltsfootchute/entry/tests/fakes.py
+++ b/coltsfootchute/entry/tests/fakes.py
@@ -162,6 +162,7 @@
 
     async def Evacuate(self, stream):  # noqa: N802
         self.evacuations.append(await stream.recv_message())
+        await self.may_reply.wait()
         outcome = pb.EvacuationOutcome(applied=True)
         reply = pb.EvacuateReply(header=self.header, outcome=outcome)
         await stream.send_message(reply)
--- a/coltsfootchute/entry/watches.py
+++ b/coltsfootchute/entry/watches.py
@@ -289,13 +289,14 @@
                 "feed: unhandled error in a message of {}", source.address
             )
             reason = repr(exc)
-        self._log_lost(source.address, reason)
+        self._log_end(source.address, end, reason)
         return end
 
-    def _log_lost(self, address: str, reason: str) -> None:
+    def _log_end(self, address: str, end: sources.End, reason: str) -> None:
+        # "source lost" is a cause in explanations of failed requests.
         logs.log_event(
             "feed",
-            "source lost",
+            "source left" if end is sources.End.FAR else "source lost",
             routine=address != self.source,
             source=address,
             error=reason,
