standins: add hanging and cold targets, and records of arrivals

Cause: the parts of docs/design/hard-load.md need targets that never answer what they can't queue, that check a ramp while they are cold, and that show which workspace and which keys reach them.

Change: targets record each arrival, also of requests that do not run. They may hang when full or for a time, become cold again, and state the remaining cold time and their load in health checks.

--- a/coltsfootchute/standins/clusters.py
+++ b/coltsfootchute/standins/clusters.py
@@ -206,6 +206,7 @@
             "--address": self._announced_addresses[number],
             "--failure-domain": self._failure_domain(number),
             "--runs": str(self.runs_path(name)),
+            "--arrivals": str(self.arrivals_path(name)),
             "--seed": str(number),
             **self._target_options,
             **more_options,
@@ -219,6 +220,10 @@
         """Return the file in which a target records its runs."""
         return self.fleet.folder / f"runs-{name}.jsonl"
 
+    def arrivals_path(self, name: str) -> pathlib.Path:
+        """Return the file in which a target records the requests that reach it."""
+        return self.fleet.folder / f"arrivals-{name}.jsonl"
+
     def runs_paths(self) -> list[pathlib.Path]:
         """Return the run files of all targets, without those that don't exist yet."""
         names = [process.name for process in self.fleet.of_role("target")]
--- a/coltsfootchute/standins/faults.py
+++ b/coltsfootchute/standins/faults.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-__all__ = ["FailFast", "Faults", "Noise", "Straggle"]
+__all__ = ["Cool", "FailFast", "Faults", "Hang", "Noise", "Straggle"]
 
 
 class Straggle(msgspec.Struct, frozen=True):
@@ -54,6 +54,30 @@
     for_s: float
 
 
+class Hang(msgspec.Struct, frozen=True):
+    """Never respond to requests that arrive, as a target that is full may do.
+
+    Parameters
+    ----------
+    for_s
+        Duration of the fault in s.
+    """
+
+    for_s: float
+
+
+class Cool(msgspec.Struct, frozen=True):
+    """Become cold again without a restart.
+
+    Parameters
+    ----------
+    for_s
+        Time in s for which the target is cold.
+    """
+
+    for_s: float
+
+
 class Faults:
     """The faults that are active at a target.
 
@@ -68,15 +92,18 @@
         self._factor = 1.0
         self._straggles_until_s = 0.0
         self._fails_until_s = 0.0
+        self._hangs_until_s = 0.0
         self._pauses: list[tuple[float, float]] = []
 
-    def apply(self, fault: Straggle | Noise | FailFast, now: float) -> None:
+    def apply(self, fault: Straggle | Noise | FailFast | Hang, now: float) -> None:
         """Start a fault at the monotonic time `now` in s."""
         if isinstance(fault, Straggle):
             self._factor = fault.factor
             self._straggles_until_s = now + fault.for_s
         elif isinstance(fault, FailFast):
             self._fails_until_s = now + fault.for_s
+        elif isinstance(fault, Hang):
+            self._hangs_until_s = now + fault.for_s
         else:
             self._pauses = list(self._draw_pauses(fault, now))
 
@@ -84,6 +111,10 @@
         """Return whether requests fail at once at the monotonic time `now` in s."""
         return now < self._fails_until_s
 
+    def is_hanging(self, now: float) -> bool:
+        """Return whether requests that arrive at `now` in s are never answered."""
+        return now < self._hangs_until_s
+
     def completion_time_s(self, service_s: float, now: float) -> float:
         """Return the time in s at which work started at `now` ends.
 
--- a/coltsfootchute/standins/targets.py
+++ b/coltsfootchute/standins/targets.py
@@ -7,6 +7,8 @@
 ``POST /-/straggle``   ``{"factor", "for_s"}``: see `faults.Straggle`
 ``POST /-/noise``      pause all work repeatedly: see `faults.Noise`
 ``POST /-/fail``       ``{"for_s"}``: respond with 500: see `faults.FailFast`
+``POST /-/hang``       ``{"for_s"}``: never respond: see `faults.Hang`
+``POST /-/cool``       ``{"for_s"}``: become cold: see `faults.Cool`
 ``GET /-/runs``        the recorded runs
 ``GET /-/health``      ``serving`` or ``draining``, as it was ``lag_s`` ago
 ``GET /-/load``        requests in flight, delayed and scaled as in reports
@@ -15,10 +17,8 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import hashlib
 import os
-import pathlib
 import random
 import signal
 import time
@@ -31,10 +31,21 @@
 import uvloop
 
 from coltsfootchute import verdicts
-from coltsfootchute.standins import announcers, faults, loads, records
+from coltsfootchute.standins import (
+    announcers,
+    arrivals,
+    colds,
+    faults,
+    loads,
+    records,
+    target_options,
+)
 
 __all__ = [
+    "COLD_HEADER",
     "CRASH_HEADER",
+    "ENTRY_HEADER",
+    "KEY_PREFIX",
     "REQUEST_ID_HEADER",
     "WORK_HEADER",
     "Answer",
@@ -48,6 +59,13 @@
 REQUEST_ID_HEADER = "Standin-Request-Id"
 # Header with the service time of a request in ms, in place of a random one.
 WORK_HEADER = "Standin-Work-Ms"
+# Header with the remaining cold time in ms, in responses to health checks.
+COLD_HEADER = "Standin-Cold-Ms"
+# Header with the name of the entry to which a caller sent a request.
+ENTRY_HEADER = "Standin-Entry"
+WORKSPACE_HEADER = "Coltsfootchute-Workspace"
+# First characters of all keys of stand-in callers, which must reach no target.
+KEY_PREFIX = "standin-secret-"
 CHECKSUM_HEADER = "Standin-Body-Sha256"
 CRASH_EXIT_CODE = 70
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -58,74 +76,12 @@
     "straggle": faults.Straggle,
     "noise": faults.Noise,
     "fail": faults.FailFast,
+    "hang": faults.Hang,
+    "cool": faults.Cool,
 }
 
 
-@dataclasses.dataclass(frozen=True)
-class Options:
-    """Command line options of a stand-in target.
-
-    Parameters
-    ----------
-    id
-        Id of the target.
-    listen
-        IP number and port of the listener; port 0 selects a free port.
-    address
-        Address to announce if it is not the listener, such as that of a link.
-    api
-        Addresses of the entries' API listeners. Without any, the target is not
-        announced.
-    failure_domain
-        Failure domain to announce.
-    services
-        Services to announce.
-    slots
-        Maximum number of requests that run at the same time.
-    queue
-        Maximum number of requests that wait for a slot; further ones are shed.
-    service_ms
-        Median service time in ms.
-    sigma
-        Standard deviation of the logarithm of the service time.
-    cold_s
-        Time after the start in s during which the service time is longer.
-    cold_factor
-        Factor of the service time at the start; it decreases linearly to 1.
-    lag_s
-        Age of the reported load and health in s.
-    load_factor
-        Factor of the reported load; 1 reports the actual load.
-    report_load
-        Whether responses have the load header.
-    response_bytes
-        Length of the padding of each response in bytes.
-    runs
-        File in which the runs are recorded.
-    seed
-        Seed of the service times and the pauses.
-    """
-
-    id: str = "t1"
-    listen: str = "127.0.0.1:0"
-    address: str = ""
-    api: tuple[str, ...] = ()
-    failure_domain: str = "fd-a"
-    services: tuple[str, ...] = ("demo",)
-    slots: int = 4
-    queue: int = 0
-    service_ms: float = 10.0
-    sigma: float = 0.5
-    cold_s: float = 0.0
-    cold_factor: float = 1.0
-    lag_s: float = 0.0
-    load_factor: float = 1.0
-    report_load: bool = True
-    response_bytes: int = 0
-    runs: pathlib.Path | None = None
-    seed: int = 0
-
-
+Options = target_options.Options
 DEFAULTS = Options()
 
 
@@ -158,7 +114,10 @@
         self._slots = asyncio.Semaphore(options.slots)
         self._in_flight = 0
         self._reporter = loads.LoadReporter(options.lag_s, options.load_factor)
-        self._started_s = time.monotonic()
+        self._cold = colds.ColdStart(
+            options.cold_s, options.cold_factor, options.ramp_per_s, time.monotonic()
+        )
+        self.arrival_log = arrivals.ArrivalLog(options.arrivals)
         self._drained_s = float("inf")
         self._faults = faults.Faults(self._rng)
         self._completion_times_s: list[float] = []
@@ -198,12 +157,41 @@
         """
         opts = self.options
         service_s = opts.service_ms / 1000 * self._rng.lognormvariate(0.0, opts.sigma)
-        cold_share = 0.0
-        if opts.cold_s > 0:
-            cold_share = max(0.0, 1 - (now - self._started_s) / opts.cold_s)
-        return service_s * (1 + (opts.cold_factor - 1) * cold_share)
+        return service_s * self._cold.slowdown(now)
 
     async def _handle_work(self, req: aiohttp.web.Request) -> aiohttp.web.Response:
+        now = time.monotonic()
+        fields = [f"{name}: {value}" for name, value in req.headers.items()]
+        arrival = arrivals.Arrival(
+            target=self.options.id,
+            request_id=req.headers.get(REQUEST_ID_HEADER, ""),
+            entry=req.headers.get(ENTRY_HEADER, ""),
+            workspaces=req.headers.getall(WORKSPACE_HEADER, []),
+            time_s=time.time(),
+            leaked=[f.partition(":")[0] for f in fields if KEY_PREFIX in f],
+            is_cold=self._cold.remaining_s(now) > 0,
+            is_over_ramp=self._cold.exceeds(now),
+            is_hung=self._hangs(now),
+        )
+        self.arrival_log.begin(arrival)
+        arrival.end = arrivals.End.CANCELLED
+        try:
+            if arrival.is_hung:
+                await asyncio.Event().wait()
+            resp = await self._serve(req)
+            is_shed = verdicts.VERDICT_HEADER in resp.headers
+            arrival.end = arrivals.End.SHED if is_shed else arrivals.End.ANSWERED
+            return resp
+        finally:
+            arrival.ended_s = time.time()
+            self.arrival_log.write(arrival)
+
+    def _hangs(self, now: float) -> bool:
+        """Return whether a request that arrives now is never answered."""
+        is_full = self._in_flight >= self.options.slots + self.options.queue
+        return self._faults.is_hanging(now) or (self.options.hangs and is_full)
+
+    async def _serve(self, req: aiohttp.web.Request) -> aiohttp.web.Response:
         opts = self.options
         if self._faults.is_failing(time.monotonic()):
             return _json_response({"detail": "failure injected by /-/fail"}, status=500)
@@ -303,7 +291,10 @@
                 fault = msgspec.json.decode(await req.read(), type=kind)
             except msgspec.DecodeError as exc:
                 return _json_response({"detail": str(exc)}, status=400)
-            self._faults.apply(fault, time.monotonic())
+            if isinstance(fault, faults.Cool):
+                self._cold.restart(fault.for_s, time.monotonic())
+            else:
+                self._faults.apply(fault, time.monotonic())
             return _json_response({})
 
         return handle
@@ -314,7 +305,10 @@
     async def _handle_health(self, req: aiohttp.web.Request) -> aiohttp.web.Response:
         reported_s = time.monotonic() - self.options.lag_s
         state = "draining" if reported_s >= self._drained_s else "serving"
-        return _json_response({"state": state})
+        headers = self._headers()
+        remaining_s = self._cold.remaining_s(time.monotonic())
+        headers[COLD_HEADER] = str(round(remaining_s * 1000))
+        return _json_response({"state": state}, headers=headers)
 
     async def _handle_load(self, req: aiohttp.web.Request) -> aiohttp.web.Response:
         load = self._reporter.report(time.monotonic())
@@ -373,6 +367,7 @@
         await _announce_until_stopped(stop, target, address, session)
     await runner.cleanup()
     target.run_log.close()
+    target.arrival_log.close()
 
 
 async def _announce_until_stopped(
--- a/coltsfootchute/standins/tests/test_targets.py
+++ b/coltsfootchute/standins/tests/test_targets.py
@@ -15,6 +15,7 @@
 from coltsfootchute import verdicts
 from coltsfootchute.standins import (
     announcers,
+    arrivals,
     faults,
     fleets,
     keys,
@@ -207,3 +208,65 @@
         assert target.run_log.runs == []
 
     with_target(targets.Options(), scenario)
+
+
+async def _get(session, url, **headers):
+    timeout = aiohttp.ClientTimeout(total=0.3)
+    async with session.get(f"{url}/a", headers=headers, timeout=timeout) as resp:
+        return resp.status
+
+
+def test_arrivals_are_recorded_with_workspace_and_leaks(tmp_path):
+    """Guards against leaks and workspaces that the soak can't see."""
+    path = tmp_path / "arrivals.jsonl"
+
+    async def scenario(target, session, url):
+        headers = {targets.WORKSPACE_HEADER: "w", targets.ENTRY_HEADER: "e1"}
+        headers["Other"] = f"x {targets.KEY_PREFIX}1"
+        assert await _get(session, url, **headers) == 200
+        await session.post(f"{url}/-/hang", json={"for_s": 0.2})
+        with pytest.raises(TimeoutError):
+            await _get(session, url)
+        assert await _get(session, url) == 200
+
+    with_target(targets.Options(service_ms=1, arrivals=path), scenario)
+    first, hung, third = arrivals.read_arrivals([path])
+    assert (first.workspaces, first.entry, first.leaked) == (["w"], "e1", ["Other"])
+    assert (hung.is_hung, hung.end) == (True, arrivals.End.CANCELLED)
+    assert (third.is_hung, third.end) == (False, arrivals.End.ANSWERED)
+
+
+def test_a_full_target_may_hang_and_serves_health_checks_meanwhile():
+    """Guards against a target that sheds what the soak expects to hang."""
+
+    async def scenario(target, session, url):
+        sent = [asyncio.ensure_future(_get(session, url)) for _ in range(4)]
+        await asyncio.sleep(0.1)
+        async with session.get(f"{url}/-/health") as resp:
+            assert "named_metrics.in_flight=2" in resp.headers[verdicts.LOAD_HEADER]
+        results = await asyncio.gather(*sent, return_exceptions=True)
+        assert results.count(200) == 2
+        assert sum(isinstance(r, TimeoutError) for r in results) == 2
+
+    options = targets.Options(slots=1, queue=1, service_ms=100, sigma=0, hangs=True)
+    with_target(options, scenario)
+
+
+def test_a_cold_target_states_its_time_and_counts_requests_over_its_limit():
+    """Guards against a ramp that is exceeded without notice."""
+
+    async def scenario(target, session, url):
+        for _ in range(12):
+            await _get(session, url)
+        over = [arrival.is_over_ramp for arrival in target.arrival_log.arrivals]
+        assert over == [False] * 9 + [True] * 3
+        async with session.get(f"{url}/-/health") as resp:
+            assert 19_000 < int(resp.headers[targets.COLD_HEADER]) <= 20_000
+        await session.post(f"{url}/-/cool", json={"for_s": 0})
+        async with session.get(f"{url}/-/health") as resp:
+            assert resp.headers[targets.COLD_HEADER] == "0"
+        await _get(session, url)
+        assert not target.arrival_log.arrivals[-1].is_over_ramp
+
+    options = targets.Options(slots=9, service_ms=1, cold_s=20, ramp_per_s=1)
+    with_target(options, scenario)
