--- a/coltsfootchute/standins/clusters.py
+++ b/coltsfootchute/standins/clusters.py
@@ -178,10 +178,11 @@
 
     def _start_role(self, name: str, number: int, cfg: dict[str, typing.Any]) -> None:
         (role,) = cfg
-        instance = {"name": name, "failure_domain": self._failure_domain(number)}
+        instance = {"name": name, "failure_domain": self.failure_domain(number)}
         self.fleet.start_role(name, role, {"instance": instance, **cfg})
 
-    def _failure_domain(self, number: int) -> str:
+    def failure_domain(self, number: int) -> str:
+        """Return the failure domain of the process with this index."""
         return self._domains[number % len(self._domains)]
 
     async def _start_targets(self) -> None:
@@ -204,7 +205,7 @@
             "--id": name,
             "--listen": self.target_addresses[number],
             "--address": self._announced_addresses[number],
-            "--failure-domain": self._failure_domain(number),
+            "--failure-domain": self.failure_domain(number),
             "--runs": str(self.runs_path(name)),
             "--arrivals": str(self.arrivals_path(name)),
             "--seed": str(number),
--- a/coltsfootchute/standins/target_options.py
+++ b/coltsfootchute/standins/target_options.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import pathlib
+import typing
 
 __all__ = ["Options"]
 
@@ -41,9 +42,9 @@
         Age of the reported load and health in s.
     ramp_per_s
         Requests per second that it tolerates while it is cold; 0 for no limit.
-    hangs
-        Whether requests that find no slot and no queue place are never answered, in
-        place of shed.
+    when_full
+        What happens to requests that find no slot and no queue place: they are shed,
+        or hang and are never answered.
     load_factor
         Factor of the reported load; 1 reports the actual load.
     report_load
@@ -71,7 +72,7 @@
     cold_s: float = 0.0
     cold_factor: float = 1.0
     ramp_per_s: float = 0.0
-    hangs: bool = False
+    when_full: typing.Literal["shed", "hang"] = "shed"
     lag_s: float = 0.0
     load_factor: float = 1.0
     report_load: bool = True
--- a/coltsfootchute/standins/targets.py
+++ b/coltsfootchute/standins/targets.py
@@ -189,7 +189,8 @@
     def _hangs(self, now: float) -> bool:
         """Return whether a request that arrives now is never answered."""
         is_full = self._in_flight >= self.options.slots + self.options.queue
-        return self._faults.is_hanging(now) or (self.options.hangs and is_full)
+        hangs_when_full = self.options.when_full == "hang"
+        return self._faults.is_hanging(now) or (hangs_when_full and is_full)
 
     async def _serve(self, req: aiohttp.web.Request) -> aiohttp.web.Response:
         opts = self.options
