--- a/coltsfootchute/standins/clusters.py
+++ b/coltsfootchute/standins/clusters.py
@@ -182,11 +182,12 @@
 
     def _start_role(self, name: str, number: int, cfg: dict[str, typing.Any]) -> None:
         (role,) = cfg
-        instance = {"name": name, "failure_domain": self._failure_domain(number)}
+        instance = {"name": name, "failure_domain": self.failure_domain(number)}
         cfg = {"instance": instance, "failure_domains": self._known_domains, **cfg}
         self.fleet.start_role(name, role, cfg)
 
-    def _failure_domain(self, number: int) -> str:
+    def failure_domain(self, number: int) -> str:
+        """Return the failure domain of the process with this index."""
         return self._domains[number % len(self._domains)]
 
     async def _start_targets(self) -> None:
@@ -209,8 +210,9 @@
             "--id": name,
             "--listen": self.target_addresses[number],
             "--address": self._announced_addresses[number],
-            "--failure-domain": self._failure_domain(number),
+            "--failure-domain": self.failure_domain(number),
             "--runs": str(self.runs_path(name)),
+            "--arrivals": str(self.arrivals_path(name)),
             "--seed": str(number),
             **self._target_options,
             **more_options,
@@ -224,6 +226,10 @@
         """Return the file in which a target records its runs."""
         return self.fleet.folder / f"runs-{name}.jsonl"
 
+    def arrivals_path(self, name: str) -> pathlib.Path:
+        """Return the file in which a target records the requests that reach it."""
+        return self.fleet.folder / f"arrivals-{name}.jsonl"
+
     def runs_paths(self) -> list[pathlib.Path]:
         """Return the run files of all targets, without those that don't exist yet."""
         names = [process.name for process in self.fleet.of_role("target")]
