placements: keep slots for urgent routes and reserve the time of each route

Cause: a request waited as long as its own objective allowed, whatever its rank, and reserved the typical response time of its service. In a service with uploads and withdrawals the withdrawals counted as late on arrival, uploads filled the slots and used up the probes, and late requests took slots from those that could be in time.

Change: the decisions about a waiting request move to balancing/placements.py, without I/O. The placement "ranked" is the default for declared services with probes; "objective" is the one of before (entry.samples.placement). It reserves the response time of the route, leaves one useful slot of each target and most probes to more urgent ranks of the service, uses a slot that makes a target slower only if that pays, and refuses late requests at once unless most targets have room.

In entry/tests/test_placements.py the fakes got the fields that a placement reads, and max_wait_s is tested where it is now.

--- a/benchmarks/selection.py
+++ b/benchmarks/selection.py
@@ -9,8 +9,8 @@
 import pathlib
 import time
 
-from benchmarks import simulations
-from coltsfootchute.balancing import policies
+from benchmarks import deployments, overloads, simulations
+from coltsfootchute.balancing import placements, policies
 
 __all__ = ["check_aims", "main", "run_case"]
 
@@ -92,6 +92,22 @@
     return lines
 
 
+def print_overloads(args: argparse.Namespace) -> list[dict]:
+    """Play hard loads with each placement and print what callers got by route."""
+    make = functools.partial(
+        overloads.Case, duration_s=args.seconds, scale=args.scale, seed=args.seed
+    )
+    order = itertools.product(args.service, args.load, args.placement)
+    with concurrent.futures.ProcessPoolExecutor(args.jobs) as pool:
+        tables = list(pool.map(overloads.run_case, itertools.starmap(make, order)))
+    names = list(dict.fromkeys(itertools.chain(*itertools.chain(*tables))))
+    print(" ".join(f"{name:>11}" for name in names))
+    rows = list(itertools.chain(*tables))
+    for row in rows:
+        print(" ".join(f"{row.get(name, '')!s:>11}"[:16] for name in names))
+    return rows
+
+
 def main() -> None:
     """Run the selected cases and print the results."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -107,7 +123,19 @@
     parser.add_argument("--seed", type=int, default=SEED)
     parser.add_argument("--requests", type=int, help="number of requests per run")
     parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument(
+        "--load", nargs="*", help="play these hard loads in place of the faults"
+    )
+    parser.add_argument("--service", nargs="*", default=[*deployments.SERVICES])
+    parser.add_argument("--placement", nargs="*", default=placements.PLACEMENTS.names())
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--scale", type=float, default=1.0)
     args = parser.parse_args()
+    if args.load is not None:
+        rows = print_overloads(args)
+        if args.json:
+            args.json.write_text(json.dumps({"rows": rows}, indent=1))
+        return
     sizes = [size for size in SIZES if size.name in args.size]
     sizes = sizes[2:3] if args.quick else sizes
     requests = args.requests or (2000 if args.quick else 4000)
--- /dev/null
+++ b/benchmarks/tests/test_overloads.py
@@ -0,0 +1,74 @@
+"""Guards against losses of callers when a service has more requests than slots."""
+
+import contextlib
+import functools
+from unittest import mock
+
+import pytest
+
+from benchmarks import overloads
+from coltsfootchute.balancing import placements, response_times, urgencies
+
+_MEDIAN_S = response_times.ResponseTimes.median_s
+BROKEN = {
+    "rank_ignored": [
+        (urgencies.Urgencies, "has_more_urgent", lambda *_: False),
+        (urgencies.Urgencies, "has_less_urgent", lambda *_: False),
+    ],
+    "reserve_of_the_service": [
+        (response_times.ResponseTimes, "median_s", lambda s, *_: _MEDIAN_S(s, ""))
+    ],
+    "no_reserve": [(response_times.ResponseTimes, "median_s", lambda *_: 0.0)],
+    "late_first": [(placements, "MIN_ROOM_FOR_LATE", 0.0)],
+    "no_second_slot": [
+        (response_times, "useful_slots", response_times.uncrowded_slots)
+    ],
+}
+
+
+# Value of a route over that with the placement of before; a tolerance where nothing
+# may change.
+GAINS = [
+    ("payouts", "burst_uploads", "withdrawals", 0.3),
+    ("payouts", "burst_uploads", "uploads", 0.0),
+    ("reads", "1", "reads", 0.2),
+    ("smallest", "1", "dear", 0.15),
+    ("existing4", "0.9", "short", 0.1),
+    ("existing4", "0.9", "long", 0.0),
+    ("existing6", "0.9", "only", 0.1),
+    ("existing4", "0.5", "short", -0.015),
+    ("existing4", "0.5", "long", -0.015),
+    ("existing6", "0.5", "only", -0.015),
+]
+# Value that a route loses at least with a broken rule.
+LOSSES = [
+    ("payouts", "burst_uploads", "withdrawals", "rank_ignored", 0.25),
+    ("payouts", "burst_uploads", "withdrawals", "reserve_of_the_service", 0.15),
+    ("payouts", "burst_uploads", "withdrawals", "no_second_slot", 0.2),
+    ("reads", "1", "reads", "no_reserve", 0.06),
+    ("smallest", "1", "dear", "late_first", 0.05),
+]
+
+
+@functools.cache
+def play(service, load, placement, broken=""):
+    """Return the value that each route earned, 0 to 1."""
+    case = overloads.Case(service, load, placement, duration_s=8, scale=0.4)
+    with contextlib.ExitStack() as stack:
+        for owner, name, value in BROKEN.get(broken, ()):
+            stack.enter_context(mock.patch.object(owner, name, value))
+        return {row["route"]: row["value"] for row in overloads.run_case(case)}
+
+
+@pytest.mark.parametrize(("service", "load", "route", "gain"), GAINS)
+def test_callers_get_more_than_before(service, load, route, gain):
+    """Under overload urgent routes earned least, and no route may earn less now."""
+    before = play(service, load, "objective")[route]
+    assert play(service, load, "ranked")[route] >= before + gain
+
+
+@pytest.mark.parametrize(("service", "load", "route", "broken", "loss"), LOSSES)
+def test_each_rule_is_needed(service, load, route, broken, loss):
+    """A rule that is not in force must show in what callers get."""
+    value = play(service, load, "ranked")[route]
+    assert play(service, load, "ranked", broken)[route] <= value - loss
--- a/coltsfootchute/balancing/hedges.py
+++ b/coltsfootchute/balancing/hedges.py
@@ -3,7 +3,7 @@
 import itertools
 import math
 
-__all__ = ["HedgeDelay"]
+__all__ = ["HedgeDelay", "early_delay_s"]
 
 QUANTILE = 0.95
 MIN_SAMPLES = 50
@@ -15,6 +15,34 @@
 BUCKETS_PER_DOUBLING = 8
 # 160 buckets cover 0.1 ms to about 100 s with a relative error below 9 percent.
 BUCKETS = 160
+# Multiples of the typical response time: the time after which a response is late, and
+# the time that a hedge needs.
+HEDGE_DELAY_FACTOR = 1.15
+HEDGE_TIME_FACTOR = 1.1
+
+
+def early_delay_s(
+    typical_s: float | None, remaining_s: float | None, usual_s: float | None
+) -> float | None:
+    """Return the delay of a hedge that can still meet the objective, in seconds.
+
+    A hedge that starts late cannot meet the latency objective, and one that starts
+    before the typical response time is unnecessary for most requests.
+
+    Parameters
+    ----------
+    typical_s
+        Typical response time of the service; None if not known.
+    remaining_s
+        Time until the end of the objective; None without an objective.
+    usual_s
+        Result without an objective or typical response time.
+    """
+    if remaining_s is None or typical_s is None:
+        return usual_s
+    return max(
+        typical_s * HEDGE_DELAY_FACTOR, remaining_s - typical_s * HEDGE_TIME_FACTOR
+    )
 
 
 class HedgeDelay:
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -14,8 +14,10 @@
     policies,
     probes,
     quarantines,
+    response_times,
     statements,
     target_sets,
+    urgencies,
     views,
 )
 
@@ -111,6 +113,8 @@
             is_full=not settings.shares_burst,
         )
         self._hedge_delay = hedges.HedgeDelay()
+        self.response_times = response_times.ResponseTimes()
+        self.urgencies = urgencies.Urgencies()
         # Typical response time in seconds; None before the first response.
         self.typical_response_s: float | None = None
 
@@ -280,6 +284,7 @@
             TYPICAL_RISE_GAIN if difference_s > 0 else TYPICAL_FALL_GAIN
         )
         self._hedge_delay.record(response_s)
+        self.response_times.record(token.route, response_s / token.load_factor)
         if load is not None:
             token.view.record_load(load, now)
 
--- a/coltsfootchute/balancing/samples.py
+++ b/coltsfootchute/balancing/samples.py
@@ -50,7 +50,7 @@
             self._tokens = min(self._per_s, self._tokens + max(0.0, added))
         self._refilled_s = now
 
-    def take(self, wanted: int, now: float) -> int:
+    def take(self, wanted: int, now: float, leave: float = 0.0) -> int:
         """Take one token per probe.
 
         Parameters
@@ -59,6 +59,8 @@
             Number of probes that the request would send.
         now
             Time in seconds.
+        leave
+            Part of the capacity that is left to other requests, 0 to 1.
 
         Returns
         -------
@@ -66,6 +68,6 @@
             Number of probes that may be sent, at most `wanted`.
         """
         self._refill(now)
-        granted = min(wanted, int(self._tokens))
+        granted = min(wanted, max(0, int(self._tokens - leave * self._per_s)))
         self._tokens -= granted
         return granted
--- a/coltsfootchute/balancing/target_sets.py
+++ b/coltsfootchute/balancing/target_sets.py
@@ -42,6 +42,9 @@
         Whether `retry_burst` is this entry's part of a burst that all entries share.
     samples_per_s
         Probes per second and target that this entry may send before requests.
+    placement
+        Name of the placement in `placements.PLACEMENTS` for requests that wait at the
+        entry for a probed target.
     """
 
     policy: str = "expected_wait"
@@ -51,6 +54,7 @@
     retry_burst: float = budgets.MAX_TOKENS
     shares_burst: bool = False
     samples_per_s: float = 0.0
+    placement: str = "objective"
 
 
 class TargetSet:
@@ -94,6 +98,11 @@
         self._first_probe_s = -math.inf
         self._in_use_changed = False
 
+    @property
+    def placement(self) -> str:
+        """Name of the placement of requests that wait at the entry."""
+        return self._settings.placement
+
     @property
     def all_views(self) -> list[views.TargetView]:
         """Views of all targets, for status and metrics."""
@@ -138,6 +147,7 @@
         count: int,
         now: float,
         exclude: collections.abc.Collection[ids.TargetId] = (),
+        leave: float = 0.0,
     ) -> list[views.TargetView]:
         """Return the targets to probe before a request is sent.
 
@@ -149,6 +159,8 @@
             Time in seconds.
         exclude
             Targets that this request has tried.
+        leave
+            Part of the probe rate limit that is left to other requests, 0 to 1.
 
         Notes
         -----
@@ -170,7 +182,7 @@
         near = [v for v in found if v.target.failure_domain == domain]
         far = [v for v in found if v.target.failure_domain != domain]
         chosen = [*near[: count - 1], *far, *near[count - 1 :]][:count]
-        return chosen[: self._samples.take(len(chosen), now)]
+        return chosen[: self._samples.take(len(chosen), now, leave)]
 
     def mark_draining(self, target: views.Target) -> None:
         """Exclude an incarnation of a target from selection."""
@@ -243,18 +255,33 @@
             and view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
             and view.sampled_slowdown <= max_slowdown
         ]
-        if not found and not self._is_reporting(now):
+        if not found and not self.is_reporting(now):
             found = [view for view in eligible if not view.has_fresh_report(now)]
         return self._policy.select(found, now, self._rng)
 
-    def _last_report_s(self) -> float:
-        """Return the time of the last load report of any target."""
-        return max((v.last_report_s for v in self._views.values()), default=-math.inf)
+    def reported_views(
+        self, now: float, exclude: collections.abc.Collection[ids.TargetId] = ()
+    ) -> list[views.TargetView]:
+        """Return the eligible targets with a fresh load report.
 
-    def _is_reporting(self, now: float) -> bool:
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        exclude
+            Targets that this request has tried.
+        """
+        self._restore_excess(now)
+        return [v for v in self._eligible(now, exclude) if v.has_fresh_report(now)]
+
+    def is_reporting(self, now: float) -> bool:
         """Tell whether a target reported, or probing began, in `REPORT_TIMEOUT_S`."""
         return now - max(self._last_report_s(), self._first_probe_s) <= REPORT_TIMEOUT_S
 
+    def _last_report_s(self) -> float:
+        """Return the time of the last load report of any target."""
+        return max((v.last_report_s for v in self._views.values()), default=-math.inf)
+
     def _eligible(self, now, exclude) -> list[views.TargetView]:
         available = [
             view
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -119,12 +119,18 @@
         Whether its response time was measured already.
     is_open
         False after `Pool.finish_attempt`.
+    route
+        Name of the route of the request.
+    load_factor
+        How much longer the request was expected to take than at an idle target.
     """
 
     view: "TargetView"
     started_s: float
     is_measured: bool = False
     is_open: bool = True
+    route: str = ""
+    load_factor: float = 1.0
 
 
 class TargetView:
--- a/coltsfootchute/declarations/routes.py
+++ b/coltsfootchute/declarations/routes.py
@@ -6,7 +6,7 @@
 
 from coltsfootchute.declarations import schemas
 
-__all__ = ["RouteTable"]
+__all__ = ["MAX_PRIORITY", "RouteTable", "rank"]
 
 
 # The fractional part of the golden ratio: its multiples, modulo 1, are distributed
@@ -14,6 +14,15 @@
 GOLDEN_RATIO_FRACTION = 0.6180339887498949
 
 
+# Routes with a larger priority rank as this one.
+MAX_PRIORITY = 9
+
+
+def rank(priority: int) -> int:
+    """Return the rank of a route with this declared priority; 0 is served first."""
+    return min(priority, MAX_PRIORITY)
+
+
 class _WeightedSelector:
     """Selects services in proportion to the weights of their shares.
 
@@ -58,9 +67,13 @@
         self.declaration = declaration
         self._hosts: dict[str, dict[str, schemas.Route]] = collections.defaultdict(dict)
         self._selectors: dict[tuple[str, str], _WeightedSelector] = {}
+        # Ranks of the routes of each service.
+        self.ranks: dict[str, set[int]] = collections.defaultdict(set)
         for route in declaration.routes:
             host = route.host.lower()
             self._hosts[host][route.prefix] = route
+            for share in route.shares:
+                self.ranks[share.service].add(rank(route.priority))
             if len(route.shares) > 1:
                 self._selectors[host, route.prefix] = _WeightedSelector(
                     route.shares, phase
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -286,6 +286,8 @@
             service.pool.update_share(self._slots_share(table.section))
         self.by_name[name] = service
         service.health_path = self._view.health_paths.get(name, "")
+        if self._view.routes is not None:
+            service.pool.urgencies.declare(self._view.routes.ranks.get(name, ()))
         self._update_targets(service)
 
     def _update_targets(self, service: Service) -> None:
@@ -325,6 +327,7 @@
             shares_burst=True,
             policy="sampled" if self._uses_probes(section) else section.policy,
             samples_per_s=self._samples.per_target_s / self._entries,
+            placement=self._samples.placement,
         )
 
 
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -8,6 +8,7 @@
 import multidict
 
 from coltsfootchute import balancing, declarations, sections, settings, verdicts
+from coltsfootchute.declarations import routes
 from coltsfootchute.entry import attempts, phases, pools
 
 __all__ = [
@@ -28,12 +29,8 @@
 BUFFERED_RESPONSE_BYTES = 1 << 18
 # Deadline of a request if neither the caller nor the route sets one.
 DEFAULT_DEADLINE_MS = 30_000
-# Multiples of the typical response time: the time after which a response is late, and
-# the time that a hedge needs.
-HEDGE_DELAY_FACTOR = 1.15
-HEDGE_TIME_FACTOR = 1.1
 # Highest priority of a rule, for routes whose declared priority is 0.
-MAX_PRIORITY = 9
+MAX_PRIORITY = routes.MAX_PRIORITY
 KEY_CHARS = 36
 
 
@@ -119,7 +116,7 @@
         path=route.prefix,
         repeatable=repeatable,
         deadline_ms=deadline_ms,
-        priority=max(0, MAX_PRIORITY - route.priority),
+        priority=MAX_PRIORITY - routes.rank(route.priority),
         hedge=repeatable and route.attempts > 1,
         max_body_bytes=limits.max_body_bytes,
         replay_bytes=REPLAY_BYTES,
@@ -305,18 +302,13 @@
         return now - self.started_s + self._earlier_wait_s
 
     def hedge_delay(self, now: float) -> float | None:
-        """Return the delay of a hedge in seconds, or None for no hedge.
-
-        A hedge that starts late cannot meet the latency objective, and one that starts
-        before the typical response time is unnecessary for most requests.
-        """
+        """Return the delay of a hedge in seconds, or None for no hedge."""
         pool = self.service.pool
-        if self.rule.objective_ms is None or pool.typical_response_s is None:
-            return pool.hedge_delay(now)
-        remaining_s = self.rule.objective_ms / 1000 - self.age_s(now)
-        return max(
-            pool.typical_response_s * HEDGE_DELAY_FACTOR,
-            remaining_s - pool.typical_response_s * HEDGE_TIME_FACTOR,
+        remaining_s = None
+        if self.rule.objective_ms is not None:
+            remaining_s = self.rule.objective_ms / 1000 - self.age_s(now)
+        return balancing.hedges.early_delay_s(
+            pool.typical_response_s, remaining_s, pool.hedge_delay(now)
         )
 
     def attempt_headers(self, now: float, target_id: str) -> multidict.CIMultiDict[str]:
--- a/coltsfootchute/entry/samplers.py
+++ b/coltsfootchute/entry/samplers.py
@@ -59,6 +59,7 @@
         service: pools.Service,
         deadline_s: float,
         tried_target_ids: collections.abc.Collection[ids.TargetId] = (),
+        left: float = 0.0,
     ) -> int:
         """Refresh the load of a few targets.
 
@@ -70,6 +71,8 @@
             Time of the monotonic clock by which the request must be answered.
         tried_target_ids
             Targets that the request is not sent to again.
+        left
+            Part of the probe rate limit that is left to other requests, 0 to 1.
 
         Returns
         -------
@@ -81,7 +84,9 @@
             return 0
         if deadline_s - now < MIN_REMAINING_S:
             return 0
-        views = service.pool.probe_candidates(self._cfg.fan_out, now, tried_target_ids)
+        views = service.pool.probe_candidates(
+            self._cfg.fan_out, now, tried_target_ids, left
+        )
         tasks = [asyncio.ensure_future(self._probe(service, view)) for view in views]
         if not tasks:
             return 0
--- a/coltsfootchute/entry/tests/test_placements.py
+++ b/coltsfootchute/entry/tests/test_placements.py
@@ -8,8 +8,9 @@
 import pytest
 
 from coltsfootchute import balancing, ids
-from coltsfootchute.balancing import samples
-from coltsfootchute.entry import placements, pools
+from coltsfootchute.balancing import placements, samples
+from coltsfootchute.entry import placements as entry_placements
+from coltsfootchute.entry import pools
 
 
 def make_pool(*loads, slots=4):
@@ -88,7 +89,10 @@
     """Return a call of a service whose targets are full."""
     return types.SimpleNamespace(
         service=types.SimpleNamespace(pool=pool),
-        rule=types.SimpleNamespace(objective_ms=objective_ms),
+        rule=types.SimpleNamespace(
+            name="r", objective_ms=objective_ms, repeatable=True
+        ),
+        rank=(0, 0),
         age_s=lambda now: 0.0,
         deadline=clock() + deadline_s,
         tried_target_ids=[],
@@ -104,7 +108,7 @@
         pool = make_pool((4, 1))
 
         class Sampler:
-            async def sample(self, service, deadline_s, tried):
+            async def sample(self, service, deadline_s, tried, left=0.0):
                 # Full until the objective can no longer be met.
                 now = clock()
                 requests = load if now > free_from_s else 4
@@ -115,11 +119,11 @@
         free_from_s = clock() + 0.1
         call = overloaded_call(pool, clock, objective_ms=50, deadline_s=5)
         if is_served:
-            await placements.Placer(Sampler()).place(call)
+            await entry_placements.Placer(Sampler()).place(call)
             assert clock() >= free_from_s
             return
         with pytest.raises(pools.RefusedError, match="had a free slot"):
-            await placements.Placer(Sampler()).place(call)
+            await entry_placements.Placer(Sampler()).place(call)
 
     asyncio.run(scenario())
 
@@ -135,14 +139,15 @@
 )
 def test_the_wait_ends_when_the_objective_cannot_be_met(age_s, expected):
     """A request must not wait for a free slot until its answer is useless."""
-    pool = types.SimpleNamespace(typical_response_s=0.1)
-    call = types.SimpleNamespace(
-        service=types.SimpleNamespace(pool=pool),
-        rule=types.SimpleNamespace(objective_ms=300),
-        age_s=lambda now: age_s,
-        deadline=1e12,
+    waiting = placements.Waiting(
+        route="r",
+        rank=(0, 0),
+        objective_s=0.3,
+        asked_s=100.0 - age_s,
+        deadline_s=1e12,
     )
-    assert placements.max_wait_s(call) == pytest.approx(expected)
+    found = placements.max_wait_s(waiting, 0.1, 100.0)
+    assert found == pytest.approx(expected)
 
 
 def test_a_request_waits_for_a_free_slot_and_is_refused_early():
@@ -150,7 +155,7 @@
         pool = make_pool((4, 1))
 
         class Sampler:
-            async def sample(self, service, deadline_s, tried):
+            async def sample(self, service, deadline_s, tried, left=0.0):
                 for view in pool.all_views:
                     view.record_load(balancing.LoadReport(4, None, 1.0), clock())
                 return 0
@@ -159,7 +164,7 @@
         call = overloaded_call(pool, clock, objective_ms=50, deadline_s=5)
         started = clock()
         with pytest.raises(pools.RefusedError, match="had a free slot"):
-            await placements.Placer(Sampler()).place(call)
+            await entry_placements.Placer(Sampler()).place(call)
         assert clock() - started < 1
 
     asyncio.run(scenario())
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -183,11 +183,15 @@
         Number of targets that are probed before one request.
     wait_s
         Maximum time in seconds that a request waits for the replies to its probes.
+    placement
+        Rules by which a request waits for a target with free slots: by the objective
+        alone, or also by rank and by the response times of its route.
     """
 
     per_target_s: typing.Annotated[float, msgspec.Meta(ge=0, le=1000)] = 0.0
     fan_out: typing.Annotated[int, msgspec.Meta(ge=1, le=16)] = 3
     wait_s: typing.Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.03
+    placement: typing.Literal["ranked", "objective"] = "ranked"
 
 
 class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
