--- a/coltsfootchute/control/tests/test_allotments.py
+++ b/coltsfootchute/control/tests/test_allotments.py
@@ -141,17 +141,23 @@
     assert len(world.ran) >= 0.9 * 20 * 20
 
 
-@pytest.mark.parametrize("change", [(40.0, 40.0, 10.0), (10.0, 10.0, 40.0)], ids=str)
-def test_a_changed_limit_applies_within_one_window(change):
-    rate, burst, new_rate = change
-    world = allotment_worlds.World(rate, burst, seed=7)
+@pytest.mark.parametrize("is_cut", [False, True], ids=["owner", "alone"])
+@pytest.mark.parametrize("change", [(40.0, 10.0), (10.0, 40.0)], ids=str)
+def test_a_changed_limit_applies_within_one_window(change, is_cut):
+    rate, new_rate = change
+    world = allotment_worlds.World(rate, rate, seed=7)
     world.run(8, 120.0)
+    for entry in world.entries:
+        entry.is_cut = is_cut
+    world.run(3, 120.0)
     world.set_limits(new_rate, new_rate)
     changed_s = world.now
     world.run(10, 120.0)
     limit = world.limits["w"]
     assert world.worst(since=changed_s) <= limit.bound
-    assert sum(t > changed_s + 5 for t in world.ran) >= 0.85 * 5 * new_rate
+    # Without an owner, tokens expire at entries that get no request in time.
+    least = 0.5 if is_cut else 0.85
+    assert sum(t > changed_s + 5 for t in world.ran) >= least * 5 * new_rate
 
 
 def grant_everything(owner, now):
--- a/coltsfootchute/entry/tests/test_accounts.py
+++ b/coltsfootchute/entry/tests/test_accounts.py
@@ -184,7 +184,8 @@
 
     After a freeze of the entry, messages that waited in the socket are out of date.
     """
-    monkeypatch.setattr(accounts, "IDLE_TIMEOUT_S", 0.3)
+    if fault != "frozen":
+        monkeypatch.setattr(accounts, "IDLE_TIMEOUT_S", 0.3)
     monkeypatch.setattr(accounts, "RETURN_AFTER_S", (0.3, 0.5))
 
     async def main():
