control: test entries that are cut off as a surge begins

Cause: no test failed without the debt that an entry without an owner starts with.

Before / after: with the debt forgotten, the new scenario exceeds the bound; 59 tests of test_allotments passed.

--- a/coltsfootchute/control/tests/test_allotments.py
+++ b/coltsfootchute/control/tests/test_allotments.py
@@ -37,6 +37,12 @@
     surge(world, usual)
 
 
+def cut_some_as_a_surge_begins(world, usual):
+    for number in SOME:
+        world.entries[number].is_cut = True
+    surge(world, usual)
+
+
 def cut_all(world, usual):
     world.run(3, SURGE * usual)
     for entry in world.entries:
@@ -92,6 +98,7 @@
     surge_at_one_entry,
     delayed,
     cut_some,
+    cut_some_as_a_surge_begins,
     cut_all,
     cut_all_while_idle,
     two_owners,
@@ -168,12 +175,19 @@
     bucket.level += (new_share - share) * 5 * bucket.limit.capacity
 
 
+def forget_debts(ruler, account, rate, now):
+    account.unconfirmed = 0
+    original_begin_alone(ruler, account, rate, now)
+
+
+original_begin_alone = rulers.Allotments._begin_alone
 # Each row breaks one rule and names a scenario that has to notice.
 BROKEN = [
     (allotments, "THRESHOLD", -50.0, surge),
     (allotments.Owner, "_update_share", grant_everything, two_owners),
     (allotments._Bucket, "change_share", carry_whole_bursts, owner_killed_and_replaced),
     (rulers, "OWNER_TIMEOUT_S", 600.0, cut_all_while_idle),
+    (rulers.Allotments, "_begin_alone", forget_debts, cut_some_as_a_surge_begins),
     (rulers, "FALLBACK_PART", 50.0, cut_all_while_idle),
 ]
 
@@ -183,7 +197,7 @@
     module, name, value, scenario = row
     monkeypatch.setattr(module, name, value)
     with pytest.raises(AssertionError):
-        for size in [(100.0, 0.0), (20.0, 20.0)]:
+        for size in [(100.0, 100.0), (100.0, 0.0), (20.0, 20.0)]:
             test_a_workspace_stays_within_its_limit(scenario, size)
 
 
