--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -14,8 +14,10 @@
     policies,
     probes,
     quarantines,
+    response_times,
     statements,
     target_sets,
+    urgencies,
     views,
 )
 
@@ -111,6 +113,8 @@
             is_full=not settings.shares_burst,
         )
         self._hedge_delay = hedges.HedgeDelay()
+        self.response_times = response_times.ResponseTimes()
+        self.urgencies = urgencies.Urgencies()
         # Typical response time in seconds; None before the first response.
         self.typical_response_s: float | None = None
 
@@ -245,8 +249,13 @@
         if hedge_delay_s is None or chosen.latency_s(now) <= hedge_delay_s:
             return chosen
         # While a serving target is eligible, suspect ones get no requests, so only
-        # targets of the same state are compared.
-        peers = [view for view in self._in_use() if not view.is_ejected(now)]
+        # targets of the same state are compared. One at rest won't get the request
+        # either, and its estimate decreases while it is idle.
+        peers = [
+            view
+            for view in self._in_use()
+            if not view.is_ejected(now) and not view.is_at_rest(now)
+        ]
         peers = [v for v in peers if v.is_serving() == chosen.is_serving()]
         fast = policies.without_slow(found, peers, now)
         if len(fast) == len(found):
@@ -280,6 +289,7 @@
             TYPICAL_RISE_GAIN if difference_s > 0 else TYPICAL_FALL_GAIN
         )
         self._hedge_delay.record(response_s)
+        self.response_times.record(token.route, response_s / token.load_factor)
         if load is not None:
             token.view.record_load(load, now)
 
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -73,7 +73,9 @@
             self.view, cfg.instance.failure_domain, entry.retries, entry.samples
         )
         self.feed = feeds.Feed()
-        self._watcher = watches.Watcher(self.view, name, entry.control)
+        self._watcher = watches.Watcher(
+            self.view, name, entry.control, cfg.instance.failure_domain
+        )
         self._api = apis.Api(
             view=self.view,
             client=self.client,
@@ -81,6 +83,7 @@
             meters=self.metrics,
             own_instance=self.own_instance,
             keep_s=entry.keep_s,
+            failure_domains=cfg.failure_domains,
         )
         self._instance = coltsfootchute_pb2.Instance(
             name=name,
@@ -365,6 +368,9 @@
                 fields["target"] = change.removed_target_id
             elif kind == "declaration":
                 fields["version"] = change.declaration.version
+            elif kind == "evacuation":
+                fields["failure_domain"] = change.evacuation.failure_domain
+                fields["ended"] = change.evacuation.ended
             logs.log_event("feed", f"received {kind}", **fields)
 
     def reload(self, cfg: settings.Settings) -> None:
--- a/coltsfootchute/entry/state_tables.py
+++ b/coltsfootchute/entry/state_tables.py
@@ -1,14 +1,16 @@
-"""Sections, routes, targets and quarantines as an entry knows them."""
+"""Sections, routes, targets, quarantines and evacuations as an entry knows them."""
 
 import random
 
 import loguru
 
-from coltsfootchute import announcements, declarations, errors, sections
+from coltsfootchute import announcements, declarations, errors, logs, sections
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["StateTables"]
 
+MAX_LOGGED_NAMES = 10
+
 
 class StateTables:
     """Tables that the changes of a feed update.
@@ -24,9 +26,14 @@
         self.rule_tables: dict[str, sections.RuleTable] = {}
         # Routes of the declaration in force; None as long as there is none.
         self.routes: declarations.RouteTable | None = None
+        # Version whose workspaces were logged, and these workspaces.
+        self._logged_version = 0
+        self._logged_workspaces: declarations.WorkspaceTable | None = None
         self.health_paths: dict[str, str] = {}
         self.targets: dict[str, coltsfootchute_pb2.Target] = {}
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
+        # Failure domains whose targets get no new requests, with the start in Unix ms.
+        self.evacuated: dict[str, int] = {}
 
     def targets_of(self, service: str) -> list[coltsfootchute_pb2.Target]:
         """Return the targets that announced a service."""
@@ -58,6 +65,7 @@
         for table in (self.sections, self.rule_tables, self.health_paths, self.targets):
             table.clear()
         self.quarantines.clear()
+        self.evacuated.clear()
         return changed
 
     def _apply(self, change: coltsfootchute_pb2.FeedChange) -> set[str]:
@@ -77,8 +85,19 @@
                 self.quarantines.pop(key, None)
             else:
                 self.quarantines[key] = change.quarantine
+        if kind == "evacuation":
+            return self._apply_evacuation(change.evacuation)
         return set()
 
+    def _apply_evacuation(self, evacuation: coltsfootchute_pb2.Evacuation) -> set[str]:
+        domain = evacuation.failure_domain
+        if evacuation.ended:
+            self.evacuated.pop(domain, None)
+        else:
+            self.evacuated[domain] = evacuation.started_ms
+        located = (t for t in self.targets.values() if t.failure_domain == domain)
+        return {service for target in located for service in target.services}
+
     def _apply_section(self, section: coltsfootchute_pb2.SectionInForce) -> set[str]:
         try:
             table = sections.RuleTable(sections.parse(section.document))
@@ -115,8 +134,31 @@
                 self.rule_tables[service.name] = sections.RuleTable(empty)
             self.health_paths[service.name] = service.health_path
         self.routes = declarations.RouteTable(declared, random.random())
+        self._log_workspaces()
         return removed | self.health_paths.keys()
 
+    def _log_workspaces(self) -> None:
+        """Log once for each version what it changes in the workspaces."""
+        declared, table = self.routes.declaration, self.routes.workspaces
+        if declared.version == self._logged_version:
+            return
+        changes = declarations.workspace_changes(self._logged_workspaces, table)
+        if any(changes.values()):
+            logs.log_event(
+                "feed", "workspaces changed", version=declared.version, **changes
+            )
+        limited = [r.name for r in declared.routes if r.regions]
+        limited += [w.name for w in declared.workspaces or () if w.regions]
+        if limited:
+            logs.log_event(
+                "feed",
+                "regions are stored but not enforced",
+                version=declared.version,
+                names=limited[:MAX_LOGGED_NAMES],
+            )
+        self._logged_version = declared.version
+        self._logged_workspaces = table
+
     def _apply_target(self, target: coltsfootchute_pb2.Target) -> set[str]:
         previous = self.targets.pop(target.target_id, None)
         try:
--- a/coltsfootchute/entry/tests/test_accounts.py
+++ b/coltsfootchute/entry/tests/test_accounts.py
@@ -9,7 +9,8 @@
 
 from coltsfootchute import declarations, settings
 from coltsfootchute.control.tests import clusters
-from coltsfootchute.entry import accounts, daemons, matches, metrics
+from coltsfootchute.entry import accounts, daemons, metrics
+from coltsfootchute.entry import workspaces as checkers
 from coltsfootchute.entry.tests import fakes, test_declared
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
@@ -20,16 +21,13 @@
 @pytest.fixture
 def workspaces(monkeypatch):
     """Name the workspace in a header, in place of a key."""
-    original = matches.Matcher._match
 
-    def match(self, request, now):
-        call = original(self, request, now)
-        declared = self._view.routes.declaration.workspaces
+    def find(self, routes, route, request):
+        declared = routes.workspaces
         name = request.headers.get("X-Workspace")
-        call.workspace = next((w for w in declared if w.name == name), None)
-        return call
+        return None if declared is None else declared.by_name.get(name)
 
-    monkeypatch.setattr(matches.Matcher, "_match", match)
+    monkeypatch.setattr(checkers.Checker, "find", find)
 
 
 async def send(harness, number, workspace="small", **fields):
--- a/coltsfootchute/standins/clusters.py
+++ b/coltsfootchute/standins/clusters.py
@@ -71,6 +71,8 @@
         Time for which callers may keep addresses, in s.
     entry_settings
         Additional settings of the entries.
+    failure_domains
+        Setting of the same name of the processes.
     route
         Coroutine function that takes the name of an entry and the addresses of
         the control instances, and returns the addresses to which the entry
@@ -103,6 +105,7 @@
         target_options: typing.Mapping[str, str] = types.MappingProxyType({}),
         keep_s: float = 5.0,
         entry_settings: typing.Mapping[str, typing.Any] = types.MappingProxyType({}),
+        failure_domains: typing.Sequence[str] = (),
         route: Route = direct,
         target_route: Route = direct,
     ):
@@ -113,6 +116,7 @@
         self._target_options = target_options
         self._keep_s = keep_s
         self._entry_settings = entry_settings
+        self._known_domains = list(failure_domains)
         self.apis: list[str] = []
         self.calls: list[str] = []
         self.control_addresses: list[str] = []
@@ -178,10 +182,12 @@
 
     def _start_role(self, name: str, number: int, cfg: dict[str, typing.Any]) -> None:
         (role,) = cfg
-        instance = {"name": name, "failure_domain": self._failure_domain(number)}
-        self.fleet.start_role(name, role, {"instance": instance, **cfg})
+        instance = {"name": name, "failure_domain": self.failure_domain(number)}
+        cfg = {"instance": instance, "failure_domains": self._known_domains, **cfg}
+        self.fleet.start_role(name, role, cfg)
 
-    def _failure_domain(self, number: int) -> str:
+    def failure_domain(self, number: int) -> str:
+        """Return the failure domain of the process with this index."""
         return self._domains[number % len(self._domains)]
 
     async def _start_targets(self) -> None:
@@ -204,8 +210,9 @@
             "--id": name,
             "--listen": self.target_addresses[number],
             "--address": self._announced_addresses[number],
-            "--failure-domain": self._failure_domain(number),
+            "--failure-domain": self.failure_domain(number),
             "--runs": str(self.runs_path(name)),
+            "--arrivals": str(self.arrivals_path(name)),
             "--seed": str(number),
             **self._target_options,
             **more_options,
@@ -219,6 +226,10 @@
         """Return the file in which a target records its runs."""
         return self.fleet.folder / f"runs-{name}.jsonl"
 
+    def arrivals_path(self, name: str) -> pathlib.Path:
+        """Return the file in which a target records the requests that reach it."""
+        return self.fleet.folder / f"arrivals-{name}.jsonl"
+
     def runs_paths(self) -> list[pathlib.Path]:
         """Return the run files of all targets, without those that don't exist yet."""
         names = [process.name for process in self.fleet.of_role("target")]
