--- a/coltsfootchute/control/accounts.py
+++ b/coltsfootchute/control/accounts.py
@@ -77,7 +77,9 @@
     async def run(self) -> None:
         """Keep the limits and the list of entries current, until cancelled."""
         while True:
-            await self._has_connections.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(INSTANCES_INTERVAL_S):
+                    await self._has_connections.wait()
             self._tick(feeds.clock())
             await asyncio.sleep(TICK_S)
 
@@ -131,7 +133,8 @@
             self._publish_news(now)
 
     def _tick(self, now: float) -> None:
-        self._update_limits(now)
+        if self._connections:
+            self._update_limits(now)
         if now - self._listed_s >= INSTANCES_INTERVAL_S:
             self._listed_s = now
             known = self._maintenance.instances.all()
--- a/coltsfootchute/control/allotments.py
+++ b/coltsfootchute/control/allotments.py
@@ -17,6 +17,9 @@
 KNOWN_S = 30.0
 # Entries report at least every second. Until then a silent entry counts as reporting.
 REPORTING_S = 2.0
+# If this much time passed between two checks, the process was frozen. The entries are
+# as many as before, and their reports still wait in the sockets.
+FREEZE_S = 5.0
 # Time constant of the estimate of the offered rate. A shorter one is noisy at one
 # request a second, and a longer one admits too much at the start of a surge.
 OFFERED_S = 0.3
@@ -128,6 +131,7 @@
         self._buckets: dict[str, _Bucket] = {}
         self._reporters: dict[str, _Reporter] = {}
         self._known: dict[str, float] = {}
+        self._expired_s = -math.inf
         self._share = 0.0
         self._published: dict[str, tuple[float, float]] = {}
 
@@ -209,7 +213,10 @@
             self._update_share(now)
 
     def expire(self, now: float) -> None:
-        """Drop entries that have not been seen for a time."""
+        """Drop entries that have not been seen for a time; called each second."""
+        frozen_s, self._expired_s = now - self._expired_s, now
+        if FREEZE_S < frozen_s < math.inf:
+            self._known = {n: s + frozen_s for n, s in self._known.items()}
         for name in [n for n, s in self._known.items() if now - s > KNOWN_S]:
             del self._known[name]
         for name in [
--- a/coltsfootchute/entry/accounts.py
+++ b/coltsfootchute/entry/accounts.py
@@ -31,7 +31,8 @@
 REPORT_GAP_S = 0.02
 # Interval of reports without usage, by which an owner knows that the entry runs.
 IDLE_REPORT_S = 1.0
-RETRY_PAUSE_S = 0.2
+# Range of the pause after no control instance has answered.
+RETRY_PAUSE_S = (0.5, 1.5)
 # Range of the time after which an earlier owner in the order is tried again. Entries
 # return one after another, so that the earlier one gets their shares one by one.
 RETURN_AFTER_S = (3.0, 5.0)
@@ -204,7 +205,7 @@
             await self._is_limiting.wait()
             if rank >= len(self._owners):
                 rank = 0
-                await asyncio.sleep(RETRY_PAUSE_S)
+                await asyncio.sleep(self._rng.uniform(*RETRY_PAUSE_S))
                 continue
             rank = await self._follow(self._owners, rank)
 
