control: end the streams of usage reports through the service

Cause: the stop of a control instance named an attribute that the instances of the scenario language do not have, so the 3 cases of test_scenarios[planned_stop_of_the_leader] failed.

Change: ControlService.close ends the streams, if it has any.

--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -256,7 +256,7 @@
         await self._transfer(min(TRANSFER_TIMEOUT_S, TRANSFER_FRACTION * left_s))
         self._log_step("closing the feed", watchers=self.core.feed.watcher_count)
         self.core.feed.close()
-        self.accounts.close()
+        self.control.close()
         feed_close_s = min(FEED_CLOSE_WAIT_S, FEED_CLOSE_FRACTION * left_s)
         await asyncio.sleep(feed_close_s if self.core.feed.watcher_count else 0)
         self._log_step("feed closed", watchers=self.core.feed.watcher_count)
--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -296,6 +296,11 @@
         """Return the status of this instance; any control instance answers."""
         return self.status()
 
+    def close(self) -> None:
+        """End the streams of `Account`."""
+        if self._accounts is not None:
+            self._accounts.close()
+
     def status(self) -> pb.StatusReply:
         """Return the reply of `Status`."""
         replica = self._core.replica
