placements: hedge only beside stopped targets, spread the return of refused callers

Cause: a hedge of a request with 7 times the work takes a slot for the same time again and gains nothing, and in overload it was sent for nearly every late request. Refused callers all returned after the same time. The preference for the own failure domain outweighed a free fast target elsewhere.

Change: balancing/second_attempts.py looks at a repeatable request after its typical time, again and again, by a probe of its target, and allows a hedge only if the target does not answer; at-most-once requests are never hedged, as before. balancing/returns.py derives Retry-After from the objective and the part of targets that have room, spread at random. The policy sampled_near uses the failure domain as a tie-break only. Late requests start if half of the targets have room (four fifths before).

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -11,6 +11,7 @@
 SPELL_SLOWDOWN = 5.0
 SPELL_S = 0.15
 SPELL_SHARE = 0.3
+STALL_S = 1.5
 # Share of the requests with more work than others, and its factor.
 LARGE_SHARE = 0.03
 LARGE_FACTOR = 7.0
@@ -75,6 +76,9 @@
     burst_route, burst_factor, burst_s
         Route whose requests are multiplied by the factor for `burst_s`, in the middle
         of the run; none if empty.
+    stall_share
+        Share of the time in which a host does nothing and answers no probes, in stalls
+        of 1.5 s.
     """
 
     name: str
@@ -82,6 +86,7 @@
     burst_route: str = ""
     burst_factor: float = 2.5
     burst_s: float = 5.0
+    stall_share: float = 0.0
 
 
 _PAYOUTS = (
@@ -161,6 +166,7 @@
     for load in (
         *(Load(f"{level:g}", level) for level in (0.5, 0.7, 0.9, 1.0, 1.2)),
         *(Load(f"burst_{r}", 0.7, r) for r in ("uploads", "reads", "submissions")),
+        Load("stalls", 0.5, stall_share=0.05),
         *(Load(f"burst_{r}", 0.7, r) for r in ("dear", "cheap", "long", "only")),
     )
 }
--- a/benchmarks/overloads.py
+++ b/benchmarks/overloads.py
@@ -15,16 +15,14 @@
 import math
 import random
 
-from benchmarks import deployments
+from benchmarks import deployments, overload_targets
 from coltsfootchute import balancing, verdicts
-from coltsfootchute.balancing import hedges, placements
+from coltsfootchute.balancing import hedges, placements, second_attempts
 
 __all__ = ["Case", "Simulation", "run_case"]
 
 PROBES_PER_TARGET_S = 40 * 0.95
-PROBE_WORK_S = 0.006
-PROBE_RTT_S = 0.004
-ONE_WAY_S = 0.001
+PROBE_WAIT_S = 0.03
 WORK_SIGMA = 0.35
 WARM_UP_S = 4.0
 LATE_VALUE = 0.1
@@ -64,97 +62,6 @@
     scale: float = 1.0
 
 
-class Target:
-    """A target with slots, a queue, spells of its host and dynamic speed."""
-
-    def __init__(self, simulation, number):
-        self.simulation, self.number = simulation, number
-        self.service = simulation.service
-        self.running, self.queue = {}, collections.deque()
-        self.updated_s, self.version, self.is_slow = 0.0, 0, False
-        self._toggle_later()
-
-    def _toggle_later(self):
-        share = self.service.spell_share
-        mean_s = deployments.SPELL_S
-        if not self.is_slow:
-            mean_s *= (1 - share) / share
-        delay_s = self.simulation.host_rng.expovariate(1 / mean_s)
-        self.simulation.call_later(delay_s, self._toggle)
-
-    def _toggle(self):
-        self._advance()
-        self.is_slow = not self.is_slow
-        self._schedule()
-        self._toggle_later()
-
-    @property
-    def slowdown(self):
-        """Slowdown that the target states."""
-        return deployments.SPELL_SLOWDOWN if self.is_slow else 1.0
-
-    def _advance(self):
-        now = self.simulation.now
-        speed = 1 / self.slowdown / self.service.crowding(len(self.running))
-        done_s = (now - self.updated_s) * speed
-        for attempt in self.running:
-            self.running[attempt] -= done_s
-        self.updated_s = now
-
-    def _schedule(self):
-        self.version += 1
-        if not self.running:
-            return
-        factor = self.slowdown * self.service.crowding(len(self.running))
-        delay_s = max(0.0, min(self.running.values())) * factor
-        self.simulation.call_later(delay_s, self._complete, self.version)
-
-    def probe(self, view):
-        """Report the load, and spend the work of the probe."""
-        self._advance()
-        for attempt in self.running:
-            self.running[attempt] += PROBE_WORK_S / self.service.slots
-        self._schedule()
-        in_flight = len(self.running) + len(self.queue)
-        report = balancing.LoadReport(in_flight, None, self.slowdown)
-        self.simulation.call_later(PROBE_RTT_S / 2, self._report, view, report)
-
-    def _report(self, view, report):
-        view.probe_sent_s = math.inf
-        view.record_load(report, self.simulation.now)
-
-    def arrive(self, attempt):
-        """Run, queue or shed an attempt, or never answer it."""
-        if len(self.running) < self.service.slots:
-            self._advance()
-            self.running[attempt] = attempt.request.work_s
-            self._schedule()
-        elif len(self.queue) < self.service.queue:
-            self.queue.append(attempt)
-        elif self.service.hangs:
-            self.simulation.counts["hangs"] += 1
-        else:
-            self.simulation.counts["sheds"] += 1
-            outcome = balancing.Outcome.SHED
-            self.simulation.call_later(ONE_WAY_S, attempt.finish, outcome)
-
-    def _complete(self, version):
-        if version != self.version:
-            return
-        self._advance()
-        in_flight = len(self.running) + len(self.queue)
-        report = balancing.LoadReport(in_flight, None, self.slowdown)
-        done = [a for a, left_s in self.running.items() if left_s <= 1e-9]
-        for attempt in done:
-            del self.running[attempt]
-            outcome = balancing.Outcome.OK
-            self.simulation.call_later(ONE_WAY_S, attempt.finish, outcome, report)
-        while self.queue and len(self.running) < self.service.slots:
-            attempt = self.queue.popleft()
-            self.running[attempt] = attempt.request.work_s
-        self._schedule()
-
-
 class Attempt:
     """One attempt of a request at one target."""
 
@@ -166,7 +73,9 @@
         number = int(view.target.target_id)
         is_fresh = not request.route.is_repeatable
         simulation.count_connection(request.entry, number, is_fresh)
-        simulation.call_later(ONE_WAY_S, simulation.targets[number].arrive, self)
+        simulation.call_later(
+            overload_targets.ONE_WAY_S, simulation.targets[number].arrive, self
+        )
 
     def finish(self, outcome, load=None):
         """Record the end of the attempt at the entry."""
@@ -202,9 +111,11 @@
         """Probe, and decide after the answers."""
         if self.is_over:
             return
-        count = self.entry.sample(self.waiting.tried, leave=self.placement.left_probes)
+        count = self.entry.sample(self.waiting.tried, self.placement.left_probes)
         if count:
-            self.simulation.call_later(PROBE_RTT_S + 1e-4, self.step, count)
+            self.simulation.call_later(
+                overload_targets.PROBE_RTT_S + 1e-4, self.step, count
+            )
         else:
             self.step(count)
 
@@ -228,7 +139,10 @@
         """Start the first attempt, and plan the hedge."""
         now, pool = self.simulation.now, self.entry.pool
         Attempt(self, placements.start(pool, self.waiting, view, now))
-        if not self.route.is_repeatable or len(self.attempts) > 1:
+        if not self.route.is_repeatable:
+            return
+        if self.simulation.case.placement == "ranked":
+            self.check_later()
             return
         delay_s = hedges.early_delay_s(
             pool.typical_response_s,
@@ -238,12 +152,38 @@
         if delay_s is not None:
             self.simulation.call_later(delay_s, self.hedge)
 
+    def check_later(self):
+        """Look at the request again while it is in progress."""
+        typical_s = placements.typical_s(self.entry.pool, self.waiting)
+        delay_s = second_attempts.check_interval_s(typical_s)
+        self.simulation.call_later(delay_s, self.check)
+
+    def check(self):
+        """Probe the first target and others."""
+        if self.is_over or len(self.attempts) > 1:
+            return
+        token = self.attempts[0].token
+        self.entry.sample(self.waiting.tried, also=token.view)
+        delay_s = overload_targets.PROBE_RTT_S + 1e-4
+        if self.simulation.targets[int(token.view.target.target_id)].is_stalled:
+            delay_s = PROBE_WAIT_S
+        self.simulation.call_later(delay_s, self.decide)
+
+    def decide(self):
+        """Send a second attempt if it gains."""
+        if self.is_over:
+            return
+        if second_attempts.gains(self.attempts[0].token, self.simulation.now):
+            self.send_hedge()
+        if len(self.attempts) == 1:
+            self.check_later()
+
     def hedge(self):
         """Probe for a second target."""
         if self.is_over:
             return
-        self.entry.sample(self.waiting.tried, self.attempts[0].token.view)
-        self.simulation.call_later(PROBE_RTT_S + 1e-4, self.send_hedge)
+        self.entry.sample(self.waiting.tried)
+        self.simulation.call_later(overload_targets.PROBE_RTT_S + 1e-4, self.send_hedge)
 
     def send_hedge(self):
         """Send a hedge if a probed target has spare slots."""
@@ -343,8 +283,9 @@
         self.simulation, self.number = simulation, number
         domain = str(number % service.domains)
         samples_per_s = PROBES_PER_TARGET_S / service.entries
+        is_ranked = simulation.case.placement == "ranked"
         settings = balancing.PoolSettings(
-            policy="sampled",
+            policy="sampled_near" if is_ranked else "sampled",
             retry_budget_percent=RETRY_PERCENT,
             retry_burst=max(1.0, 0.8 * RETRY_BURST / service.entries),
             shares_burst=True,
@@ -360,23 +301,20 @@
         ]
         self.pool.update_targets(targets, 0.0)
 
-    def sample(self, tried, also=None, leave=0.0):
-        """Probe some targets, and one more if given; return how many."""
+    def sample(self, tried, leave=0.0, also=None):
+        """Probe some targets, first the one given; return how many."""
         simulation = self.simulation
         now = simulation.now
         found = self.pool.probe_candidates(
-            simulation.service.fan_out, now, tried, leave
+            simulation.service.fan_out, now, tried, leave, also
         )
-        if also is not None and also.probe_sent_s == math.inf:
-            found.append(also)
         for view in found:
             view.probe_sent_s = now
             number = int(view.target.target_id)
             simulation.counts["probes"] += 1
             simulation.count_connection(self, number, False)
-            simulation.call_later(
-                PROBE_RTT_S / 2, simulation.targets[number].probe, view
-            )
+            target = simulation.targets[number]
+            simulation.call_later(overload_targets.PROBE_RTT_S / 2, target.probe, view)
         return len(found)
 
 
@@ -395,6 +333,7 @@
         self.numbers = itertools.count()
         # One generator for each purpose, so that placements see the same load.
         self.rng = random.Random(f"{case.seed}/callers")
+        self.stall_rng = random.Random(f"{case.seed}/stalls")
         self.host_rng = random.Random(f"{case.seed}/hosts")
         self.arrival_rngs = {
             r.name: random.Random(f"{case.seed}/{r.name}") for r in self.service.routes
@@ -403,7 +342,9 @@
         self.latencies_s = collections.defaultdict(list)
         self.connections = {}
         self.end_s = WARM_UP_S + case.duration_s
-        self.targets = [Target(self, i) for i in range(self.service.targets)]
+        self.targets = [
+            overload_targets.Target(self, i) for i in range(self.service.targets)
+        ]
         self.entries = [Entry(self, i) for i in range(self.service.entries)]
         shares = sum(r.share for r in self.service.routes)
         base = self.load.level * self.service.requests_per_s / shares
--- a/benchmarks/tests/test_overloads.py
+++ b/benchmarks/tests/test_overloads.py
@@ -7,7 +7,12 @@
 import pytest
 
 from benchmarks import overloads
-from coltsfootchute.balancing import placements, response_times, urgencies
+from coltsfootchute.balancing import (
+    placements,
+    response_times,
+    second_attempts,
+    urgencies,
+)
 
 _MEDIAN_S = response_times.ResponseTimes.median_s
 BROKEN = {
@@ -20,6 +25,7 @@
     ],
     "no_reserve": [(response_times.ResponseTimes, "median_s", lambda *_: 0.0)],
     "late_first": [(placements, "MIN_ROOM_FOR_LATE", 0.0)],
+    "hedges_always": [(second_attempts, "gains", lambda *_: True)],
     "no_second_slot": [
         (response_times, "useful_slots", response_times.uncrowded_slots)
     ],
@@ -32,6 +38,7 @@
     ("payouts", "burst_uploads", "withdrawals", 0.3),
     ("payouts", "burst_uploads", "uploads", 0.0),
     ("reads", "1", "reads", 0.2),
+    ("smallest", "0.7", "dear", 0.2),
     ("smallest", "1", "dear", 0.15),
     ("existing4", "0.9", "short", 0.1),
     ("existing4", "0.9", "long", 0.0),
@@ -47,6 +54,7 @@
     ("payouts", "burst_uploads", "withdrawals", "no_second_slot", 0.2),
     ("reads", "1", "reads", "no_reserve", 0.06),
     ("smallest", "1", "dear", "late_first", 0.05),
+    ("smallest", "0.7", "dear", "hedges_always", 0.05),
 ]
 
 
--- a/coltsfootchute/balancing/placements.py
+++ b/coltsfootchute/balancing/placements.py
@@ -13,7 +13,7 @@
 import typing
 
 from coltsfootchute import ids, registries, verdicts
-from coltsfootchute.balancing import pools, response_times, views
+from coltsfootchute.balancing import pools, response_times, returns, views
 
 __all__ = ["PLACEMENTS", "PROBE_INTERVAL_S", "Placement", "Waiting", "make"]
 
@@ -55,9 +55,7 @@
 # Part of its spare time for which a request waits for a fast target.
 FAST_WAIT_PART = 0.5
 # Part of the probed targets with a free slot above which late requests are started.
-MIN_ROOM_FOR_LATE = 0.8
-# A failed attempt costs several typical response times.
-FAILURE_COST = 6.0
+MIN_ROOM_FOR_LATE = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -178,7 +176,11 @@
 
 
 def refusal(
-    pool: pools.Pool, now: float, until_s: float, is_last: bool
+    pool: pools.Pool,
+    now: float,
+    until_s: float,
+    is_last: bool,
+    retry_after_s: float | None = None,
 ) -> verdicts.Refusal | None:
     """Refuse a request that no target can take until a time; None to wait."""
     if not pool.is_serving:
@@ -186,7 +188,9 @@
     at_rest = pool.rest_refusal(now, until_s)
     if at_rest is None and is_last:
         return not_run(
-            verdicts.Reason.QUEUE_FULL, "no probed target had a free slot in time"
+            verdicts.Reason.QUEUE_FULL,
+            "no probed target had a free slot in time",
+            retry_after_s,
         )
     return at_rest
 
@@ -259,32 +263,43 @@
         self._settles_from_s = now + FAST_WAIT_PART * spare_s
 
     def step(self, now):
-        """Return the target with the shortest expected response time."""
+        """Return the best of the targets that answer in time."""
         pool, waiting = self._pool, self._waiting
         fresh = pool.reported_views(now, waiting.tried)
-        is_last = now + PROBE_INTERVAL_S > self._until_s
         if fresh:
             free = sum(map(_is_uncrowded, fresh))
             pool.urgencies.record_room(free / len(fresh), now)
         elif not pool.is_reporting(now):
             view = pool.select_with_room(now, MAX_OCCUPANCY, waiting.tried)
-            return view or refusal(pool, now, self._until_s, is_last)
+            return view or self._refusal(now)
         is_late = now + self._work_s > self._end_s
         if is_late and pool.urgencies.room < MIN_ROOM_FOR_LATE:
-            return refusal(pool, now, self._until_s, is_last)
+            return self._refusal(now)
         expected_s = {
             view: self._expected_s(view)
             for view in fresh
             if self._may_use(view, now, is_late)
         }
-        costs = {
-            view: time_s * (1 + FAILURE_COST * view.failure_rate(now))
+        found = [
+            view
             for view, time_s in expected_s.items()
             if is_late or now + time_s <= self._end_s
-        }
-        if costs:
-            return min(costs, key=costs.get)
-        return refusal(pool, now, self._until_s, is_last)
+        ]
+        if found:
+            return pool.choose(found, now)
+        return self._refusal(now)
+
+    def _refusal(self, now):
+        pool = self._pool
+        return refusal(
+            pool,
+            now,
+            self._until_s,
+            now + PROBE_INTERVAL_S > self._until_s,
+            returns.retry_after_s(
+                self._waiting.objective_s, pool.urgencies.room, pool.rng
+            ),
+        )
 
     def _may_use(self, view, now, is_late):
         load = view.sampled_load() + 1
--- a/coltsfootchute/balancing/policies.py
+++ b/coltsfootchute/balancing/policies.py
@@ -23,6 +23,8 @@
 UNKNOWN_SLOWDOWN = 1.6
 OVERDUE_SLOWDOWN = 6.0
 CROSS_DOMAIN_COST = 0.3
+# The same for `sampled_near`, which only breaks ties between equally fast targets.
+EQUAL_DOMAIN_COST = 0.02
 # A failed attempt costs several typical response times.
 FAILURE_COST = 6.0
 # A target normally answers a probe within a few milliseconds.
@@ -175,6 +177,7 @@
     """
 
     waits_for_fast = False
+    cross_domain_cost = CROSS_DOMAIN_COST
 
     def __init__(self, failure_domain: ids.FailureDomain):
         self._failure_domain = failure_domain
@@ -204,10 +207,24 @@
         cost = slowdown * rounds * latency_ratio
         cost *= 1 + FAILURE_COST * view.failure_rate(now)
         if view.target.failure_domain != self._failure_domain:
-            cost += CROSS_DOMAIN_COST
+            cost += self.cross_domain_cost
         return cost
 
 
+@POLICIES.register("sampled_near")
+class SampledNear(Sampled):
+    """Select by load reports, and among equally fast targets the nearest. O(n).
+
+    Notes
+    -----
+    The load that this answers: hardly any target has a free slot. Then a preference for
+    the own failure domain that outweighs a difference in speed costs callers more than
+    the traffic between domains.
+    """
+
+    cross_domain_cost = EQUAL_DOMAIN_COST
+
+
 def without_slow(
     views: collections.abc.Sequence[views_.TargetView],
     peers: collections.abc.Sequence[views_.TargetView],
--- a/coltsfootchute/balancing/response_times.py
+++ b/coltsfootchute/balancing/response_times.py
@@ -12,9 +12,9 @@
 
 __all__ = ["ResponseTimes", "load_factor", "uncrowded_slots", "useful_slots"]
 
-# Number of recent response times that are kept for a route: a few minutes of an entry
-# with one request a second.
-MAX_SAMPLES = 64
+# Number of recent response times that are kept for a route: half a minute of an entry
+# with one request a second. A declaration may have more than a thousand routes.
+MAX_SAMPLES = 32
 # With fewer response times of a route, those of the whole service are used.
 MIN_SAMPLES = 3
 # Requests are slower by this factor while more than this part of the slots is in use.
@@ -39,7 +39,7 @@
 
     def record(self, route: str, response_s: float) -> None:
         """Add a response time in seconds at an idle target of normal speed."""
-        for name in (route, ""):
+        for name in {route, ""}:
             recent = self._recent.setdefault(name, collections.deque())
             ordered = self._sorted.setdefault(name, [])
             if len(recent) >= MAX_SAMPLES:
--- a/coltsfootchute/balancing/target_sets.py
+++ b/coltsfootchute/balancing/target_sets.py
@@ -98,6 +98,11 @@
         self._first_probe_s = -math.inf
         self._in_use_changed = False
 
+    @property
+    def rng(self) -> random.Random:
+        """Random number generator of the pool."""
+        return self._rng
+
     @property
     def placement(self) -> str:
         """Name of the placement of requests that wait at the entry."""
@@ -148,6 +153,7 @@
         now: float,
         exclude: collections.abc.Collection[ids.TargetId] = (),
         leave: float = 0.0,
+        also: views.TargetView | None = None,
     ) -> list[views.TargetView]:
         """Return the targets to probe before a request is sent.
 
@@ -161,6 +167,8 @@
             Targets that this request has tried.
         leave
             Part of the probe rate limit that is left to other requests, 0 to 1.
+        also
+            A target that is probed before all others.
 
         Notes
         -----
@@ -182,6 +190,8 @@
         near = [v for v in found if v.target.failure_domain == domain]
         far = [v for v in found if v.target.failure_domain != domain]
         chosen = [*near[: count - 1], *far, *near[count - 1 :]][:count]
+        if also is not None and also.probe_sent_s == math.inf:
+            chosen = [also, *chosen]
         return chosen[: self._samples.take(len(chosen), now, leave)]
 
     def mark_draining(self, target: views.Target) -> None:
@@ -274,6 +284,12 @@
         self._restore_excess(now)
         return [v for v in self._eligible(now, exclude) if v.has_fresh_report(now)]
 
+    def choose(
+        self, found: collections.abc.Sequence[views.TargetView], now: float
+    ) -> views.TargetView | None:
+        """Return the one of the targets that the policy selects."""
+        return self._policy.select(found, now, self._rng)
+
     def is_reporting(self, now: float) -> bool:
         """Tell whether a target reported, or probing began, in `REPORT_TIMEOUT_S`."""
         return now - max(self._last_report_s(), self._first_probe_s) <= REPORT_TIMEOUT_S
--- a/coltsfootchute/entry/dispatches.py
+++ b/coltsfootchute/entry/dispatches.py
@@ -120,14 +120,20 @@
         if view is None or not pool.may_retry():
             return None
         self._meters.retries.labels(verdicts.Reason.TARGET_FAILED.value).inc()
-        return pool.start_attempt(view, time.monotonic())
+        return self._start(call, view)
 
     async def _attempt_with_hedge(
         self, call: requests.Call, token: balancing.AttemptToken
     ) -> races.AttemptResult:
         delay_s = None
         if call.can_hedge:
-            delay_s = call.hedge_delay(time.monotonic())
+            now = time.monotonic()
+            uses_probes = self._uses_probes(call)
+            delay_s = (
+                self._placer.hedge_delay_s(call, now)
+                if uses_probes
+                else call.hedge_delay(now)
+            )
         if delay_s is None:
             return await self._attempt(call, token)
 
@@ -135,7 +141,7 @@
             typing.Coroutine[typing.Any, typing.Any, races.AttemptResult] | None
         ):
             if self._uses_probes(call):
-                return self._place_hedge(call)
+                return self._place_hedge(call, token)
             second = self._hedge(call)
             return None if second is None else self._attempt(call, second)
 
@@ -174,6 +180,14 @@
             following=view.target.target_id,
             **selection_fields(call),
         )
+        return self._start(call, view)
+
+    def _start(
+        self, call: requests.Call, view: balancing.TargetView
+    ) -> balancing.AttemptToken:
+        now = time.monotonic()
+        if self._uses_probes(call):
+            return self._placer.start(call, view, now)
         return call.service.pool.start_attempt(view, now)
 
     async def _retry(
@@ -245,17 +259,19 @@
         is_free = is_free and len(call.tried_target_ids) <= MAX_FREE_RETRIES
         if view is None or not (is_free or pool.may_retry()):
             return None
-        return pool.start_attempt(view, time.monotonic())
+        return self._start(call, view)
 
-    async def _place_hedge(self, call: requests.Call) -> races.AttemptResult:
-        """Send a hedge if a probed target has spare slots."""
+    async def _place_hedge(
+        self, call: requests.Call, first: balancing.AttemptToken
+    ) -> races.AttemptResult:
+        """Send a hedge if a probed target has spare slots and the hedge gains."""
         pool = call.service.pool
-        view = await self._placer.find(call)
+        view = await self._placer.find_hedge(call, first)
         if view is None or not pool.may_hedge():
             raise attempts.AttemptError(
                 verdicts.Verdict.NOT_RUN,
                 verdicts.Reason.NO_TARGET,
-                "no probed target had spare slots",
+                "no second attempt: the first one ended, or no target had spare slots",
             )
         return await self._attempt(call, self._start_hedge(call, view))
 
--- a/coltsfootchute/entry/placements.py
+++ b/coltsfootchute/entry/placements.py
@@ -1,11 +1,12 @@
 """Selection of targets with free slots by probes right before a request."""
 
 import asyncio
+import math
 import random
 import time
 
 from coltsfootchute import balancing, verdicts
-from coltsfootchute.balancing import placements
+from coltsfootchute.balancing import placements, second_attempts
 from coltsfootchute.entry import pools, requests, samplers
 
 __all__ = ["MAX_HEDGE_OCCUPANCY", "MAX_OCCUPANCY", "Placer", "waiting_of"]
@@ -14,6 +15,8 @@
 MAX_OCCUPANCY = placements.MAX_OCCUPANCY
 # Maximum occupancy for hedges, which are sent only to targets with spare slots.
 MAX_HEDGE_OCCUPANCY = 0.55
+# Interval at which a call that may be hedged checks whether its first attempt ended.
+POLL_S = 0.02
 
 
 class Placer:
@@ -76,6 +79,59 @@
             time.monotonic(), occupancy, call.tried_target_ids
         )
 
+    def start(
+        self, call: requests.Call, view: balancing.TargetView, now: float
+    ) -> balancing.AttemptToken:
+        """Start an attempt of a call at a target."""
+        return placements.start(call.service.pool, waiting_of(call, now), view, now)
+
+    def hedge_delay_s(self, call: requests.Call, now: float) -> float | None:
+        """Return after how many seconds to look for a hedge; None for no hedge."""
+        pool = call.service.pool
+        if pool.placement == "objective":
+            return call.hedge_delay(now)
+        typical_s = placements.typical_s(pool, waiting_of(call, now))
+        return second_attempts.check_interval_s(typical_s)
+
+    async def find_hedge(
+        self, call: requests.Call, first: balancing.AttemptToken
+    ) -> balancing.TargetView | None:
+        """Return the target of a hedge; None if there is none or it is not needed.
+
+        Parameters
+        ----------
+        call
+            A repeatable call.
+        first
+            Its first attempt. Its target is probed until a hedge gains or it ends.
+        """
+        pool = call.service.pool
+        if pool.placement == "objective":
+            return await self.find(call)
+        attempt = call.attempts[-1]
+        check_s = -math.inf
+        # A response with a server error ends the attempt before its token is closed.
+        while first.is_open and attempt.message is None:
+            now = time.monotonic()
+            if now >= check_s:
+                view = await self._check_first(call, first)
+                if view is not None:
+                    return view
+                check_s = now + self.hedge_delay_s(call, now)
+            await asyncio.sleep(POLL_S)
+        return None
+
+    async def _check_first(
+        self, call: requests.Call, first: balancing.AttemptToken
+    ) -> balancing.TargetView | None:
+        """Return the target of a hedge if it gains now."""
+        pool, tried = call.service.pool, call.tried_target_ids
+        await self._sampler.sample(call.service, call.deadline, tried, 0.0, first.view)
+        now = time.monotonic()
+        if not second_attempts.gains(first, now):
+            return None
+        return pool.select_with_room(now, MAX_HEDGE_OCCUPANCY, tried)
+
 
 def waiting_of(call: requests.Call, now: float) -> placements.Waiting:
     """Return what the placement of a call depends on."""
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -313,6 +313,11 @@
         # Only declared services have no rules.
         return not section.rules and self._samples.per_target_s > 0
 
+    def _policy(self, section: sections.Section) -> str:
+        if not self._uses_probes(section):
+            return section.policy
+        return "sampled_near" if self._samples.placement == "ranked" else "sampled"
+
     def _pool_settings(self, section: sections.Section) -> balancing.PoolSettings:
         if section.rules:
             return _pool_settings(section)
@@ -325,7 +330,7 @@
             retry_budget_percent=self._retries.percent,
             retry_burst=max(1.0, burst),
             shares_burst=True,
-            policy="sampled" if self._uses_probes(section) else section.policy,
+            policy=self._policy(section),
             samples_per_s=self._samples.per_target_s / self._entries,
             placement=self._samples.placement,
         )
--- a/coltsfootchute/entry/samplers.py
+++ b/coltsfootchute/entry/samplers.py
@@ -60,6 +60,7 @@
         deadline_s: float,
         tried_target_ids: collections.abc.Collection[ids.TargetId] = (),
         left: float = 0.0,
+        also: balancing.TargetView | None = None,
     ) -> int:
         """Refresh the load of a few targets.
 
@@ -73,6 +74,8 @@
             Targets that the request is not sent to again.
         left
             Part of the probe rate limit that is left to other requests, 0 to 1.
+        also
+            A target that is probed before all others.
 
         Returns
         -------
@@ -85,7 +88,7 @@
         if deadline_s - now < MIN_REMAINING_S:
             return 0
         views = service.pool.probe_candidates(
-            self._cfg.fan_out, now, tried_target_ids, left
+            self._cfg.fan_out, now, tried_target_ids, left, also
         )
         tasks = [asyncio.ensure_future(self._probe(service, view)) for view in views]
         if not tasks:
--- a/coltsfootchute/entry/tests/test_placements.py
+++ b/coltsfootchute/entry/tests/test_placements.py
@@ -1,6 +1,7 @@
 """Guards against requests that are sent to full, slow or unknown targets."""
 
 import asyncio
+import dataclasses
 import math
 import random
 import types
@@ -168,3 +169,42 @@
         assert clock() - started < 1
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("is_answered", "has_failed", "is_hedged"),
+    [(True, False, False), (False, False, True), (False, True, False)],
+)
+def test_a_hedge_is_sent_only_beside_a_target_that_has_stopped(
+    is_answered, has_failed, is_hedged
+):
+    """A request with much work must not take a second slot, nor wait after an error."""
+
+    async def scenario():
+        clock = asyncio.get_running_loop().time
+        pool = make_pool((1, 1), (0, 1))
+        pool.update_settings(dataclasses.replace(pool._settings, placement="ranked"))
+        first = pool.start_attempt(pool.all_views[0], clock())
+        attempt = types.SimpleNamespace(message=None)
+
+        class Sampler:
+            async def sample(self, service, deadline_s, tried, left, also):
+                assert also is first.view
+                other = pool.all_views[1]
+                other.record_load(balancing.LoadReport(0, None, 1.0), clock())
+                if not is_answered:
+                    also.probe_sent_s = clock() - 0.03
+                if has_failed or is_answered:
+                    attempt.message = "head"
+                return 1
+
+        call = overloaded_call(pool, clock, objective_ms=500, deadline_s=5)
+        call.attempts = [attempt]
+        call.tried_target_ids = ["t0"]
+        if has_failed:
+            attempt.message = "head"
+        placer = entry_placements.Placer(Sampler())
+        found = await asyncio.wait_for(placer.find_hedge(call, first), 2)
+        assert (found is pool.all_views[1]) == is_hedged
+
+    asyncio.run(scenario())
