placements: refuse early where waiting is in vain, urgent requests of an entry first

Cause: under a lasting overload callers waited for their whole objective before they were refused. In one entry, the request that happened to look first took a free slot.

Requests of one entry leave a free slot to a waiting one of a more urgent rank.

--- a/benchmarks/overloads.py
+++ b/benchmarks/overloads.py
@@ -234,7 +234,7 @@
 
     def end(self):
         """Release the attempts that no one waits for."""
-        self.is_over = True
+        self.is_over, self.placement = True, None
         for attempt in self.attempts:
             pool, now = self.entry.pool, self.simulation.now
             pool.finish_attempt(attempt.token, balancing.Outcome.CANCELLED, now)
--- a/benchmarks/tests/test_overloads.py
+++ b/benchmarks/tests/test_overloads.py
@@ -8,6 +8,7 @@
 
 from benchmarks import overloads
 from coltsfootchute.balancing import (
+    outlooks,
     placements,
     response_times,
     second_attempts,
@@ -25,6 +26,7 @@
     ],
     "no_reserve": [(response_times.ResponseTimes, "median_s", lambda *_: 0.0)],
     "late_first": [(placements, "MIN_ROOM_FOR_LATE", 0.0)],
+    "late_refusal": [(outlooks.Outlook, "is_in_vain", lambda *_: False)],
     "hedges_always": [(second_attempts, "gains", lambda *_: True)],
     "no_second_slot": [
         (response_times, "useful_slots", response_times.uncrowded_slots)
@@ -59,13 +61,18 @@
 
 
 @functools.cache
-def play(service, load, placement, broken=""):
-    """Return the value that each route earned, 0 to 1."""
+def play_rows(service, load, placement, broken=""):
+    """Return the rows of a short run with fewer entries."""
     case = overloads.Case(service, load, placement, duration_s=8, scale=0.4)
     with contextlib.ExitStack() as stack:
         for owner, name, value in BROKEN.get(broken, ()):
             stack.enter_context(mock.patch.object(owner, name, value))
-        return {row["route"]: row["value"] for row in overloads.run_case(case)}
+        return overloads.run_case(case)
+
+
+def play(*case):
+    """Return the value that each route earned, 0 to 1."""
+    return {row["route"]: row["value"] for row in play_rows(*case)}
 
 
 @pytest.mark.parametrize(("service", "load", "route", "gain"), GAINS)
@@ -80,3 +87,16 @@
     """A rule that is not in force must show in what callers get."""
     value = play(service, load, "ranked")[route]
     assert play(service, load, "ranked", broken)[route] <= value - loss
+
+
+def test_refusals_come_early_under_lasting_overload():
+    """Callers that can't be served must hear so within an eighth of the objective."""
+
+    def early_part(placement, broken=""):
+        rows = play_rows("reads", "1.2", placement, broken)[1:]
+        quick, slow = (sum(row[name] for row in rows) for name in ("quick", "slow"))
+        return quick / (quick + slow)
+
+    found = early_part("ranked")
+    assert found >= early_part("objective") + 0.4
+    assert found >= early_part("ranked", "late_refusal") + 0.08
--- a/coltsfootchute/balancing/placements.py
+++ b/coltsfootchute/balancing/placements.py
@@ -13,7 +13,7 @@
 import typing
 
 from coltsfootchute import ids, registries, verdicts
-from coltsfootchute.balancing import pools, response_times, returns, views
+from coltsfootchute.balancing import outlooks, pools, response_times, returns, views
 
 __all__ = ["PLACEMENTS", "PROBE_INTERVAL_S", "Placement", "Waiting", "make"]
 
@@ -242,8 +242,11 @@
     3. A target is made crowded only if that pays, and by requests that are answered in
        time there. Slow targets get requests only when there is no time or no room to
        wait for a fast one.
-    4. A request that can't be in time any more is refused at once, unless most of the
-       targets have free slots.
+    4. A request that can't be in time any more is refused at once, unless half of the
+       targets have free slots. Where most waiting is in vain, so are requests that
+       found no slot within an eighth of their objective.
+    5. In one entry, a free slot is left to the requests of a more urgent rank that wait
+       for one, and to those that are not late.
     """
 
     def __init__(self, pool: pools.Pool, waiting: Waiting, now: float):
@@ -260,10 +263,32 @@
         self._end_s = min(self._end_s, waiting.deadline_s)
         self._until_s = max(self._end_s - self._work_s, now + MIN_WAIT_S)
         spare_s = self._until_s - now
+        objective_s = waiting.objective_s or spare_s
+        # One probe interval is left for the refusal to be in time.
+        self._early_s = now + outlooks.EARLY_PART * objective_s - PROBE_INTERVAL_S
+        self._waits_long = False
+        # Sort key in this entry. Least slack first within a rank lost: at four slots,
+        # routes with a long objective fell from 1.0 to 0.85 of their value.
+        self.order = (waiting.rank, self._end_s - self._work_s < now)
+        pool.urgencies.enter(self)
         self._settles_from_s = now + FAST_WAIT_PART * spare_s
 
     def step(self, now):
         """Return the best of the targets that answer in time."""
+        outlook, route = self._pool.outlook, self._waiting.route
+        found = self._decide(now)
+        if found is None and not self._waits_long and now >= self._early_s:
+            self._waits_long = not outlook.is_in_vain(route, self._pool.rng)
+            if not self._waits_long:
+                self._until_s = now
+                found = self._refusal(now)
+        elif found is not None and self._waits_long:
+            outlook.record(route, isinstance(found, views.TargetView))
+        if found is not None:
+            self._pool.urgencies.leave(self)
+        return found
+
+    def _decide(self, now):
         pool, waiting = self._pool, self._waiting
         fresh = pool.reported_views(now, waiting.tried)
         if fresh:
@@ -285,7 +310,7 @@
             for view, time_s in expected_s.items()
             if is_late or now + time_s <= self._end_s
         ]
-        if found:
+        if len(found) > pool.urgencies.count_ahead(self):
             return pool.choose(found, now)
         return self._refusal(now)
 
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -11,6 +11,7 @@
     ejections,
     hedges,
     loads,
+    outlooks,
     policies,
     probes,
     quarantines,
@@ -115,6 +116,7 @@
         self._hedge_delay = hedges.HedgeDelay()
         self.response_times = response_times.ResponseTimes()
         self.urgencies = urgencies.Urgencies()
+        self.outlook = outlooks.Outlook()
         # Typical response time in seconds; None before the first response.
         self.typical_response_s: float | None = None
 
--- a/coltsfootchute/balancing/returns.py
+++ b/coltsfootchute/balancing/returns.py
@@ -36,4 +36,5 @@
     """
     if objective_s is None:
         return None
-    return max(MIN_RETURN_S, rng.uniform(*RETURN_PARTS) * objective_s * (1 - room))
+    wait_s = rng.uniform(*RETURN_PARTS) * objective_s * (1 - room)
+    return round(max(MIN_RETURN_S, wait_s), 3)
--- a/coltsfootchute/balancing/tests/test_overloads.py
+++ b/coltsfootchute/balancing/tests/test_overloads.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from coltsfootchute.balancing import response_times, returns, urgencies
+from coltsfootchute import balancing, verdicts
+from coltsfootchute.balancing import (
+    outlooks,
+    placements,
+    response_times,
+    returns,
+    urgencies,
+)
 
 
 def test_refused_callers_return_spread_and_urgent_ones_first():
@@ -68,3 +75,81 @@
     rank = (3, 3)
     assert found.has_more_urgent(rank, now) == expected[0]
     assert found.has_less_urgent(rank, now) == expected[1]
+
+
+def make_pool(load, slots=2):
+    """Return a pool of one target that has just reported its load."""
+    settings = balancing.PoolSettings(policy="sampled_near", placement="ranked")
+    pool = balancing.Pool("s", settings, "a", 1, random.Random(1))
+    pool.update_targets([balancing.Target("t", "t:1", "a", slots)], 100.0)
+    pool.urgencies.declare([0, 3])
+    pool.all_views[0].record_load(balancing.LoadReport(load, None, 1.0), 100.0)
+    return pool
+
+
+def place(pool, rank, objective_s=1.0):
+    """Return the placement of a request with this rank."""
+    waiting = placements.Waiting(str(rank), (rank, rank), objective_s, 100.0, 105.0)
+    return placements.make(pool, waiting, 100.0)
+
+
+@pytest.mark.parametrize(
+    ("slots", "load", "rank", "is_started"),
+    [
+        (2, 0, 3, True),
+        (2, 1, 3, False),
+        (2, 1, 0, True),
+        (2, 2, 0, False),
+        (6, 2, 3, True),
+        (6, 3, 3, False),
+        (6, 3, 0, True),
+        (6, 4, 0, False),
+    ],
+)
+def test_a_slot_of_each_target_is_left_to_urgent_requests(
+    slots, load, rank, is_started
+):
+    """Bursts of patient requests took all slots from the urgent ones."""
+    found = place(make_pool(load, slots), rank).step(100.0)
+    assert isinstance(found, balancing.TargetView) == is_started
+
+
+def test_an_urgent_request_of_the_same_entry_goes_first():
+    """A free slot must not go to the request that happens to look first."""
+    pool = make_pool(0)
+    patient, urgent = place(pool, 3), place(pool, 0)
+    assert patient.step(100.0) is None
+    assert isinstance(urgent.step(100.0), balancing.TargetView)
+    assert isinstance(patient.step(100.0), balancing.TargetView)
+    ignored = place(pool, 0)
+    del ignored
+    assert isinstance(place(pool, 3).step(100.0), balancing.TargetView)
+
+
+@pytest.mark.parametrize(("is_in_vain", "limit_s"), [(True, 0.125), (False, 1.0)])
+def test_a_request_is_refused_at_once_where_waiting_is_in_vain(is_in_vain, limit_s):
+    """Callers waited for their whole objective before they heard of the overload."""
+    pool = make_pool(2)
+    for _ in range(30):
+        pool.outlook.record("0", not is_in_vain)
+    pool.rng.random = lambda: 0.5
+    placement, now = place(pool, 0), 100.0
+    while (found := placement.step(now)) is None:
+        now += placements.PROBE_INTERVAL_S
+        report = balancing.LoadReport(2, None, 1.0)
+        pool.all_views[0].record_load(report, now)
+    assert found.verdict is verdicts.Verdict.NOT_RUN
+    assert found.retry_after_s > 0
+    assert limit_s - 0.05 < now - 100.0 <= limit_s
+
+
+def test_waiting_is_tried_again_after_an_overload():
+    """A service that has recovered must not refuse requests for ever."""
+    outlook, rng = outlooks.Outlook(), random.Random(1)
+    for _ in range(30):
+        outlook.record("r", False)
+    waits = sum(not outlook.is_in_vain("r", rng) for _ in range(1000))
+    assert 50 < waits < 200
+    for _ in range(5):
+        outlook.record("r", True)
+    assert not any(outlook.is_in_vain("r", rng) for _ in range(100))
--- a/coltsfootchute/balancing/urgencies.py
+++ b/coltsfootchute/balancing/urgencies.py
@@ -8,6 +8,8 @@
 
 import collections.abc
 import math
+import typing
+import weakref
 
 __all__ = ["Urgencies"]
 
@@ -17,6 +19,12 @@
 ROOM_MEMORY_S = 1.0
 
 
+class Ordered(typing.Protocol):
+    """A waiting request; the one with the lowest `order` is served first."""
+
+    order: tuple[tuple[int, int], bool]
+
+
 class Urgencies:
     """Ranks of the requests of a service, and how many of its targets have room.
 
@@ -30,6 +38,9 @@
     def __init__(self):
         self._declared: frozenset[tuple[int, int]] = frozenset()
         self._seen_s: dict[tuple[int, int], float] = {}
+        # A request that ends for another reason, such as its caller leaving, drops out
+        # with its placement.
+        self._waiting: weakref.WeakSet[Ordered] = weakref.WeakSet()
         self._room = 1.0
         self._room_s = -math.inf
 
@@ -53,6 +64,18 @@
         recent = (r for r, seen in self._seen_s.items() if now - seen <= MEMORY_S)
         return self._declared.union(recent)
 
+    def enter(self, waiting: Ordered) -> None:
+        """Add a request that waits in this entry."""
+        self._waiting.add(waiting)
+
+    def leave(self, waiting: Ordered) -> None:
+        """Remove a request that was started or refused."""
+        self._waiting.discard(waiting)
+
+    def count_ahead(self, waiting: Ordered) -> int:
+        """Return how many waiting requests of this entry come before one."""
+        return sum(other.order < waiting.order for other in self._waiting)
+
     def record_room(self, share: float, now: float) -> None:
         """Record the share of the probed targets that have a free slot, 0 to 1."""
         weight = 1 - math.exp(-max(0.02, min(1.0, now - self._room_s)) / ROOM_MEMORY_S)
