--- a/coltsfootchute/balancing/target_sets.py
+++ b/coltsfootchute/balancing/target_sets.py
@@ -22,6 +22,8 @@
 # Within this time several requests probe targets, and a probe times out within half of
 # it. If no target has reported its load for longer, the targets can't be probed.
 REPORT_TIMEOUT_S = 1.0
+# For targets with at most so many slots, the occupancy is rounded to whole slots.
+MAX_ROUNDED_SLOTS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +100,11 @@
         self._first_probe_s = -math.inf
         self._in_use_changed = False
 
+    @property
+    def rng(self) -> random.Random:
+        """Random number generator of the pool."""
+        return self._rng
+
     @property
     def placement(self) -> str:
         """Name of the placement of requests that wait at the entry."""
@@ -148,6 +155,7 @@
         now: float,
         exclude: collections.abc.Collection[ids.TargetId] = (),
         leave: float = 0.0,
+        also: views.TargetView | None = None,
     ) -> list[views.TargetView]:
         """Return the targets to probe before a request is sent.
 
@@ -161,6 +169,8 @@
             Targets that this request has tried.
         leave
             Part of the probe rate limit that is left to other requests, 0 to 1.
+        also
+            A target that is probed before all others.
 
         Notes
         -----
@@ -182,6 +192,8 @@
         near = [v for v in found if v.target.failure_domain == domain]
         far = [v for v in found if v.target.failure_domain != domain]
         chosen = [*near[: count - 1], *far, *near[count - 1 :]][:count]
+        if also is not None and also.probe_sent_s == math.inf:
+            chosen = [also, *chosen]
         return chosen[: self._samples.take(len(chosen), now, leave)]
 
     def mark_draining(self, target: views.Target) -> None:
@@ -220,6 +232,8 @@
         occupancy: float,
         exclude: collections.abc.Collection[ids.TargetId] = (),
         max_slowdown: float = math.inf,
+        *,
+        rounds: bool = False,
     ) -> views.TargetView | None:
         """Select a target whose fresh load report shows a free slot.
 
@@ -233,6 +247,8 @@
             Targets that this request has tried.
         max_slowdown
             Targets that report a larger slowdown are left out.
+        rounds
+            Whether the occupancy is rounded to whole slots at small targets.
 
         Returns
         -------
@@ -252,7 +268,7 @@
             view
             for view in eligible
             if view.has_fresh_report(now)
-            and view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
+            and view.sampled_load() + 1 <= _most_requests(occupancy, view.slots, rounds)
             and view.sampled_slowdown <= max_slowdown
         ]
         if not found and not self.is_reporting(now):
@@ -274,6 +290,12 @@
         self._restore_excess(now)
         return [v for v in self._eligible(now, exclude) if v.has_fresh_report(now)]
 
+    def choose(
+        self, found: collections.abc.Sequence[views.TargetView], now: float
+    ) -> views.TargetView | None:
+        """Return the one of the targets that the policy selects."""
+        return self._policy.select(found, now, self._rng)
+
     def is_reporting(self, now: float) -> bool:
         """Tell whether a target reported, or probing began, in `REPORT_TIMEOUT_S`."""
         return now - max(self._last_report_s(), self._first_probe_s) <= REPORT_TIMEOUT_S
@@ -314,3 +336,18 @@
     def _capacity(self, now: float) -> int:
         usable = (v for v in self._views.values() if not v.is_ejected(now))
         return max(1, sum(view.limit.current() for view in usable))
+
+
+def _most_requests(occupancy: float, slots: int, rounds: bool) -> float:
+    """Return the largest number of requests that may be at a target.
+
+    Examples
+    --------
+    >>> [_most_requests(0.9, slots, True) for slots in (1, 2, 4)]
+    [1, 2, 3.6]
+    >>> _most_requests(0.9, 2, False), _most_requests(0.6, 2, True)
+    (1.8, 1)
+    """
+    if rounds and slots <= MAX_ROUNDED_SLOTS:
+        return max(1, round(occupancy * slots))
+    return max(1.0, occupancy * slots)
