placements: leave half of the probes to urgent ranks; simulate workspaces

Change: half of the probes are left. benchmarks plays a service with three workspace ranks.

Tests: benchmarks, balancing, entry tests of placements and tests/test_docs.py: 201 passed.

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -33,7 +33,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Service:
-    """A service with its entries, targets and routes."""
+    """A service with its entries, targets and routes.
+
+    `workspaces` has the share of the callers of each workspace priority; empty for
+    callers without workspaces.
+    """
 
     name: str
     entries: int
@@ -46,6 +50,7 @@
     fan_out: int = 2
     spell_share: float = SPELL_SHARE
     large_share: float = LARGE_SHARE
+    workspaces: tuple[float, ...] = ()
 
     @property
     def requests_per_s(self) -> float:
@@ -107,6 +112,16 @@
             (Route("reads", 1, 0.6, 6.0, 1.0, 0.15, 1.0, is_repeatable=True),),
             hangs=True,
         ),
+        Service(
+            "ranked_reads",
+            128,
+            48,
+            2,
+            4,
+            (Route("reads", 1, 0.6, 6.0, 1.0, 0.15, 1.0, is_repeatable=True),),
+            hangs=True,
+            workspaces=(0.2, 0.4, 0.4),
+        ),
         Service(
             "orders",
             128,
--- a/benchmarks/overloads.py
+++ b/benchmarks/overloads.py
@@ -1,11 +1,9 @@
 """Simulation of a service under hard load: many entries, few slots, returning callers.
 
 Each entry has its own pool and probes targets before each request; decisions are those
-of `balancing.placements`. Targets run a request at a speed that depends on the spells
-of their host and on the slots in use. No sockets, no processes; all random numbers come
-from the seed. The work of a request belongs to the request, so a second attempt at
-another target takes as long unless its host is faster. Targets do not notice that a
-caller has left: what they began, they end.
+of `balancing.placements`. There are no sockets; all random numbers come from the seed.
+The work belongs to the request, so a second attempt at another target takes as long.
+Targets do not notice that a caller has left: what they began, they end.
 """
 
 import collections
@@ -34,6 +32,8 @@
 # Shares of callers that return after Retry-After, at once, and not at all.
 CALLERS = {"returns": 0.7, "at_once": 0.15, "gives_up": 0.15}
 AT_ONCE_S = 0.01
+RESULTS = ("calls", "in_time", "late", "refused", "failed", "quick", "slow")
+EXTRAS = ("probes", "connections", "hedges", "retries", "sheds", "hangs")
 MAX_HEDGE_OCCUPANCY = 0.55
 
 
@@ -92,10 +92,11 @@
         self.simulation, self.entry, self.call = simulation, entry, call
         self.route, self.work_s, self.start_s = call.route, call.work_s, simulation.now
         self.attempts, self.is_over = [], False
-        priority = self.route.priority
+        route_rank = self.route.priority
+        rank = route_rank if call.workspace is None else call.workspace
         self.waiting = placements.Waiting(
             self.route.name,
-            (priority, priority),
+            (rank, route_rank),
             self.route.objective_s,
             call.start_s,
             call.start_s + self.route.deadline_s,
@@ -249,7 +250,10 @@
         self.work_s = simulation.draw_work_s(route)
         kinds, weights = zip(*CALLERS.items(), strict=True)
         self.kind = simulation.rng.choices(kinds, weights)[0]
-        self.returns = 0
+        self.returns, self.workspace = 0, None
+        if simulation.service.workspaces:
+            shares = simulation.service.workspaces
+            self.workspace = simulation.rng.choices(range(len(shares)), shares)[0]
         simulation.count(self, "calls")
         self.send()
 
@@ -383,6 +387,8 @@
         if call.start_s < WARM_UP_S:
             return
         self.by_route[call.route.name, result] += 1
+        if call.workspace is not None:
+            self.by_route[f"workspace{call.workspace}", result] += 1
         if result in ("in_time", "late"):
             self.latencies_s[call.route.name].append(self.now - call.start_s)
 
@@ -405,45 +411,39 @@
 
 
 def run_case(case: Case) -> list[dict]:
-    """Play a case; return one row for all routes and one for each."""
+    """Play a case; return a row for all routes, each route and each workspace."""
     simulation = Simulation(case)
     simulation.run()
-    rows, earned, offered = [], 0.0, 0.0
-    for route in simulation.service.routes:
-        counts = {
-            result: simulation.by_route[route.name, result]
-            for result in (
-                "calls",
-                "in_time",
-                "late",
-                "refused",
-                "failed",
-                "quick",
-                "slow",
-            )
-        }
+    routes = simulation.service.routes
+    names = [route.name for route in routes]
+    workspaces = range(len(simulation.service.workspaces))
+    rows = []
+    for name in [*names, *(f"workspace{n}" for n in workspaces)]:
+        counts = {result: simulation.by_route[name, result] for result in RESULTS}
         value = counts["in_time"] + LATE_VALUE * counts["late"]
-        earned += route.value * value
-        offered += route.value * counts["calls"]
-        latencies_s = sorted(simulation.latencies_s[route.name]) or [math.inf]
+        times_s = sorted(simulation.latencies_s[name]) or [math.inf]
         rows.append(
             {
                 "service": case.service,
                 "load": case.load,
                 "placement": case.placement,
-                "route": route.name,
+                "route": name,
                 "value": round(value / max(1, counts["calls"]), 3),
                 **counts,
-                "p50": round(latencies_s[len(latencies_s) // 2], 2),
-                "p99": round(latencies_s[int(0.99 * len(latencies_s))], 2),
+                "p50": round(times_s[len(times_s) // 2], 2),
+                "p99": round(times_s[int(0.99 * len(times_s))], 2),
             }
         )
-    keys = ("probes", "connections", "hedges", "retries", "sheds", "hangs")
+    # The rows of routes come first.
+    offered = [
+        route.value * row["calls"] for route, row in zip(routes, rows, strict=False)
+    ]
+    earned = sum(n * row["value"] for n, row in zip(offered, rows, strict=False))
     total = {
         **dict.fromkeys(rows[0], ""),
         **{k: rows[0][k] for k in ("service", "load", "placement")},
         "route": "all",
-        "value": round(earned / offered, 3),
-        **{key: simulation.counts[key] for key in keys},
+        "value": round(earned / sum(offered), 3),
+        **{key: simulation.counts[key] for key in EXTRAS},
     }
     return [total, *rows]
--- a/coltsfootchute/balancing/placements.py
+++ b/coltsfootchute/balancing/placements.py
@@ -47,8 +47,9 @@
 # the service in its place, withdrawals beside uploads lost a third of their value.
 MAX_UNMEASURED_PART = 0.4
 # Part of the probes that requests leave to more urgent ones. Patient requests probe for
-# seconds; without this, urgent ones lost a fifth of their value for lack of probes.
-LEFT_PROBES = 0.8
+# seconds; with 0, urgent ones lost a fifth of their value for lack of probes. With 0.8,
+# callers of which most are in less urgent workspaces lost a tenth.
+LEFT_PROBES = 0.5
 # Part of the probed targets with a free slot above which requests wait for a fast one
 # rather than start at a target that is slow or becomes crowded.
 MIN_ROOM_TO_WAIT = 0.2
