placements: in one entry, callers that returned as asked go before new ones

A caller that returns after at least 0.2 of its objective ranks before new callers of its rank in the same entry; one that returns at once gains nothing.

--- a/coltsfootchute/balancing/placements.py
+++ b/coltsfootchute/balancing/placements.py
@@ -247,7 +247,7 @@
        targets have free slots. Where most waiting is in vain, so are requests that
        found no slot within an eighth of their objective.
     5. In one entry, a free slot is left to the requests of a more urgent rank that wait
-       for one, and to those that are not late.
+       for one, then to those that are not late, then to callers that have returned.
     """
 
     def __init__(self, pool: pools.Pool, waiting: Waiting, now: float):
@@ -270,7 +270,11 @@
         self._waits_long = False
         # Sort key in this entry. Least slack first within a rank lost: at four slots,
         # routes with a long objective fell from 1.0 to 0.85 of their value.
-        self.order = (waiting.rank, self._end_s - self._work_s < now)
+        self.order = (
+            waiting.rank,
+            self._end_s - self._work_s < now,
+            not returns.has_waited(now - waiting.asked_s, waiting.objective_s),
+        )
         pool.urgencies.enter(self)
         self._settles_from_s = now + FAST_WAIT_PART * spare_s
 
--- a/coltsfootchute/balancing/returns.py
+++ b/coltsfootchute/balancing/returns.py
@@ -8,7 +8,7 @@
 
 import random
 
-__all__ = ["retry_after_s"]
+__all__ = ["has_waited", "retry_after_s"]
 
 # Bounds of the time as a part of the objective, with no target that has room.
 RETURN_PARTS = (0.2, 0.6)
@@ -38,3 +38,16 @@
         return None
     wait_s = rng.uniform(*RETURN_PARTS) * objective_s * (1 - room)
     return round(max(MIN_RETURN_S, wait_s), 3)
+
+
+def has_waited(age_s: float, objective_s: float | None) -> bool:
+    """Tell whether a caller returns after the time that it was asked to wait.
+
+    Parameters
+    ----------
+    age_s
+        Time since the caller sent its request first, in seconds.
+    objective_s
+        Latency objective of the route in seconds; None if it has none.
+    """
+    return objective_s is not None and age_s >= RETURN_PARTS[0] * objective_s
--- a/coltsfootchute/balancing/tests/test_overloads.py
+++ b/coltsfootchute/balancing/tests/test_overloads.py
@@ -87,9 +87,10 @@
     return pool
 
 
-def place(pool, rank, objective_s=1.0):
+def place(pool, rank, age_s=0.0):
     """Return the placement of a request with this rank."""
-    waiting = placements.Waiting(str(rank), (rank, rank), objective_s, 100.0, 105.0)
+    asked_s = 100.0 - age_s
+    waiting = placements.Waiting(str(rank), (rank, rank), 1.0, asked_s, 105.0)
     return placements.make(pool, waiting, 100.0)
 
 
@@ -126,6 +127,15 @@
     assert isinstance(place(pool, 3).step(100.0), balancing.TargetView)
 
 
+@pytest.mark.parametrize(("age_s", "goes_first"), [(0.25, True), (0.01, False)])
+def test_a_caller_that_waited_as_asked_goes_before_new_callers(age_s, goes_first):
+    """Callers that returned at once were served before those that waited."""
+    pool = make_pool(0)
+    new, returned = place(pool, 0), place(pool, 0, age_s)
+    assert (new.step(100.0) is None) == goes_first
+    assert isinstance(returned.step(100.0), balancing.TargetView)
+
+
 @pytest.mark.parametrize(("is_in_vain", "limit_s"), [(True, 0.125), (False, 1.0)])
 def test_a_request_is_refused_at_once_where_waiting_is_in_vain(is_in_vain, limit_s):
     """Callers waited for their whole objective before they heard of the overload."""
--- a/coltsfootchute/balancing/urgencies.py
+++ b/coltsfootchute/balancing/urgencies.py
@@ -22,7 +22,7 @@
 class Ordered(typing.Protocol):
     """A waiting request; the one with the lowest `order` is served first."""
 
-    order: tuple[tuple[int, int], bool]
+    order: tuple[tuple[int, int], bool, bool]
 
 
 class Urgencies:
