balancing, entry, state: limit requests to cold targets, detect hanging ones

Cause: a cold target tolerates a few requests per second from all entries together, and nothing limited them. A target of some services never answers a request that it can't queue; entries went on sending to it, and its repeatable requests waited for their time limit.

Change: each entry accumulates ramp / entries tokens for each cold target and takes one at each start of an attempt, also for retries, hedges and queued requests. The newest statement says whether a target is cold: register, slow_start_s, or the header named by headers.cold. Reports of a target that is cold again are committed, if its service declares a ramp. While the number of entries is unknown, nothing is sent to cold targets. With hangs.factor, requests are overdue by the response times of the service or by a load report that does not count them. Their targets get no request until they answer, except for one trial after a report with a free slot; repeatable requests move within the retry budget, others stay until their time limit, and connections are not used again. If all targets hang, requests are refused at once (targets_hang).

Conclusion: hangs are found by each entry on its own, and a trial request may be one that runs at most once.

--- a/coltsfootchute/announcements.py
+++ b/coltsfootchute/announcements.py
@@ -6,7 +6,14 @@
 from coltsfootchute import errors
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
-__all__ = ["MAX_SERVICES", "MAX_SLOTS", "MAX_WARM_UP_S", "check", "check_address"]
+__all__ = [
+    "MAX_SERVICES",
+    "MAX_SLOTS",
+    "MAX_WARM_UP_S",
+    "changes_warm_up",
+    "check",
+    "check_address",
+]
 
 MAX_TEXT_CHARS = 256
 MAX_SERVICES = 64
@@ -14,6 +21,8 @@
 MAX_PORT = 65_535
 # A longer time is a mistake; the field of the message could not hold every number.
 MAX_WARM_UP_S = 86_400.0
+# Reports are delayed by up to a second, and the clocks of instances differ.
+WARM_UP_TOLERANCE_MS = 1000
 _STATES = frozenset(
     {
         pb.TARGET_STATE_SERVING,
@@ -93,3 +102,19 @@
         check_address(target.address)
     except ValueError as exc:
         yield "address", str(exc)
+
+
+def changes_warm_up(registered: pb.Target, warm_up_ms: int, time_ms: int) -> bool:
+    """Tell whether a report contradicts the registered time for which a target is cold.
+
+    Parameters
+    ----------
+    registered
+        The target as it is registered.
+    warm_up_ms
+        Time in ms for which it is still cold according to the report.
+    time_ms
+        Unix time of the report in ms.
+    """
+    known_ms = max(0, registered.announced_ms + registered.warm_up_ms - time_ms)
+    return abs(known_ms - warm_up_ms) > WARM_UP_TOLERANCE_MS
--- a/coltsfootchute/balancing/hedges.py
+++ b/coltsfootchute/balancing/hedges.py
@@ -20,14 +20,20 @@
 class HedgeDelay:
     """Quantile of recent response times, from a histogram with logarithmic buckets.
 
+    Parameters
+    ----------
+    quantile
+        Fraction of the responses that are faster, between 0 and 1.
+
     Notes
     -----
     `record` runs in amortized O(1) time; memory is constant.
     """
 
-    __slots__ = ("_counts", "_delay_s", "_since_refresh", "_total")
+    __slots__ = ("_counts", "_delay_s", "_quantile", "_since_refresh", "_total")
 
-    def __init__(self):
+    def __init__(self, quantile: float = QUANTILE):
+        self._quantile = quantile
         self._counts = [0.0] * BUCKETS
         self._total = 0.0
         self._since_refresh = 0
@@ -56,7 +62,7 @@
             self._total = sum(self._counts)
 
     def _quantile_s(self) -> float:
-        rank = QUANTILE * self._total
+        rank = self._quantile * self._total
         sums = itertools.accumulate(self._counts)
         bucket = next(i for i, count in enumerate(sums) if count >= rank)
         return MIN_RESPONSE_S * 2 ** ((bucket + 1) / BUCKETS_PER_DOUBLING)
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -14,6 +14,7 @@
     policies,
     probes,
     quarantines,
+    slow_starts,
     statements,
     target_sets,
     views,
@@ -26,6 +27,8 @@
 NO_TARGET_DETAIL = "no target is serving"
 # Times after which refused callers return, as multiples of the first end of a rest.
 RETURN_FACTORS = (1.05, 1.5)
+# Minimum time after which callers return that were refused because all targets hang.
+HANG_RETURN_S = 0.5
 # Smoothing factors of the typical response time for a slower and for a faster response.
 # Faster responses weigh more, so that the slow responses of an overload do not become
 # the typical ones.
@@ -99,8 +102,11 @@
         rng: random.Random,
         *,
         stated: statements.Statements | None = None,
+        starts: slow_starts.SlowStarts | None = None,
     ):
-        super().__init__(settings, failure_domain, slots_share, rng, stated=stated)
+        super().__init__(
+            settings, failure_domain, slots_share, rng, stated=stated, starts=starts
+        )
         self.service = service
         wait_s = settings.queue_wait_s
         self.admission = admissions.AdmissionQueue(settings.queue_length, wait_s)
@@ -128,6 +134,7 @@
         self.admission.change(settings.queue_length, settings.queue_wait_s)
         self._settings = settings
         self._samples.change(settings.samples_per_s * len(self._views))
+        self._apply_rules(settings)
 
     def admit(
         self, priority: int, deadline_s: float, now: float, is_first: bool = True
@@ -174,7 +181,7 @@
         return self.admission.offer(priority, deadline_s, now, service_s, interval_s)
 
     def rest_refusal(self, now: float, until_s: float) -> verdicts.Refusal | None:
-        """Refuse a request if all targets want no requests until it is too late.
+        """Refuse a request if all targets hang, or want no requests for too long.
 
         Parameters
         ----------
@@ -189,6 +196,15 @@
             None if a target is available before. The callers of several refusals are
             asked to return at different times.
         """
+        end_s = self.hang_end_s(now)
+        if end_s is not None:
+            remaining_s = max(HANG_RETURN_S, end_s - now)
+            return verdicts.Refusal(
+                verdicts.Verdict.NOT_RUN,
+                verdicts.Reason.TARGETS_HANG,
+                "no target answers its requests",
+                retry_after_s=remaining_s * self._rng.uniform(*RETURN_FACTORS),
+            )
         end_s = self.rest_end_s(now)
         if end_s is None or end_s <= until_s:
             return None
@@ -236,6 +252,7 @@
             found = [
                 v for v in found if v.target.failure_domain not in domains
             ] or found
+        found = self._preferred(found, now, exclude)
         chosen = self._policy.select(found, now, self._rng)
         # A retry can't wait in the queue, so a slow target is better than none.
         may_wait = kind is not views.AttemptKind.RETRY and self._policy.waits_for_fast
@@ -253,10 +270,6 @@
             return chosen
         return self._policy.select(fast, now, self._rng)
 
-    def start_attempt(self, view: views.TargetView, now: float) -> views.AttemptToken:
-        """Start an attempt; its token must be passed to `finish_attempt`."""
-        return view.start_attempt(now)
-
     def restart_timer(self, token: views.AttemptToken, now: float) -> None:
         """Measure the response time from now, when the request is written late."""
         token.view.restart_timer(token, now)
@@ -280,6 +293,7 @@
             TYPICAL_RISE_GAIN if difference_s > 0 else TYPICAL_FALL_GAIN
         )
         self._hedge_delay.record(response_s)
+        self.overdue.record(response_s)
         if load is not None:
             token.view.record_load(load, now)
 
@@ -302,6 +316,10 @@
         if outcome not in (views.Outcome.OK, views.Outcome.CANCELLED):
             self._record_failure(token, outcome, now)
         view.remove_attempt(token)
+        if token.is_overdue or token.is_trial:
+            view.hang.record_end(token.is_overdue, token.is_trial, now, self._rng)
+        elif not token.is_answered and outcome in views.UNFINISHED_OUTCOMES:
+            self._record_unanswered(token, now)
         if outcome in views.UNFINISHED_OUTCOMES and not token.is_measured:
             view.record_abandoned(now - token.started_s, now)
         if outcome is views.Outcome.OK:
@@ -318,7 +336,7 @@
             ticket = self.admission.pop(now) if view is not None else None
             if ticket is None:
                 break
-            granted.append(admissions.Grant(ticket, view.start_attempt(now)))
+            granted.append(admissions.Grant(ticket, self.start_attempt(view, now)))
         return granted
 
     def pop_refused(
@@ -338,17 +356,22 @@
     def next_wake(self, now: float) -> float | None:
         """Return the time of the next `start_queued` and `pop_refused`.
 
-        This is the time at which a queued request expires, or the ejection or pause
-        of a target ends; None while the queue is empty. If a target has room but the
-        policy waits for a faster one, the time is at most `RESELECT_INTERVAL_S` from
-        now: the latency estimate of an idle target decreases with time, without an
-        event.
+        This is the time at which a queued request expires, the ejection or pause of a
+        target ends, or a cold one may get a request; None while the queue is empty. If
+        a target has room but the policy waits for a faster one, the time is at most
+        `RESELECT_INTERVAL_S` from now: the latency estimate of an idle target decreases
+        with time, without an event.
         """
         expiry_s = self.admission.next_expiry()
         if expiry_s is None:
             return None
         end_times_s = itertools.chain.from_iterable(
-            (view.paused_until_s, view.ejected_until_s, view.rest_until_s)
+            (
+                view.paused_until_s,
+                view.ejected_until_s,
+                view.rest_until_s,
+                self.gate.next_token_s(view.target, now),
+            )
             for view in self._in_use()
         )
         eligible_s = min(
--- a/coltsfootchute/balancing/target_sets.py
+++ b/coltsfootchute/balancing/target_sets.py
@@ -9,10 +9,12 @@
 from coltsfootchute.balancing import (
     budgets,
     ejections,
+    hangs,
     limits,
     policies,
     probes,
     samples,
+    slow_starts,
     statements,
     views,
 )
@@ -42,6 +44,12 @@
         Whether `retry_burst` is this entry's part of a burst that all entries share.
     samples_per_s
         Probes per second and target that this entry may send before requests.
+    slow_start_s, ramp_per_s
+        Time for which a target is cold after its start, and the requests per second
+        that it tolerates meanwhile from all entries together; a ramp of 0 is no limit.
+    overdue_factor, overdue_min_s
+        A request is overdue after this multiple of the 99th percentile of the response
+        times, and not before this time in seconds; a factor of 0 turns this off.
     """
 
     policy: str = "expected_wait"
@@ -51,6 +59,10 @@
     retry_burst: float = budgets.MAX_TOKENS
     shares_burst: bool = False
     samples_per_s: float = 0.0
+    slow_start_s: float = 0.0
+    ramp_per_s: float = 0.0
+    overdue_factor: float = 0.0
+    overdue_min_s: float = 0.0
 
 
 class TargetSet:
@@ -70,6 +82,17 @@
         Random number generator.
     stated
         Statements of targets, which all services of an entry share; None for own ones.
+    starts
+        Coldness of targets, which all services share; None for an own one.
+
+    Attributes
+    ----------
+    overdue : hangs.OverdueCheck
+        Finds requests that are overdue.
+    new_hangs : list of views.TargetView
+        Targets that began to hang, until the daemon has logged them.
+    gate : slow_starts.Gate
+        Limits the requests to cold targets.
     """
 
     def __init__(
@@ -80,7 +103,11 @@
         rng: random.Random,
         *,
         stated: statements.Statements | None = None,
+        starts: slow_starts.SlowStarts | None = None,
     ):
+        self.gate = slow_starts.Gate(starts or slow_starts.SlowStarts(rng))
+        self.overdue = hangs.OverdueCheck()
+        self.new_hangs: list[views.TargetView] = []
         self._statements = stated or statements.Statements()
         self.probes = probes.ProbeShares()
         self._settings = settings
@@ -93,6 +120,11 @@
         # Time of the first probe since the last load report.
         self._first_probe_s = -math.inf
         self._in_use_changed = False
+        self._apply_rules(settings)
+
+    def _apply_rules(self, settings: PoolSettings) -> None:
+        self.gate.change(settings.slow_start_s, settings.ramp_per_s)
+        self.overdue.change(settings.overdue_factor, settings.overdue_min_s)
 
     @property
     def all_views(self) -> list[views.TargetView]:
@@ -120,6 +152,7 @@
         self._in_use_changed = True
         typical_s = self._typical_latency_s(now)
         for target_id, target in registered.items():
+            self.gate.register(target, now)
             view = self._views.get(target_id)
             if view is None or view.target.incarnation != target.incarnation:
                 maximum = limits.max_limit(target.slots, self._slots_share)
@@ -156,20 +189,23 @@
         unanswered probe. All but one are from the entry's own failure domain if it has
         enough. Each takes a token of the probe rate limit; fewer targets are returned
         while few tokens are left.
+
+        Cold targets that may get a request are asked first, and at most one target
+        that may not be cold any more, or may no longer hang.
         """
         if self._first_probe_s <= self._last_report_s():
             self._first_probe_s = now
         count = self._samples.scale_count(count, now)
-        found = [
-            view
-            for view in self._eligible(now, exclude)
-            if not view.has_fresh_report(now) and view.probe_sent_s == math.inf
-        ]
-        self._rng.shuffle(found)
+        found = self._without_report(self._eligible(now, exclude), now)
+        cold = [] if exclude else self._cold(found, now)
+        doubtful = self._without_report(self._doubtful(now, exclude), now)
+        first = [*doubtful[: 1 if found else count], *cold][:count]
+        found = [view for view in found if view not in first and view not in cold]
         domain = self._failure_domain
         near = [v for v in found if v.target.failure_domain == domain]
         far = [v for v in found if v.target.failure_domain != domain]
-        chosen = [*near[: count - 1], *far, *near[count - 1 :]][:count]
+        near_count = max(0, count - 1 - len(first))
+        chosen = [*first, *near[:near_count], *far, *near[near_count:]][:count]
         return chosen[: self._samples.take(len(chosen), now)]
 
     def mark_draining(self, target: views.Target) -> None:
@@ -245,6 +281,7 @@
         ]
         if not found and not self._is_reporting(now):
             found = [view for view in eligible if not view.has_fresh_report(now)]
+        found = self._preferred(found, now, exclude)
         return self._policy.select(found, now, self._rng)
 
     def _last_report_s(self) -> float:
@@ -255,17 +292,113 @@
         """Tell whether a target reported, or probing began, in `REPORT_TIMEOUT_S`."""
         return now - max(self._last_report_s(), self._first_probe_s) <= REPORT_TIMEOUT_S
 
+    def start_attempt(self, view: views.TargetView, now: float) -> views.AttemptToken:
+        """Start an attempt; its token must be passed to `Pool.finish_attempt`."""
+        token = view.start_attempt(now)
+        token.is_cold = self.gate.start(view.target, now)
+        return token
+
     def _eligible(self, now, exclude) -> list[views.TargetView]:
+        has_rules = self.gate.is_active(now) or self.overdue.is_on
         available = [
             view
             for target_id, view in self._views.items()
             if view.has_room(now)
             and not view.is_ejected(now)
             and target_id not in exclude
+            and (not has_rules or self._may_start(view, now))
         ]
         serving = [view for view in available if view.is_serving()]
         return serving or [view for view in available if view.is_suspect()]
 
+    def _may_start(self, view: views.TargetView, now: float) -> bool:
+        """Tell whether neither a hang nor the ramp of a cold target forbids a start."""
+        needs_report = self._settings.samples_per_s > 0
+        if view.hang.is_hanging and not view.hang.allows(now, needs_report):
+            return False
+        return not self.gate.is_active(now) or self.gate.allows(view.target, now)
+
+    def _doubtful(self, now, exclude) -> list[views.TargetView]:
+        """Return targets that get no request unless a probe shows that they may."""
+        if not (self.gate.is_active(now) or self.overdue.is_on):
+            return []
+        return [
+            view
+            for target_id, view in self._views.items()
+            if self._is_doubtful(view, now)
+            and target_id not in exclude
+            and (view.is_serving() or view.is_suspect())
+            and not view.is_at_rest(now)
+        ]
+
+    def _is_doubtful(self, view: views.TargetView, now: float) -> bool:
+        if view.hang.is_hanging:
+            return view.hang.is_due(now)
+        return self.gate.is_active(now) and self.gate.wants_probe(view.target, now)
+
+    def _without_report(self, found, now) -> list[views.TargetView]:
+        """Return the views that may be probed, in random order."""
+        unknown = [
+            view
+            for view in found
+            if not view.has_fresh_report(now) and view.probe_sent_s == math.inf
+        ]
+        self._rng.shuffle(unknown)
+        return unknown
+
+    def _cold(self, found, now) -> list[views.TargetView]:
+        if not self.gate.is_active(now):
+            return []
+        return [view for view in found if self.gate.is_cold(view.target, now)]
+
+    def _preferred(self, found, now, exclude) -> list[views.TargetView]:
+        """Return the cold targets for a first attempt, and the others for a later one.
+
+        An entry holds a token of a cold target only for a short time, and targets that
+        joined must get requests soon. A second attempt is already late.
+        """
+        cold = self._cold(found, now)
+        if not cold:
+            return found
+        if not exclude:
+            return cold
+        return [view for view in found if view not in cold] or found
+
+    def hang_end_s(self, now: float) -> float | None:
+        """Return when the first target may get a trial request.
+
+        Returns
+        -------
+        float or None
+            Seconds; None unless all targets in use hang. It is `now` if that depends
+            on an overdue request or on a load report.
+        """
+        in_use = self._in_use()
+        if not in_use or not all(view.hang.is_hanging for view in in_use):
+            return None
+        return max(now, min(view.hang.trial_after_s for view in in_use))
+
+    def record_head(self, token: views.AttemptToken, now: float) -> bool:
+        """Record the head of any response; return whether its target had hung."""
+        token.is_answered = True
+        return token.view.hang.record_answer(now)
+
+    def mark_overdue(self, token: views.AttemptToken) -> None:
+        """Mark an attempt as overdue."""
+        token.is_overdue = True
+        if token.view.hang.record_overdue(token.started_s):
+            self.new_hangs.append(token.view)
+
+    def _record_unanswered(self, token: views.AttemptToken, now: float) -> None:
+        """Record the end of an attempt whose target has not answered."""
+        hang, limit_s = token.view.hang, self.overdue.limit_s()
+        if hang.record_abandoned(token.started_s, now, limit_s):
+            self.new_hangs.append(token.view)
+
+    def take_probe(self, view: views.TargetView, now: float) -> bool:
+        """Take a token for one probe of a target, unless it is being probed."""
+        return view.probe_sent_s == math.inf and bool(self._samples.take(1, now))
+
     def _in_use(self) -> list[views.TargetView]:
         return [v for v in self._views.values() if v.is_serving() or v.is_suspect()]
 
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -6,7 +6,7 @@
 import random
 
 from coltsfootchute import ids
-from coltsfootchute.balancing import limits, loads
+from coltsfootchute.balancing import hangs, limits, loads
 
 __all__ = [
     "AttemptKind",
@@ -94,6 +94,11 @@
         Number that increases with each start of the target.
     up_since_s
         Time of the announcement on the entry's monotonic clock, in seconds.
+    warm_up_s
+        Time in seconds after the announcement for which the target is cold; 0 if it
+        is not stated.
+    announced_ms
+        Unix time of the announcement.
     """
 
     target_id: ids.TargetId
@@ -103,6 +108,8 @@
     state: TargetState = TargetState.SERVING
     incarnation: int = 0
     up_since_s: float = -math.inf
+    warm_up_s: float = 0.0
+    announced_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -119,12 +126,25 @@
         Whether its response time was measured already.
     is_open
         False after `Pool.finish_attempt`.
+    is_answered
+        Whether the head of a response has arrived.
+    is_overdue, is_trial
+        Whether it is overdue, and whether its target hung when it started.
+    is_cold
+        Whether its target was cold when it started.
+    missing_s
+        Time in seconds of the first load report that did not count it; else infinite.
     """
 
     view: "TargetView"
     started_s: float
     is_measured: bool = False
     is_open: bool = True
+    is_answered: bool = False
+    is_overdue: bool = False
+    is_trial: bool = False
+    is_cold: bool = False
+    missing_s: float = math.inf
 
 
 class TargetView:
@@ -158,6 +178,7 @@
         "_report",
         "_reported_s",
         "ejected_until_s",
+        "hang",
         "in_flight",
         "is_cautious",
         "is_draining",
@@ -175,6 +196,7 @@
         self.target = target
         self.slots = max(1, target.slots)
         self.limit = limits.Limit(maximum)
+        self.hang = hangs.Hang()
         self.in_flight = 0
         self.is_draining = False
         self.last_response_s = -math.inf
@@ -202,7 +224,7 @@
 
     def start_attempt(self, now: float) -> AttemptToken:
         """Add an attempt in flight."""
-        token = AttemptToken(self, now)
+        token = AttemptToken(self, now, is_trial=self.hang.start())
         self._attempts[id(token)] = token
         self.in_flight += 1
         return token
@@ -271,6 +293,14 @@
         self._in_flight_at_report = self.in_flight
         self.last_report_s = now
 
+    def record_probe(
+        self, report: loads.LoadReport, asked_s: float, now: float
+    ) -> None:
+        """Apply a load report that was asked for at a time in seconds."""
+        self.record_load(report, now)
+        hangs.mark_missing(self._attempts.values(), report, asked_s, now)
+        self.hang.record_probe(self.sampled_load() < self.slots, asked_s, now)
+
     def has_fresh_report(self, now: float) -> bool:
         """Tell whether the last load report is current."""
         return now - self.last_report_s <= REPORT_MAX_AGE_S
--- a/coltsfootchute/entry/answers.py
+++ b/coltsfootchute/entry/answers.py
@@ -56,6 +56,7 @@
     _R.TARGET_SHED: 503,
     _R.STOPPING: 503,
     _R.TARGETS_AT_REST: 503,
+    _R.TARGETS_HANG: 503,
     _R.MISDIRECTED: 503,
     _R.TARGET_FAILED: 502,
     _R.DEADLINE: 504,
--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -111,6 +111,7 @@
         "buffered_parts",
         "headers",
         "message",
+        "must_close",
         "payload",
         "request_id",
         "revision",
@@ -130,6 +131,8 @@
         self.written = False
         # Whether the target responded that it did not run the request.
         self.was_shed = False
+        # Whether the response was overdue, so that the connection is not used again.
+        self.must_close = False
         self.message: typing.Any = None
         self.payload: aiohttp.StreamReader | None = None
         self.headers: multidict.CIMultiDict[str] | None = None
@@ -235,7 +238,7 @@
         if task is not None and not task.done():
             task.cancel()
             conn.close()
-        elif self.payload is None or not self.payload.is_eof():
+        elif self.must_close or self.payload is None or not self.payload.is_eof():
             conn.close()
         else:
             conn.release()
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -17,6 +17,7 @@
     keys,
     matches,
     metrics,
+    overdues,
     phases,
     placements,
     pools,
@@ -65,6 +66,8 @@
         Names of headers.
     retry_after_s
         Seconds after which a refused caller should retry.
+    watch
+        Watches for requests that are overdue; None if none is ever.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         placer: placements.Placer | None = None,
         names: settings.HeaderSettings | None = None,
         retry_after_s: float = answers.RETRY_AFTER_S,
+        watch: overdues.Watch | None = None,
     ):
         super().__init__(
             view=view,
@@ -90,6 +94,7 @@
             placer=placer,
             recorder=recorder,
             names=names or settings.HeaderSettings(),
+            watch=watch,
         )
         self._retry_after_s = retry_after_s
         self._matcher = matches.Matcher(view, services, self._names)
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -22,6 +22,7 @@
     measurements,
     metrics,
     operators,
+    overdues,
     placements,
     pools,
     samplers,
@@ -69,7 +70,13 @@
         self.view = watches.View(self._on_feed_message)
         self.client = clients.ControlClient(entry.control, entry.renew_s)
         self.services = pools.Services(
-            self.view, cfg.instance.failure_domain, entry.retries, entry.samples
+            self.view,
+            cfg.instance.failure_domain,
+            entry.retries,
+            entry.samples,
+            entry.hangs,
+            name=name,
+            states_cold=entry.headers.cold is not None,
         )
         self.feed = feeds.Feed()
         self._watcher = watches.Watcher(self.view, name, entry.control)
@@ -152,6 +159,11 @@
             placer=placements.Placer(self._sampler) if samples else None,
             names=entry.headers,
             retry_after_s=entry.retry_after_s,
+            watch=(
+                overdues.Watch(self._sampler, self.metrics)
+                if entry.hangs.factor
+                else None
+            ),
         )
         self._instance.peer_address = await self._start_peer(entry.peer)
         self._instance.api_address = await self._start_api(entry.api)
--- a/coltsfootchute/entry/dispatches.py
+++ b/coltsfootchute/entry/dispatches.py
@@ -11,6 +11,7 @@
     forwards,
     keys,
     metrics,
+    overdues,
     phases,
     placements,
     pools,
@@ -57,6 +58,8 @@
         Records what targets state in their responses.
     names
         Names of headers.
+    watch
+        Watches for requests that are overdue; None if none is ever.
     """
 
     def __init__(
@@ -69,7 +72,9 @@
         placer: placements.Placer | None,
         recorder: statements.Recorder,
         names: settings.HeaderSettings,
+        watch: overdues.Watch | None = None,
     ):
+        self._watch = watch
         self._view = view
         self._forwarder = forwarder
         self._crashes = reporter
@@ -261,6 +266,27 @@
 
     async def _attempt(
         self, call: requests.Call, token: balancing.AttemptToken
+    ) -> races.AttemptResult:
+        if self._watch is None or not call.is_declared:
+            return await self._attempt_once(call, token)
+        return await self._watch.run(
+            call, token, self._attempt_once, self._move, self._discard_callback(call)
+        )
+
+    async def _move(self, call: requests.Call) -> balancing.AttemptToken | None:
+        """Start an attempt at another target in place of an overdue one."""
+        pool = call.service.pool
+        if self._uses_probes(call):
+            view = await self._placer.find(call, placements.MAX_OCCUPANCY)
+        else:
+            now = time.monotonic()
+            view = pool.select(now, call.tried_target_ids, balancing.AttemptKind.RETRY)
+        if view is None or not call.has_attempts_left or not pool.may_retry():
+            return None
+        return pool.start_attempt(view, time.monotonic())
+
+    async def _attempt_once(
+        self, call: requests.Call, token: balancing.AttemptToken
     ) -> races.AttemptResult:
         target = token.view.target
         call.tried_target_ids.append(target.target_id)
@@ -271,6 +297,8 @@
         call.phase = phases.Phase.AT_TARGET
         attempt.revision = self._view.revision
         attempt.started_s = time.monotonic()
+        if token.is_cold:
+            self._meters.cold_attempts.labels(call.service.name).inc()
         try:
             await self._forwarder.send(
                 attempt,
@@ -282,6 +310,8 @@
                 head_only=call.request.method == "HEAD",
             )
             self._recorder.record(target, attempt)
+            if self._watch is not None:
+                self._watch.record_head(call, token, attempt)
             self._check_shed(attempt)
             if call.is_declared:
                 self._check_status(attempt)
--- a/coltsfootchute/entry/metrics.py
+++ b/coltsfootchute/entry/metrics.py
@@ -81,11 +81,25 @@
             self.refused_documents.labels(kind)
         self.statements = self._add_counter(
             "coltsfootchute_target_statements",
-            "Responses in which a target stated that it leaves or wants no requests.",
+            "Responses in which a target stated that it leaves, is cold or wants no "
+            "requests.",
             ["kind"],
         )
-        for kind in ("leaving", "rest", "unreadable"):
+        for kind in ("leaving", "rest", "unreadable", "cold"):
             self.statements.labels(kind)
+        self.cold_attempts = self._add_counter(
+            "coltsfootchute_cold_attempts", "Attempts at cold targets.", ["service"]
+        )
+        self.overdue_attempts = self._add_counter(
+            "coltsfootchute_overdue_attempts",
+            "Attempts that their targets did not answer in time, by evidence.",
+            ["service", "evidence"],
+        )
+        self.hangs = self._add_counter(
+            "coltsfootchute_target_hangs",
+            "Targets that began or ended to hang, and trial requests to them.",
+            ["service", "event"],
+        )
         self.probe_seconds = self._add_counter(
             "coltsfootchute_probe_seconds",
             "Time spent on probes of idle targets.",
--- a/coltsfootchute/entry/operations.py
+++ b/coltsfootchute/entry/operations.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import hashlib
+import time
 import typing
 
-from coltsfootchute import declarations, errors
+from coltsfootchute import announcements, declarations, errors
 from coltsfootchute.entry import addresses, clients, watches
 from coltsfootchute.proto import coltsfootchute_pb2
 
@@ -132,6 +133,10 @@
         known = self._view.targets.get(target.target_id)
         if not self.can_confirm_renewal(target.target_id, target.incarnation):
             return False
+        if self._has_ramp(target) and announcements.changes_warm_up(
+            known, target.warm_up_ms, int(time.time() * 1000)
+        ):
+            return False
         reported = (target.address, list(target.services), target.slots, target.state)
         registered = (known.address, list(known.services), known.slots, known.state)
         # A target stays in state draining even if a late report has another state.
@@ -140,6 +145,14 @@
             is_draining and reported[:3] == registered[:3]
         )
 
+    def _has_ramp(self, target: coltsfootchute_pb2.Target) -> bool:
+        """Tell whether requests to the target are limited while it is cold."""
+        routes = self._view.routes
+        return routes is not None and any(
+            service.ramp_per_s and service.name in target.services
+            for service in routes.declaration.services
+        )
+
     async def change_target(
         self,
         kind: int,
--- a/coltsfootchute/entry/pools.py
+++ b/coltsfootchute/entry/pools.py
@@ -1,12 +1,20 @@
 """State of the entry for each service: rules, targets and queued requests."""
 
 import asyncio
+import bisect
 import dataclasses
 import random
 import time
 import weakref
 
-from coltsfootchute import balancing, ids, sections, settings, verdicts
+from coltsfootchute import (
+    balancing,
+    declarations,
+    ids,
+    sections,
+    settings,
+    verdicts,
+)
 from coltsfootchute.entry import forwards, watches
 from coltsfootchute.proto import coltsfootchute_pb2
 
@@ -43,6 +51,8 @@
         self.endpoints: dict[str, forwards.Endpoint] = {}
         # Path at which targets of a declared service report their load; else empty.
         self.health_path = ""
+        # The service as declared; None for one that only has a section.
+        self.declared: declarations.Service | None = None
         # Whether a crash was seen here or learned from control. Only then are crash
         # digests computed.
         self.has_crashes = False
@@ -194,6 +204,12 @@
         Limit on retries and hedges of declared services, over all entries.
     samples
         Limit on probes before requests of declared services, over all entries.
+    hangs
+        When requests of declared services are overdue.
+    name
+        Name of this entry.
+    states_cold
+        Whether targets can state in their answers that they are cold.
     """
 
     def __init__(
@@ -202,7 +218,13 @@
         failure_domain: str,
         retries: settings.RetrySettings | None = None,
         samples: settings.SampleSettings | None = None,
+        hangs: settings.HangSettings | None = None,
+        *,
+        name: str = "",
+        states_cold: bool = False,
     ):
+        self._name = name
+        self._hangs = hangs or settings.HangSettings()
         self._samples = samples or settings.SampleSettings()
         self._view = view
         self._retries = retries or settings.RetrySettings()
@@ -210,6 +232,9 @@
         self._rng = random.Random()
         self._entries = 1
         self.statements = balancing.statements.Statements()
+        self.slow_starts = balancing.slow_starts.SlowStarts(
+            self._rng, states_cold=states_cold
+        )
         self.by_name: dict[str, Service] = {}
         # Services that are no longer in the state, as long as calls hold them.
         self._retired: weakref.WeakValueDictionary[str, Service] = (
@@ -242,12 +267,20 @@
         """Divide the targets' slots among the entries that are serving."""
         stopping = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
         known = self._view.instances.values()
-        entries = max(1, sum(i.state != stopping for i in known))
+        serving = sum(i.state != stopping for i in known)
+        self.slow_starts.entries.record(serving, time.monotonic())
+        names = sorted(self._view.instances)
+        position = bisect.bisect_left(names, self._name)
+        is_known = position < len(names) and names[position] == self._name
+        self.slow_starts.position = position if is_known else None
+        entries = max(1, serving)
         if entries == self._entries:
             return
         self._entries = entries
         for service in self.by_name.values():
-            service.pool.update_settings(self._pool_settings(service.section))
+            service.pool.update_settings(
+                self._pool_settings(service.section, service.name)
+            )
             service.pool.update_share(self._slots_share(service.section))
 
     def _slots_share(self, section: sections.Section) -> float:
@@ -278,13 +311,15 @@
 
     def _refresh(self, name: str, table: sections.RuleTable) -> None:
         service = self.by_name.get(name) or self._retired.pop(name, None)
+        declared = self._view.declared_services.get(name)
         if service is None:
             service = Service(name, table, self._pool(name, table))
-        elif service.rule_table is not table:
+        elif service.rule_table is not table or service.declared != declared:
             service.rule_table = table
-            service.pool.update_settings(self._pool_settings(table.section))
+            service.pool.update_settings(self._pool_settings(table.section, name))
             service.pool.update_share(self._slots_share(table.section))
         self.by_name[name] = service
+        service.declared = declared
         service.health_path = self._view.health_paths.get(name, "")
         self._update_targets(service)
 
@@ -300,26 +335,34 @@
     def _pool(self, name: str, table: sections.RuleTable) -> balancing.Pool:
         return balancing.Pool(
             ids.ServiceName(name),
-            self._pool_settings(table.section),
+            self._pool_settings(table.section, name),
             self._failure_domain,
             self._slots_share(table.section),
             self._rng,
             stated=self.statements,
+            starts=self.slow_starts,
         )
 
     def _uses_probes(self, section: sections.Section) -> bool:
         # Only declared services have no rules.
         return not section.rules and self._samples.per_target_s > 0
 
-    def _pool_settings(self, section: sections.Section) -> balancing.PoolSettings:
+    def _pool_settings(
+        self, section: sections.Section, name: str
+    ) -> balancing.PoolSettings:
         if section.rules:
             return _pool_settings(section)
         # Until the list of entries is known, this entry accumulates at most one retry
         # token.
         known = max(len(self._view.instances), self._entries)
         burst = self._retries.burst * BURST_FRACTION / known if known > 1 else 1.0
+        declared = self._view.declared_services.get(name)
         return dataclasses.replace(
             _pool_settings(section),
+            slow_start_s=declared.slow_start_s if declared else 0.0,
+            ramp_per_s=declared.ramp_per_s if declared else 0.0,
+            overdue_factor=self._hangs.factor,
+            overdue_min_s=self._hangs.min_s,
             retry_budget_percent=self._retries.percent,
             retry_burst=max(1.0, burst),
             shares_burst=True,
@@ -347,4 +390,6 @@
         state=_STATES[target.state],
         incarnation=target.incarnation,
         up_since_s=now - age_s,
+        warm_up_s=target.warm_up_ms / 1000,
+        announced_ms=target.announced_ms,
     )
--- a/coltsfootchute/entry/races.py
+++ b/coltsfootchute/entry/races.py
@@ -7,7 +7,7 @@
 from coltsfootchute import balancing, verdicts
 from coltsfootchute.entry import attempts
 
-__all__ = ["AttemptResult", "run"]
+__all__ = ["AttemptResult", "cancel", "run"]
 
 AttemptResult = tuple[attempts.Attempt, balancing.AttemptToken]
 _AttemptCoroutine = collections.abc.Coroutine[typing.Any, typing.Any, AttemptResult]
@@ -53,10 +53,10 @@
         winner = await _first_head(tasks)
     except BaseException:
         for task in tasks:
-            _cancel(task, discard)
+            cancel(task, discard)
         raise
     for task in tasks - {winner}:
-        _cancel(task, discard)
+        cancel(task, discard)
     return winner.result()
 
 
@@ -102,10 +102,12 @@
     raise next(may_have_run, failed[0])
 
 
-def _cancel(
+def cancel(
     task: asyncio.Task[AttemptResult],
     discard: collections.abc.Callable[[AttemptResult], None],
 ) -> None:
+    """Cancel an attempt, and discard its response if it has one."""
+
     def finish(ended: asyncio.Task[AttemptResult]) -> None:
         if not ended.cancelled() and ended.exception() is None:
             discard(ended.result())
--- a/coltsfootchute/entry/samplers.py
+++ b/coltsfootchute/entry/samplers.py
@@ -85,11 +85,20 @@
         tasks = [asyncio.ensure_future(self._probe(service, view)) for view in views]
         if not tasks:
             return 0
+        self._track(tasks)
+        await asyncio.wait(tasks, timeout=self._cfg.wait_s)
+        return len(tasks)
+
+    def start_probe(self, service: pools.Service, view: balancing.TargetView) -> None:
+        """Probe a target in the background, within the limit on probes."""
+        is_possible = self._cfg.per_target_s and service.health_path
+        if is_possible and service.pool.take_probe(view, time.monotonic()):
+            self._track([asyncio.ensure_future(self._probe(service, view))])
+
+    def _track(self, tasks: list[asyncio.Task[None]]) -> None:
         self._probes.update(tasks)
         for task in tasks:
             task.add_done_callback(self._probes.discard)
-        await asyncio.wait(tasks, timeout=self._cfg.wait_s)
-        return len(tasks)
 
     async def close(self) -> None:
         """Cancel the probes in progress."""
@@ -100,7 +109,8 @@
         attempt = attempts.Attempt()
         request_line = f"GET {service.health_path} HTTP/1.1"
         headers = multidict.CIMultiDict({"Host": address})
-        view.probe_sent_s = min(view.probe_sent_s, time.monotonic())
+        asked_s = time.monotonic()
+        view.probe_sent_s = min(view.probe_sent_s, asked_s)
         try:
             async with asyncio.timeout(PROBE_TIMEOUT_S):
                 endpoint = service.endpoint(address)
@@ -112,8 +122,11 @@
             view.probe_sent_s = math.inf
             attempt.finish()
             if attempt.headers is not None:
-                self._recorder.record(view.target, attempt)
+                self._recorder.record(view.target, attempt, is_probe=True)
         report = attempt.headers.get(self._header_names.load)
         load = loads.FORMATS[self._header_names.load_format](report) if report else None
         # A target that responds without a load report counts as idle.
-        view.record_load(load or loads.LoadReport(0.0), time.monotonic())
+        if load is None:
+            view.record_load(loads.LoadReport(0.0), time.monotonic())
+        else:
+            view.record_probe(load, asked_s, time.monotonic())
--- a/coltsfootchute/entry/state_tables.py
+++ b/coltsfootchute/entry/state_tables.py
@@ -25,6 +25,7 @@
         # Routes of the declaration in force; None as long as there is none.
         self.routes: declarations.RouteTable | None = None
         self.health_paths: dict[str, str] = {}
+        self.declared_services: dict[str, declarations.Service] = {}
         self.targets: dict[str, coltsfootchute_pb2.Target] = {}
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
 
@@ -55,7 +56,10 @@
         for target in self.targets.values():
             changed.update(target.services)
         self.routes = None
-        for table in (self.sections, self.rule_tables, self.health_paths, self.targets):
+        for table in (
+            *(self.sections, self.rule_tables, self.targets),
+            *(self.health_paths, self.declared_services),
+        ):
             table.clear()
         self.quarantines.clear()
         return changed
@@ -114,6 +118,7 @@
                 empty = sections.Section(rules=[])
                 self.rule_tables[service.name] = sections.RuleTable(empty)
             self.health_paths[service.name] = service.health_path
+        self.declared_services = {s.name: s for s in declared.services}
         self.routes = declarations.RouteTable(declared, random.random())
         return removed | self.health_paths.keys()
 
--- a/coltsfootchute/entry/statements.py
+++ b/coltsfootchute/entry/statements.py
@@ -4,10 +4,10 @@
 import random
 import time
 
-from coltsfootchute import balancing, logs, settings
+from coltsfootchute import announcements, balancing, logs, settings
 from coltsfootchute.entry import attempts, metrics, pools
 
-__all__ = ["Kind", "Recorder"]
+__all__ = ["Kind", "Recorder", "parse_cold_s"]
 
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
@@ -15,6 +15,7 @@
 RETRY_AFTER_HEADER = "Retry-After"
 # Entries add a random part of a rest to it, so that they do not all return at once.
 REST_FACTORS = (1.0, 1.2)
+MAX_COLD_CHARS = 16
 
 
 class Kind(enum.Enum):
@@ -23,6 +24,7 @@
     LEAVING = "leaving"
     REST = "rest"
     UNREADABLE = "unreadable"
+    COLD = "cold"
 
 
 class Recorder:
@@ -52,7 +54,13 @@
         self._max_rest_s = max_rest_s
         self._meters = meters
 
-    def record(self, target: balancing.Target, attempt: attempts.Attempt) -> None:
+    def record(
+        self,
+        target: balancing.Target,
+        attempt: attempts.Attempt,
+        *,
+        is_probe: bool = False,
+    ) -> None:
         """Record the statements in the head of a response, whatever its status.
 
         Parameters
@@ -61,9 +69,13 @@
             The target to which the request was sent.
         attempt
             The attempt, with the head of the response.
+        is_probe
+            Whether the request was a probe.
         """
         if not self._is_from(target, attempt):
             return
+        if self._names.cold is not None:
+            self._record_cold(target, attempt, is_probe)
         if attempt.headers.get(self._names.leaving, "").strip() == LEAVING_VALUE:
             self._record_leaving(target)
         if attempt.message.code == UNAVAILABLE_STATUS:
@@ -93,6 +105,26 @@
             incarnation=target.incarnation,
         )
 
+    def _record_cold(
+        self, target: balancing.Target, attempt: attempts.Attempt, is_probe: bool
+    ) -> None:
+        text = attempt.headers.get(self._names.cold)
+        remaining_s = None if text is None else parse_cold_s(text)
+        if remaining_s is None and not (is_probe and text is None):
+            return
+        now = time.monotonic()
+        starts = self._services.slow_starts
+        if not starts.record_stated(target, remaining_s, now):
+            return
+        self._meters.statements.labels(Kind.COLD.value).inc()
+        logs.log_event(
+            "entry",
+            "a target is cold",
+            target=target.target_id,
+            incarnation=target.incarnation,
+            remaining_s=remaining_s,
+        )
+
     def _record_rest(self, target: balancing.Target, values: list[str]) -> None:
         rest_s = balancing.statements.parse_rest_s(
             values, time.time(), self._max_rest_s
@@ -114,3 +146,22 @@
         self._services.statements.record_rest(target, until_s)
         for service in self._services.all_services():
             service.pool.rest(target, until_s)
+
+
+def parse_cold_s(text: str) -> float | None:
+    """Return the time in seconds for which a target states that it is still cold.
+
+    Returns
+    -------
+    float or None
+        At most `announcements.MAX_WARM_UP_S`; None if the text is no number of ms.
+
+    Examples
+    --------
+    >>> parse_cold_s("1500"), parse_cold_s("0"), parse_cold_s("1e3")
+    (1.5, 0.0, None)
+    """
+    text = text.strip()
+    if not (text.isascii() and text.isdecimal() and len(text) <= MAX_COLD_CHARS):
+        return None
+    return min(int(text) / 1000, announcements.MAX_WARM_UP_S)
--- a/coltsfootchute/entry/tests/test_operations.py
+++ b/coltsfootchute/entry/tests/test_operations.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import random
+import time
+
+import pytest
 
 from coltsfootchute import declarations, errors
 from coltsfootchute.entry import clients, operations, watches
@@ -73,3 +76,50 @@
             await control.stop()
 
     asyncio.run(scenario())
+
+
+RAMP = declarations.Service(name="shop", ramp_per_s=2.5)
+# Service, registered and reported time in ms for which the target is cold, and whether
+# the report is committed. The target was announced 10 s ago.
+COLD_REPORTS = {
+    "cold again": (RAMP, 0, 8000, True),
+    "cold for longer": (RAMP, 15_000, 9000, True),
+    "warm earlier": (RAMP, 15_000, 0, True),
+    "as registered": (RAMP, 15_000, 4900, False),
+    "warm as registered": (RAMP, 3000, 0, False),
+    "no ramp": (declarations.Service(name="shop"), 0, 8000, False),
+}
+
+
+@pytest.mark.parametrize(
+    ("service", "registered_ms", "reported_ms", "is_committed"),
+    COLD_REPORTS.values(),
+    ids=list(COLD_REPORTS),
+)
+def test_a_report_of_another_cold_time_reaches_the_register(
+    service, registered_ms, reported_ms, is_committed
+):
+    """Other entries would send a target that is cold again all of its requests."""
+    fields = {"target_id": "t1", "incarnation": 1, "address": "127.0.0.1:9"}
+    fields |= {"services": ["shop"], "slots": 2}
+    announced_ms = int(time.time() * 1000) - 10_000
+    known = fakes.pb.Target(
+        **fields, announced_ms=announced_ms, warm_up_ms=registered_ms
+    )
+    declared = declarations.Declaration(version=1, services=[service], routes=[])
+    view = watches.View()
+    view.targets["t1"] = known
+    view.routes = declarations.RouteTable(declared)
+
+    async def scenario():
+        control = fakes.FakeControl()
+        await control.start()
+        client = clients.ControlClient([control.address], 0.1)
+        ops = operations.Operations(view, client, fakes.pb.Instance)
+        reported = fakes.pb.Target(**fields, warm_up_ms=reported_ms)
+        await ops.report_target(reported)
+        assert len(control.commands) == is_committed
+        await client.close()
+        await control.stop()
+
+    asyncio.run(scenario())
--- a/coltsfootchute/settings/__init__.py
+++ b/coltsfootchute/settings/__init__.py
@@ -4,6 +4,7 @@
 from coltsfootchute.settings.schemas import (
     ControlSettings,
     EntrySettings,
+    HangSettings,
     HeaderSettings,
     InitialMember,
     InstanceSettings,
@@ -19,6 +20,7 @@
 __all__ = [
     "ControlSettings",
     "EntrySettings",
+    "HangSettings",
     "HeaderSettings",
     "InitialMember",
     "InstanceSettings",
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -14,6 +14,7 @@
     "MAX_CONTROL_MEMBERS",
     "ControlSettings",
     "EntrySettings",
+    "HangSettings",
     "HeaderSettings",
     "InitialMember",
     "InstanceSettings",
@@ -190,6 +191,22 @@
     wait_s: typing.Annotated[float, msgspec.Meta(gt=0, le=1)] = 0.03
 
 
+class HangSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """When a request of a declared service is overdue at its target.
+
+    Parameters
+    ----------
+    factor
+        Multiple of the 99th percentile of the service's response times; 0 to never
+        regard a request as overdue.
+    min_s
+        Minimum age of an overdue request in seconds.
+    """
+
+    factor: typing.Annotated[float, msgspec.Meta(ge=0, le=1000)] = 0.0
+    min_s: typing.Annotated[float, msgspec.Meta(gt=0, le=3600)] = 0.5
+
+
 class EntrySettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Settings of the entry role.
 
@@ -227,6 +244,8 @@
         Names of headers.
     quotas
         Tolerance of the limits on workspaces.
+    hangs
+        When a request is overdue at its target, and the target hangs.
     operators
         SHA-256 of the token of each team, in hexadecimal; if None, the team header is
         trusted.
@@ -247,6 +266,7 @@
     samples: SampleSettings = SampleSettings()
     headers: HeaderSettings = HeaderSettings()
     quotas: QuotaSettings = QuotaSettings()
+    hangs: HangSettings = HangSettings()
     operators: dict[str, TokenHash] | None = None
 
 
--- a/coltsfootchute/state/targets.py
+++ b/coltsfootchute/state/targets.py
@@ -1,6 +1,6 @@
 """Register of the targets that have announced themselves."""
 
-from coltsfootchute import registries
+from coltsfootchute import announcements, registries
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
 __all__ = ["TargetRegister"]
@@ -132,8 +132,7 @@
             # A duplicate of an earlier announcement must not end a drain.
             if registered.state == pb.TARGET_STATE_DRAINING:
                 new.state = registered.state
-            new.announced_ms = registered.announced_ms
-            new.warm_up_ms = registered.warm_up_ms
+            self._keep_warm_up(new, registered, time_ms)
         self._expired.pop(new.target_id, None)
         accepted = _outcome(pb.ANNOUNCEMENT_STATUS_ACCEPTED, requested.incarnation)
         changed = [other.target_id for other in others]
@@ -142,6 +141,19 @@
             changed.append(new.target_id)
         return accepted, changed
 
+    def _keep_warm_up(self, new: pb.Target, registered: pb.Target, time_ms: int):
+        """Keep the registered times, unless the target is cold or warm again.
+
+        A target that is cold again counts as announced at that time, because its
+        remaining time is relative to the announcement.
+        """
+        changes = announcements.changes_warm_up(registered, new.warm_up_ms, time_ms)
+        if changes and new.warm_up_ms:
+            return
+        warm_ms = max(1, time_ms - registered.announced_ms)
+        new.announced_ms = registered.announced_ms
+        new.warm_up_ms = warm_ms if changes else registered.warm_up_ms
+
     def _others_at_address(self, requested: pb.Target) -> list[pb.Target]:
         """Return the other targets at the same address. O(n)."""
         return [
--- a/coltsfootchute/state/tests/test_targets.py
+++ b/coltsfootchute/state/tests/test_targets.py
@@ -167,3 +167,32 @@
     loaded.load(machine.dump())
     assert loaded.declaration.newest == machine.declaration.newest
     assert loaded.view() == machine.view()
+
+
+# Times in ms: reported when 10 s old and later; the register's times after that.
+WARM_UPS = {
+    "as before": (15_000, 5500, (0, 15_000)),
+    "cold again": (0, 8000, (10_000, 8000)),
+    "cold for longer": (15_000, 9000, (10_000, 9000)),
+    "warm earlier": (15_000, 0, (0, 10_000)),
+    "warm as before": (3000, 0, (0, 3000)),
+    "never cold": (0, 0, (0, 0)),
+}
+
+
+@pytest.mark.parametrize(
+    ("first_ms", "reported_ms", "expected"), WARM_UPS.values(), ids=list(WARM_UPS)
+)
+def test_the_last_report_states_until_when_a_target_is_cold(
+    first_ms, reported_ms, expected
+):
+    """Guards against a register that keeps the time of the first announcement."""
+    register = targets.TargetRegister()
+    # Control may apply the same report twice.
+    reports = [(0, first_ms), (10_000, reported_ms), (10_300, reported_ms)]
+    for time_ms, warm_up_ms in reports:
+        target = pb.Target(target_id="a", incarnation=1, warm_up_ms=warm_up_ms)
+        command = pb.TargetCommand(kind=Kind.KIND_ANNOUNCE, target=target)
+        register.apply(command, time_ms)
+    known = register.get("a")
+    assert (known.announced_ms, known.warm_up_ms) == expected
--- a/coltsfootchute/verdicts.py
+++ b/coltsfootchute/verdicts.py
@@ -84,6 +84,7 @@
     TARGET_TIMEOUT = "target_timeout"
     STOPPING = "stopping"
     TARGETS_AT_REST = "targets_at_rest"
+    TARGETS_HANG = "targets_hang"
     BAD_REQUEST = "bad_request"
     UNKNOWN_KEY = "unknown_key"
     OVER_ALLOTMENT = "over_allotment"
