--- a/coltsfootchute/balancing/hangs.py
+++ b/coltsfootchute/balancing/hangs.py
@@ -4,9 +4,10 @@
 import math
 import random
 
+from coltsfootchute import verdicts
 from coltsfootchute.balancing import hedges, loads
 
-__all__ = ["Evidence", "Hang", "OverdueCheck", "mark_missing"]
+__all__ = ["Evidence", "Hang", "OverdueCheck", "mark_missing", "refusal"]
 
 QUANTILE = 0.99
 # A load report says nothing about requests that started shortly before it was asked
@@ -19,6 +20,10 @@
 TRIAL_PAUSE_S = 1.0
 MAX_TRIAL_PAUSE_S = 30.0
 TRIAL_FACTORS = (1.0, 1.5)
+# Minimum time after which callers return that were refused because all targets hang,
+# and the factors that spread their returns.
+RETURN_S = 0.5
+RETURN_FACTORS = (1.05, 1.5)
 # A report older than this does not allow a trial request.
 REPORT_MAX_AGE_S = 1.0
 
@@ -254,3 +259,22 @@
             token.missing_s = math.inf
         elif token.missing_s == math.inf:
             token.missing_s = now
+
+
+def refusal(remaining_s: float, rng: random.Random) -> verdicts.Refusal:
+    """Return the refusal of a request while all targets hang.
+
+    Parameters
+    ----------
+    remaining_s
+        Time in seconds until the first trial request.
+    rng
+        Random number generator.
+    """
+    retry_after_s = max(RETURN_S, remaining_s) * rng.uniform(*RETURN_FACTORS)
+    return verdicts.Refusal(
+        verdicts.Verdict.NOT_RUN,
+        verdicts.Reason.TARGETS_HANG,
+        "no target answers its requests",
+        retry_after_s=retry_after_s,
+    )
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -9,14 +9,17 @@
     admissions,
     budgets,
     ejections,
+    hangs,
     hedges,
     loads,
     policies,
     probes,
     quarantines,
+    response_times,
     slow_starts,
     statements,
     target_sets,
+    urgencies,
     views,
 )
 
@@ -27,8 +30,6 @@
 NO_TARGET_DETAIL = "no target is serving"
 # Times after which refused callers return, as multiples of the first end of a rest.
 RETURN_FACTORS = (1.05, 1.5)
-# Minimum time after which callers return that were refused because all targets hang.
-HANG_RETURN_S = 0.5
 # Smoothing factors of the typical response time for a slower and for a faster response.
 # Faster responses weigh more, so that the slow responses of an overload do not become
 # the typical ones.
@@ -117,6 +118,8 @@
             is_full=not settings.shares_burst,
         )
         self._hedge_delay = hedges.HedgeDelay()
+        self.response_times = response_times.ResponseTimes()
+        self.urgencies = urgencies.Urgencies()
         # Typical response time in seconds; None before the first response.
         self.typical_response_s: float | None = None
 
@@ -198,13 +201,7 @@
         """
         end_s = self.hang_end_s(now)
         if end_s is not None:
-            remaining_s = max(HANG_RETURN_S, end_s - now)
-            return verdicts.Refusal(
-                verdicts.Verdict.NOT_RUN,
-                verdicts.Reason.TARGETS_HANG,
-                "no target answers its requests",
-                retry_after_s=remaining_s * self._rng.uniform(*RETURN_FACTORS),
-            )
+            return hangs.refusal(end_s - now, self._rng)
         end_s = self.rest_end_s(now)
         if end_s is None or end_s <= until_s:
             return None
@@ -252,7 +249,7 @@
             found = [
                 v for v in found if v.target.failure_domain not in domains
             ] or found
-        found = self._preferred(found, now, exclude)
+        found = self.prefer_cold(found, now, exclude)
         chosen = self._policy.select(found, now, self._rng)
         # A retry can't wait in the queue, so a slow target is better than none.
         may_wait = kind is not views.AttemptKind.RETRY and self._policy.waits_for_fast
@@ -262,8 +259,13 @@
         if hedge_delay_s is None or chosen.latency_s(now) <= hedge_delay_s:
             return chosen
         # While a serving target is eligible, suspect ones get no requests, so only
-        # targets of the same state are compared.
-        peers = [view for view in self._in_use() if not view.is_ejected(now)]
+        # targets of the same state are compared. One at rest won't get the request
+        # either, and its estimate decreases while it is idle.
+        peers = [
+            view
+            for view in self._in_use()
+            if not view.is_ejected(now) and not view.is_at_rest(now)
+        ]
         peers = [v for v in peers if v.is_serving() == chosen.is_serving()]
         fast = policies.without_slow(found, peers, now)
         if len(fast) == len(found):
@@ -294,6 +296,7 @@
         )
         self._hedge_delay.record(response_s)
         self.overdue.record(response_s)
+        self.response_times.record(token.route, response_s / token.load_factor)
         if load is not None:
             token.view.record_load(load, now)
 
--- a/coltsfootchute/balancing/slow_starts.py
+++ b/coltsfootchute/balancing/slow_starts.py
@@ -28,13 +28,16 @@
 MARGIN_DEVIATIONS = 1.5
 MAX_LIFETIME_S = 2.0
 # Tokens of all entries together when a target is announced.
-FIRST_TOKENS = 2
+FIRST_TOKENS = 3
 # The number of entries counts as the largest one in this time, because entries that
 # control does not see for a while may still send requests.
 COUNT_WINDOW_S = 30.0
 # Entries report to control at least every 1.5 s. After a restart of control, its list
 # is incomplete for that long.
 COUNT_SETTLES_S = 1.6
+# The fractional part of the golden ratio: its multiples, modulo 1, are distributed
+# evenly over the unit interval, and so are those of consecutive numbers.
+GOLDEN_RATIO_FRACTION = 0.6180339887498949
 # Number of incarnations of targets whose statements are kept.
 MAX_STATES = 4096
 
@@ -284,19 +287,20 @@
 
         Notes
         -----
-        Its phase is random within the part of [0, 1) that belongs to the position of
-        this entry, shifted by the target. So the tokens of all entries are spread
-        evenly over time. With independent phases, 5 % of the targets that joined got
-        no request within 2 s. The ramp starts at the announcement, with
-        `FIRST_TOKENS` at all entries together, so that an entry that restarts goes on
-        as before.
+        Its phase is a point of a low-discrepancy sequence for the position of this
+        entry, with a random part of the mean distance, shifted by the target. So the
+        tokens of all entries are spread evenly over time, also those of the entries of
+        one failure domain, whose names may be similar. With independent phases, 5 % of
+        the targets that joined got no request within 2 s. The ramp starts at the
+        announcement, with `FIRST_TOKENS` at all entries together, so that an entry that
+        restarts goes on as before.
         """
         state = self.of(target)
         if state.ramp is None:
             level, start_s = self._rng.random(), now
             if self.position is not None:
                 name = f"{target.target_id}/{target.incarnation}"
-                level = (self.position + level) / entries
+                level = self.position * GOLDEN_RATIO_FRACTION + level / entries
                 digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
                 level += int.from_bytes(digest) / (1 << 32)
                 level = level % 1.0 + FIRST_TOKENS / entries
--- a/coltsfootchute/balancing/target_sets.py
+++ b/coltsfootchute/balancing/target_sets.py
@@ -50,6 +50,9 @@
     overdue_factor, overdue_min_s
         A request is overdue after this multiple of the 99th percentile of the response
         times, and not before this time in seconds; a factor of 0 turns this off.
+    placement
+        Name of the placement in `placements.PLACEMENTS` for requests that wait at the
+        entry for a probed target.
     """
 
     policy: str = "expected_wait"
@@ -63,6 +66,7 @@
     ramp_per_s: float = 0.0
     overdue_factor: float = 0.0
     overdue_min_s: float = 0.0
+    placement: str = "objective"
 
 
 class TargetSet:
@@ -126,6 +130,11 @@
         self.gate.change(settings.slow_start_s, settings.ramp_per_s)
         self.overdue.change(settings.overdue_factor, settings.overdue_min_s)
 
+    @property
+    def placement(self) -> str:
+        """Name of the placement of requests that wait at the entry."""
+        return self._settings.placement
+
     @property
     def all_views(self) -> list[views.TargetView]:
         """Views of all targets, for status and metrics."""
@@ -171,6 +180,7 @@
         count: int,
         now: float,
         exclude: collections.abc.Collection[ids.TargetId] = (),
+        leave: float = 0.0,
     ) -> list[views.TargetView]:
         """Return the targets to probe before a request is sent.
 
@@ -182,6 +192,8 @@
             Time in seconds.
         exclude
             Targets that this request has tried.
+        leave
+            Part of the probe rate limit that is left to other requests, 0 to 1.
 
         Notes
         -----
@@ -206,7 +218,7 @@
         far = [v for v in found if v.target.failure_domain != domain]
         near_count = max(0, count - 1 - len(first))
         chosen = [*first, *near[:near_count], *far, *near[near_count:]][:count]
-        return chosen[: self._samples.take(len(chosen), now)]
+        return chosen[: self._samples.take(len(chosen), now, leave)]
 
     def mark_draining(self, target: views.Target) -> None:
         """Exclude an incarnation of a target from selection."""
@@ -279,19 +291,34 @@
             and view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
             and view.sampled_slowdown <= max_slowdown
         ]
-        if not found and not self._is_reporting(now):
+        if not found and not self.is_reporting(now):
             found = [view for view in eligible if not view.has_fresh_report(now)]
-        found = self._preferred(found, now, exclude)
+        found = self.prefer_cold(found, now, exclude)
         return self._policy.select(found, now, self._rng)
 
-    def _last_report_s(self) -> float:
-        """Return the time of the last load report of any target."""
-        return max((v.last_report_s for v in self._views.values()), default=-math.inf)
+    def reported_views(
+        self, now: float, exclude: collections.abc.Collection[ids.TargetId] = ()
+    ) -> list[views.TargetView]:
+        """Return the eligible targets with a fresh load report.
 
-    def _is_reporting(self, now: float) -> bool:
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        exclude
+            Targets that this request has tried.
+        """
+        self._restore_excess(now)
+        return [v for v in self._eligible(now, exclude) if v.has_fresh_report(now)]
+
+    def is_reporting(self, now: float) -> bool:
         """Tell whether a target reported, or probing began, in `REPORT_TIMEOUT_S`."""
         return now - max(self._last_report_s(), self._first_probe_s) <= REPORT_TIMEOUT_S
 
+    def _last_report_s(self) -> float:
+        """Return the time of the last load report of any target."""
+        return max((v.last_report_s for v in self._views.values()), default=-math.inf)
+
     def start_attempt(self, view: views.TargetView, now: float) -> views.AttemptToken:
         """Start an attempt; its token must be passed to `Pool.finish_attempt`."""
         token = view.start_attempt(now)
@@ -351,7 +378,7 @@
             return []
         return [view for view in found if self.gate.is_cold(view.target, now)]
 
-    def _preferred(self, found, now, exclude) -> list[views.TargetView]:
+    def prefer_cold(self, found, now, exclude) -> list[views.TargetView]:
         """Return the cold targets for a first attempt, and the others for a later one.
 
         An entry holds a token of a cold target only for a short time, and targets that
--- a/coltsfootchute/balancing/views.py
+++ b/coltsfootchute/balancing/views.py
@@ -45,11 +45,12 @@
 
 
 class TargetState(enum.Enum):
-    """State of a target in the register."""
+    """State of a target in the register, or that its failure domain is evacuated."""
 
     SERVING = "serving"
     DRAINING = "draining"
     SUSPECT = "suspect"
+    EVACUATED = "evacuated"
 
 
 class AttemptKind(enum.Enum):
@@ -89,7 +90,7 @@
     slots
         Requests that the target runs at the same time.
     state
-        State in the register.
+        State in the register; evacuated, whatever that is, while its failure domain is.
     incarnation
         Number that increases with each start of the target.
     up_since_s
@@ -134,6 +135,10 @@
         Whether its target was cold when it started.
     missing_s
         Time in seconds of the first load report that did not count it; else infinite.
+    route
+        Name of the route of the request.
+    load_factor
+        How much longer the request was expected to take than at an idle target.
     """
 
     view: "TargetView"
@@ -145,6 +150,8 @@
     is_trial: bool = False
     is_cold: bool = False
     missing_s: float = math.inf
+    route: str = ""
+    load_factor: float = 1.0
 
 
 class TargetView:
@@ -381,7 +388,7 @@
         return now < self.rest_until_s
 
     def is_serving(self) -> bool:
-        """Tell whether the target is neither suspect nor draining."""
+        """Tell whether the target is not suspect, draining or evacuated."""
         return self.target.state is TargetState.SERVING and not self.is_draining
 
     def is_suspect(self) -> bool:
--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -7,7 +7,14 @@
 import grpclib.const
 
 from coltsfootchute import announcements, declarations, errors, sections
-from coltsfootchute.control import cores, feeds, joins, maintenance, members
+from coltsfootchute.control import (
+    accounts,
+    cores,
+    feeds,
+    joins,
+    maintenance,
+    members,
+)
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
@@ -19,6 +26,9 @@
     pb.TargetCommand.KIND_WITHDRAW,
 )
 
+# Targets announce failure domains of at most this length.
+MAX_DOMAIN_CHARS = 128
+
 Handler = collections.abc.Callable[[typing.Any, typing.Any], typing.Any]
 Check = collections.abc.Callable[[typing.Any], typing.Any]
 
@@ -94,10 +104,18 @@
         The replicated state.
     maintenance
         Periodic maintenance, with the leases and the instance reports.
+    accounts
+        Limits on the requests of workspaces; None if this instance keeps none.
     """
 
-    def __init__(self, core: cores.Core, maintenance: maintenance.Maintenance):
+    def __init__(
+        self,
+        core: cores.Core,
+        maintenance: maintenance.Maintenance,
+        accounts: accounts.Accounts | None = None,
+    ):
         self._core = core
+        self._accounts = accounts
         self._maintenance = maintenance
 
     def _count(self, name: str) -> None:
@@ -256,13 +274,22 @@
             return pb.LeaseProbesReply(header=self._header(is_leader=False))
         return pb.LeaseProbesReply(header=self._header(is_leader=True), shares=shares)
 
-    async def Evacuate(self, stream) -> None:  # noqa: N802
+    @_unary
+    async def Evacuate(self, request, stream) -> pb.EvacuateReply:  # noqa: N802
         """Start or end the evacuation of a failure domain."""
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        _require(
+            0 < len(request.failure_domain) <= MAX_DOMAIN_CHARS,
+            f"failure_domain: needs 1 to {MAX_DOMAIN_CHARS} characters",
+        )
+        self._count("evacuations")
+        command = pb.Command(evacuation=request)
+        return pb.EvacuateReply(**await self._commit(command))
 
     async def Account(self, stream) -> None:  # noqa: N802
         """Count the requests of workspaces and limit them."""
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        if self._accounts is None:
+            raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        await self._accounts.serve(stream)
 
     @_unary
     async def Status(self, request, stream) -> pb.StatusReply:  # noqa: N802
@@ -277,6 +304,8 @@
         counters["link_messages_dropped"] = self._core.links.dropped
         counters["feed_watchers"] = self._core.feed.watcher_count
         counters["claims_stored"] = len(self._core.machine.claims)
+        evacuations = self._core.machine.evacuations.dump()
+        counters["evacuations_in_force"] = len(evacuations)
         now = feeds.clock()
         return pb.StatusReply(
             header=pb.ReplyHeader(leader_address=self._core.leader_address),
@@ -291,6 +320,7 @@
             instances=self._maintenance.instances.all(),
             targets=self._maintenance.target_leases(now) if is_leader else [],
             counters=counters,
+            evacuations=evacuations,
         )
 
 
--- a/coltsfootchute/entry/dispatches.py
+++ b/coltsfootchute/entry/dispatches.py
@@ -19,6 +19,7 @@
     requests,
     statements,
     watches,
+    workspaces,
 )
 
 __all__ = ["Dispatcher", "selection_fields"]
@@ -82,6 +83,7 @@
         self._placer = placer
         self._recorder = recorder
         self._names = names
+        self._checker = workspaces.Checker(view, meters, names)
 
     def _check_quarantine(self, call: requests.Call) -> None:
         # For a request with a key, control checks the quarantine as part of the claim,
@@ -117,6 +119,8 @@
         may_retry = call.is_declared and call.rule.repeatable and call.can_resend
         if not may_retry or not call.has_attempts_left:
             return None
+        if await self._checker.renew(call) is not None:
+            return None
         pool, now = call.service.pool, time.monotonic()
         if self._uses_probes(call):
             view = await self._placer.find(call, placements.MAX_OCCUPANCY)
@@ -197,6 +201,9 @@
         if not allowed:
             raise pools.RefusedError(refusal)
         self._check_quarantine(call)
+        key_refusal = await self._checker.renew(call)
+        if key_refusal is not None:
+            raise pools.RefusedError(key_refusal)
         token = await self._start_next(call, error, now)
         if token is None:
             at_rest = None
@@ -275,6 +282,8 @@
 
     async def _move(self, call: requests.Call) -> balancing.AttemptToken | None:
         """Start an attempt at another target in place of an overdue one."""
+        if await self._checker.renew(call) is not None:
+            return None
         pool = call.service.pool
         if self._uses_probes(call):
             view = await self._placer.find(call, placements.MAX_OCCUPANCY)
@@ -295,11 +304,16 @@
         attempt.request_id = call.request_id
         call.attempts.append(attempt)
         call.phase = phases.Phase.AT_TARGET
-        attempt.revision = self._view.revision
-        attempt.started_s = time.monotonic()
         if token.is_cold:
             self._meters.cold_attempts.labels(call.service.name).inc()
         try:
+            key_refusal = await self._checker.renew(call)
+            if key_refusal is not None:
+                raise attempts.AttemptError(
+                    key_refusal.verdict, key_refusal.reason, key_refusal.detail
+                )
+            attempt.revision = self._view.revision
+            attempt.started_s = time.monotonic()
             await self._forwarder.send(
                 attempt,
                 call.service.endpoint(target.address),
--- a/coltsfootchute/entry/metrics.py
+++ b/coltsfootchute/entry/metrics.py
@@ -1,6 +1,6 @@
 """Metrics of the entry role."""
 
-from coltsfootchute import verdicts
+from coltsfootchute import balancing, verdicts
 from coltsfootchute.entry import counters, phases
 
 __all__ = ["CallMeter", "Metrics"]
@@ -100,11 +100,34 @@
             "Targets that began or ended to hang, and trial requests to them.",
             ["service", "event"],
         )
+        self.key_checks = self._add_counter(
+            "coltsfootchute_key_checks",
+            "Look-ups of callers' keys on routes of deployments with workspaces.",
+            ["outcome"],
+        )
+        for outcome in ("known", "missing", "repeated", "unknown", "removed"):
+            self.key_checks.labels(outcome)
         self.probe_seconds = self._add_counter(
             "coltsfootchute_probe_seconds",
             "Time spent on probes of idle targets.",
             ["service"],
         )
+        self.allotments = self._add_counter(
+            "coltsfootchute_allotments",
+            "Requests of workspaces with a limit, by the decision on them.",
+            ["outcome"],
+        )
+        for outcome in balancing.allotments.Outcome:
+            self.allotments.labels(outcome.value)
+        self.allotments.labels("given_back")
+        self.owner_changes = self._add_counter(
+            "coltsfootchute_owner_changes",
+            "Control instances that became the owner of the limits on workspaces.",
+        ).labels()
+        self.owner_connected = self._add_gauge(
+            "coltsfootchute_owner_connected",
+            "1 while an owner of the limits on workspaces answers.",
+        ).labels()
         self.latency = self._add(
             counters.Family(
                 counters.Kind.HISTOGRAM,
@@ -125,6 +148,10 @@
             "coltsfootchute_revision_in_force",
             "Log index of the last change in force.",
         ).labels()
+        self.evacuated = self._add_gauge(
+            "coltsfootchute_evacuated_failure_domains",
+            "Failure domains whose targets get no new requests from this entry.",
+        ).labels()
         self._meters: dict[str, CallMeter] = {}
 
     def _add(self, family: counters.Family) -> counters.Family:
--- a/coltsfootchute/entry/state_tables.py
+++ b/coltsfootchute/entry/state_tables.py
@@ -1,14 +1,16 @@
-"""Sections, routes, targets and quarantines as an entry knows them."""
+"""Sections, routes, targets, quarantines and evacuations as an entry knows them."""
 
 import random
 
 import loguru
 
-from coltsfootchute import announcements, declarations, errors, sections
+from coltsfootchute import announcements, declarations, errors, logs, sections
 from coltsfootchute.proto import coltsfootchute_pb2
 
 __all__ = ["StateTables"]
 
+MAX_LOGGED_NAMES = 10
+
 
 class StateTables:
     """Tables that the changes of a feed update.
@@ -24,10 +26,15 @@
         self.rule_tables: dict[str, sections.RuleTable] = {}
         # Routes of the declaration in force; None as long as there is none.
         self.routes: declarations.RouteTable | None = None
+        # Version whose workspaces were logged, and these workspaces.
+        self._logged_version = 0
+        self._logged_workspaces: declarations.WorkspaceTable | None = None
         self.health_paths: dict[str, str] = {}
         self.declared_services: dict[str, declarations.Service] = {}
         self.targets: dict[str, coltsfootchute_pb2.Target] = {}
         self.quarantines: dict[tuple[str, bytes], coltsfootchute_pb2.Quarantine] = {}
+        # Failure domains whose targets get no new requests, with the start in Unix ms.
+        self.evacuated: dict[str, int] = {}
 
     def targets_of(self, service: str) -> list[coltsfootchute_pb2.Target]:
         """Return the targets that announced a service."""
@@ -62,6 +69,7 @@
         ):
             table.clear()
         self.quarantines.clear()
+        self.evacuated.clear()
         return changed
 
     def _apply(self, change: coltsfootchute_pb2.FeedChange) -> set[str]:
@@ -81,8 +89,19 @@
                 self.quarantines.pop(key, None)
             else:
                 self.quarantines[key] = change.quarantine
+        if kind == "evacuation":
+            return self._apply_evacuation(change.evacuation)
         return set()
 
+    def _apply_evacuation(self, evacuation: coltsfootchute_pb2.Evacuation) -> set[str]:
+        domain = evacuation.failure_domain
+        if evacuation.ended:
+            self.evacuated.pop(domain, None)
+        else:
+            self.evacuated[domain] = evacuation.started_ms
+        located = (t for t in self.targets.values() if t.failure_domain == domain)
+        return {service for target in located for service in target.services}
+
     def _apply_section(self, section: coltsfootchute_pb2.SectionInForce) -> set[str]:
         try:
             table = sections.RuleTable(sections.parse(section.document))
@@ -120,8 +139,31 @@
             self.health_paths[service.name] = service.health_path
         self.declared_services = {s.name: s for s in declared.services}
         self.routes = declarations.RouteTable(declared, random.random())
+        self._log_workspaces()
         return removed | self.health_paths.keys()
 
+    def _log_workspaces(self) -> None:
+        """Log once for each version what it changes in the workspaces."""
+        declared, table = self.routes.declaration, self.routes.workspaces
+        if declared.version == self._logged_version:
+            return
+        changes = declarations.workspace_changes(self._logged_workspaces, table)
+        if any(changes.values()):
+            logs.log_event(
+                "feed", "workspaces changed", version=declared.version, **changes
+            )
+        limited = [r.name for r in declared.routes if r.regions]
+        limited += [w.name for w in declared.workspaces or () if w.regions]
+        if limited:
+            logs.log_event(
+                "feed",
+                "regions are stored but not enforced",
+                version=declared.version,
+                names=limited[:MAX_LOGGED_NAMES],
+            )
+        self._logged_version = declared.version
+        self._logged_workspaces = table
+
     def _apply_target(self, target: coltsfootchute_pb2.Target) -> set[str]:
         previous = self.targets.pop(target.target_id, None)
         try:
