--- a/coltsfootchute/balancing/placements.py
+++ b/coltsfootchute/balancing/placements.py
@@ -13,7 +13,7 @@
 import typing
 
 from coltsfootchute import ids, registries, verdicts
-from coltsfootchute.balancing import pools, response_times, views
+from coltsfootchute.balancing import outlooks, pools, response_times, returns, views
 
 __all__ = ["PLACEMENTS", "PROBE_INTERVAL_S", "Placement", "Waiting", "make"]
 
@@ -55,9 +55,7 @@
 # Part of its spare time for which a request waits for a fast target.
 FAST_WAIT_PART = 0.5
 # Part of the probed targets with a free slot above which late requests are started.
-MIN_ROOM_FOR_LATE = 0.8
-# A failed attempt costs several typical response times.
-FAILURE_COST = 6.0
+MIN_ROOM_FOR_LATE = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,6 +124,7 @@
     """
 
     left_probes = 0.0
+    rounds_slots = False
 
     def __init__(self, pool: pools.Pool, waiting: Waiting, now: float):
         self._pool, self._waiting = pool, waiting
@@ -147,10 +146,25 @@
             MAX_OCCUPANCY if is_in_time else MAX_LATE_OCCUPANCY,
             self._waiting.tried,
             math.inf if is_last else MAX_SLOWDOWN,
+            rounds=self.rounds_slots,
         )
         return view or refusal(self._pool, now, self._wait_until_s, is_last)
 
 
+@PLACEMENTS.register("whole_slots")
+class WholeSlotsPlacement(ObjectivePlacement):
+    """As `ObjectivePlacement`, and with both slots of targets that have two.
+
+    Notes
+    -----
+    The load that this answers: targets with two slots, most of which run a request. One
+    slot in ten that stays free is half of such a target, and a second request there was
+    measured to take as long as the first one.
+    """
+
+    rounds_slots = True
+
+
 def start(
     pool: pools.Pool, waiting: Waiting, view: views.TargetView, now: float
 ) -> views.AttemptToken:
@@ -178,7 +192,11 @@
 
 
 def refusal(
-    pool: pools.Pool, now: float, until_s: float, is_last: bool
+    pool: pools.Pool,
+    now: float,
+    until_s: float,
+    is_last: bool,
+    retry_after_s: float | None = None,
 ) -> verdicts.Refusal | None:
     """Refuse a request that no target can take until a time; None to wait."""
     if not pool.is_serving:
@@ -186,7 +204,9 @@
     at_rest = pool.rest_refusal(now, until_s)
     if at_rest is None and is_last:
         return not_run(
-            verdicts.Reason.QUEUE_FULL, "no probed target had a free slot in time"
+            verdicts.Reason.QUEUE_FULL,
+            "no probed target had a free slot in time",
+            retry_after_s,
         )
     return at_rest
 
@@ -238,8 +258,11 @@
     3. A target is made crowded only if that pays, and by requests that are answered in
        time there. Slow targets get requests only when there is no time or no room to
        wait for a fast one.
-    4. A request that can't be in time any more is refused at once, unless most of the
-       targets have free slots.
+    4. A request that can't be in time any more is refused at once, unless half of the
+       targets have free slots. Where most waiting is in vain, so are requests that
+       found no slot within an eighth of their objective.
+    5. In one entry, a free slot is left to the requests of a more urgent rank that wait
+       for one, and to those that are not late.
     """
 
     def __init__(self, pool: pools.Pool, waiting: Waiting, now: float):
@@ -256,39 +279,71 @@
         self._end_s = min(self._end_s, waiting.deadline_s)
         self._until_s = max(self._end_s - self._work_s, now + MIN_WAIT_S)
         spare_s = self._until_s - now
+        objective_s = waiting.objective_s or spare_s
+        # One probe interval is left for the refusal to be in time.
+        self._early_s = now + outlooks.EARLY_PART * objective_s - PROBE_INTERVAL_S
+        self._waits_long = False
+        # Sort key in this entry. Least slack first within a rank lost: at four slots,
+        # routes with a long objective fell from 1.0 to 0.85 of their value.
+        self.order = (waiting.rank, self._end_s - self._work_s < now)
+        pool.urgencies.enter(self)
         self._settles_from_s = now + FAST_WAIT_PART * spare_s
 
     def step(self, now):
-        """Return the target with the shortest expected response time."""
+        """Return the best of the targets that answer in time."""
+        outlook, route = self._pool.outlook, self._waiting.route
+        found = self._decide(now)
+        if found is None and not self._waits_long and now >= self._early_s:
+            self._waits_long = not outlook.is_in_vain(route, self._pool.rng)
+            if not self._waits_long:
+                self._until_s = now
+                found = self._refusal(now)
+        elif found is not None and self._waits_long:
+            outlook.record(route, isinstance(found, views.TargetView))
+        if found is not None:
+            self._pool.urgencies.leave(self)
+        return found
+
+    def _decide(self, now):
         pool, waiting = self._pool, self._waiting
         fresh = pool.reported_views(now, waiting.tried)
-        is_last = now + PROBE_INTERVAL_S > self._until_s
         if fresh:
             free = sum(map(_is_uncrowded, fresh))
             pool.urgencies.record_room(free / len(fresh), now)
         elif not pool.is_reporting(now):
             view = pool.select_with_room(now, MAX_OCCUPANCY, waiting.tried)
-            return view or refusal(pool, now, self._until_s, is_last)
+            return view or self._refusal(now)
         is_late = now + self._work_s > self._end_s
         if is_late and pool.urgencies.room < MIN_ROOM_FOR_LATE:
-            return refusal(pool, now, self._until_s, is_last)
+            return self._refusal(now)
         expected_s = {
             view: self._expected_s(view)
             for view in fresh
             if self._may_use(view, now, is_late)
         }
-        costs = {
-            view: time_s * (1 + FAILURE_COST * view.failure_rate(now))
+        found = [
+            view
             for view, time_s in expected_s.items()
             if is_late or now + time_s <= self._end_s
-        }
-        found = list(costs)
-        if not self._is_preferred:
-            # Less urgent requests warm up the targets that joined.
-            found = pool.prefer_cold(found, now, waiting.tried)
-        if found:
-            return min(found, key=costs.get)
-        return refusal(pool, now, self._until_s, is_last)
+        ]
+        if len(found) > pool.urgencies.count_ahead(self):
+            if not self._is_preferred:
+                # Less urgent requests warm up the targets that joined.
+                found = pool.prefer_cold(found, now, self._waiting.tried)
+            return pool.choose(found, now)
+        return self._refusal(now)
+
+    def _refusal(self, now):
+        pool = self._pool
+        return refusal(
+            pool,
+            now,
+            self._until_s,
+            now + PROBE_INTERVAL_S > self._until_s,
+            returns.retry_after_s(
+                self._waiting.objective_s, pool.urgencies.room, pool.rng
+            ),
+        )
 
     def _may_use(self, view, now, is_late):
         load = view.sampled_load() + 1
--- a/coltsfootchute/balancing/target_sets.py
+++ b/coltsfootchute/balancing/target_sets.py
@@ -9,12 +9,12 @@
 from coltsfootchute.balancing import (
     budgets,
     ejections,
-    hangs,
     limits,
     policies,
     probes,
     samples,
     slow_starts,
+    start_rules,
     statements,
     views,
 )
@@ -24,6 +24,8 @@
 # Within this time several requests probe targets, and a probe times out within half of
 # it. If no target has reported its load for longer, the targets can't be probed.
 REPORT_TIMEOUT_S = 1.0
+# For targets with at most so many slots, the occupancy is rounded to whole slots.
+MAX_ROUNDED_SLOTS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,7 +71,7 @@
     placement: str = "objective"
 
 
-class TargetSet:
+class TargetSet(start_rules.StartRules):
     """Views of the targets of a service, and selection among them.
 
     `pools.Pool` adds the budgets and the queue.
@@ -88,15 +90,6 @@
         Statements of targets, which all services of an entry share; None for own ones.
     starts
         Coldness of targets, which all services share; None for an own one.
-
-    Attributes
-    ----------
-    overdue : hangs.OverdueCheck
-        Finds requests that are overdue.
-    new_hangs : list of views.TargetView
-        Targets that began to hang, until the daemon has logged them.
-    gate : slow_starts.Gate
-        Limits the requests to cold targets.
     """
 
     def __init__(
@@ -109,9 +102,7 @@
         stated: statements.Statements | None = None,
         starts: slow_starts.SlowStarts | None = None,
     ):
-        self.gate = slow_starts.Gate(starts or slow_starts.SlowStarts(rng))
-        self.overdue = hangs.OverdueCheck()
-        self.new_hangs: list[views.TargetView] = []
+        super().__init__(starts or slow_starts.SlowStarts(rng))
         self._statements = stated or statements.Statements()
         self.probes = probes.ProbeShares()
         self._settings = settings
@@ -130,6 +121,11 @@
         self.gate.change(settings.slow_start_s, settings.ramp_per_s)
         self.overdue.change(settings.overdue_factor, settings.overdue_min_s)
 
+    @property
+    def rng(self) -> random.Random:
+        """Random number generator of the pool."""
+        return self._rng
+
     @property
     def placement(self) -> str:
         """Name of the placement of requests that wait at the entry."""
@@ -181,6 +177,7 @@
         now: float,
         exclude: collections.abc.Collection[ids.TargetId] = (),
         leave: float = 0.0,
+        also: views.TargetView | None = None,
     ) -> list[views.TargetView]:
         """Return the targets to probe before a request is sent.
 
@@ -194,6 +191,8 @@
             Targets that this request has tried.
         leave
             Part of the probe rate limit that is left to other requests, 0 to 1.
+        also
+            A target that is probed before all others.
 
         Notes
         -----
@@ -218,6 +217,8 @@
         far = [v for v in found if v.target.failure_domain != domain]
         near_count = max(0, count - 1 - len(first))
         chosen = [*first, *near[:near_count], *far, *near[near_count:]][:count]
+        if also is not None and also.probe_sent_s == math.inf:
+            chosen = [also, *chosen]
         return chosen[: self._samples.take(len(chosen), now, leave)]
 
     def mark_draining(self, target: views.Target) -> None:
@@ -256,6 +257,8 @@
         occupancy: float,
         exclude: collections.abc.Collection[ids.TargetId] = (),
         max_slowdown: float = math.inf,
+        *,
+        rounds: bool = False,
     ) -> views.TargetView | None:
         """Select a target whose fresh load report shows a free slot.
 
@@ -269,6 +272,8 @@
             Targets that this request has tried.
         max_slowdown
             Targets that report a larger slowdown are left out.
+        rounds
+            Whether the occupancy is rounded to whole slots at small targets.
 
         Returns
         -------
@@ -288,7 +293,7 @@
             view
             for view in eligible
             if view.has_fresh_report(now)
-            and view.sampled_load() + 1 <= max(1.0, occupancy * view.slots)
+            and view.sampled_load() + 1 <= _most_requests(occupancy, view.slots, rounds)
             and view.sampled_slowdown <= max_slowdown
         ]
         if not found and not self.is_reporting(now):
@@ -311,6 +316,12 @@
         self._restore_excess(now)
         return [v for v in self._eligible(now, exclude) if v.has_fresh_report(now)]
 
+    def choose(
+        self, found: collections.abc.Sequence[views.TargetView], now: float
+    ) -> views.TargetView | None:
+        """Return the one of the targets that the policy selects."""
+        return self._policy.select(found, now, self._rng)
+
     def is_reporting(self, now: float) -> bool:
         """Tell whether a target reported, or probing began, in `REPORT_TIMEOUT_S`."""
         return now - max(self._last_report_s(), self._first_probe_s) <= REPORT_TIMEOUT_S
@@ -319,12 +330,6 @@
         """Return the time of the last load report of any target."""
         return max((v.last_report_s for v in self._views.values()), default=-math.inf)
 
-    def start_attempt(self, view: views.TargetView, now: float) -> views.AttemptToken:
-        """Start an attempt; its token must be passed to `Pool.finish_attempt`."""
-        token = view.start_attempt(now)
-        token.is_cold = self.gate.start(view.target, now)
-        return token
-
     def _eligible(self, now, exclude) -> list[views.TargetView]:
         has_rules = self.gate.is_active(now) or self.overdue.is_on
         available = [
@@ -358,11 +363,6 @@
             and not view.is_at_rest(now)
         ]
 
-    def _is_doubtful(self, view: views.TargetView, now: float) -> bool:
-        if view.hang.is_hanging:
-            return view.hang.is_due(now)
-        return self.gate.is_active(now) and self.gate.wants_probe(view.target, now)
-
     def _without_report(self, found, now) -> list[views.TargetView]:
         """Return the views that may be probed, in random order."""
         unknown = [
@@ -373,24 +373,6 @@
         self._rng.shuffle(unknown)
         return unknown
 
-    def _cold(self, found, now) -> list[views.TargetView]:
-        if not self.gate.is_active(now):
-            return []
-        return [view for view in found if self.gate.is_cold(view.target, now)]
-
-    def prefer_cold(self, found, now, exclude) -> list[views.TargetView]:
-        """Return the cold targets for a first attempt, and the others for a later one.
-
-        An entry holds a token of a cold target only for a short time, and targets that
-        joined must get requests soon. A second attempt is already late.
-        """
-        cold = self._cold(found, now)
-        if not cold:
-            return found
-        if not exclude:
-            return cold
-        return [view for view in found if view not in cold] or found
-
     def hang_end_s(self, now: float) -> float | None:
         """Return when the first target may get a trial request.
 
@@ -405,23 +387,6 @@
             return None
         return max(now, min(view.hang.trial_after_s for view in in_use))
 
-    def record_head(self, token: views.AttemptToken, now: float) -> bool:
-        """Record the head of any response; return whether its target had hung."""
-        token.is_answered = True
-        return token.view.hang.record_answer(now)
-
-    def mark_overdue(self, token: views.AttemptToken) -> None:
-        """Mark an attempt as overdue."""
-        token.is_overdue = True
-        if token.view.hang.record_overdue(token.started_s):
-            self.new_hangs.append(token.view)
-
-    def _record_unanswered(self, token: views.AttemptToken, now: float) -> None:
-        """Record the end of an attempt whose target has not answered."""
-        hang, limit_s = token.view.hang, self.overdue.limit_s()
-        if hang.record_abandoned(token.started_s, now, limit_s):
-            self.new_hangs.append(token.view)
-
     def take_probe(self, view: views.TargetView, now: float) -> bool:
         """Take a token for one probe of a target, unless it is being probed."""
         return view.probe_sent_s == math.inf and bool(self._samples.take(1, now))
@@ -447,3 +412,18 @@
     def _capacity(self, now: float) -> int:
         usable = (v for v in self._views.values() if not v.is_ejected(now))
         return max(1, sum(view.limit.current() for view in usable))
+
+
+def _most_requests(occupancy: float, slots: int, rounds: bool) -> float:
+    """Return the largest number of requests that may be at a target.
+
+    Examples
+    --------
+    >>> [_most_requests(0.9, slots, True) for slots in (1, 2, 4)]
+    [1, 2, 3.6]
+    >>> _most_requests(0.9, 2, False), _most_requests(0.6, 2, True)
+    (1.8, 1)
+    """
+    if rounds and slots <= MAX_ROUNDED_SLOTS:
+        return max(1, round(occupancy * slots))
+    return max(1.0, occupancy * slots)
