Merge the limits on cold targets and the detection of targets that hang

Cause: nothing limited the requests to cold targets over all entries, and requests went on to targets that never answer.

--- a/coltsfootchute/balancing/placements.py
+++ b/coltsfootchute/balancing/placements.py
@@ -332,6 +332,9 @@
             if is_late or now + time_s <= self._end_s
         ]
         if len(found) > pool.urgencies.count_ahead(self):
+            if not self._is_preferred:
+                # Less urgent requests warm up the targets that joined.
+                found = pool.prefer_cold(found, now, self._waiting.tried)
             return pool.choose(found, now)
         return self._refusal(now)
 
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -18,6 +18,7 @@
     keys,
     matches,
     metrics,
+    overdues,
     phases,
     placements,
     pools,
@@ -76,6 +77,8 @@
         Names of headers.
     retry_after_s
         Seconds after which a refused caller should retry.
+    watch
+        Watches for requests that are overdue; None if none is ever.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         accounts: accounts.Accounts | None = None,
         names: settings.HeaderSettings | None = None,
         retry_after_s: float = answers.RETRY_AFTER_S,
+        watch: overdues.Watch | None = None,
     ):
         super().__init__(
             view=view,
@@ -102,6 +106,7 @@
             placer=placer,
             recorder=recorder,
             names=names or settings.HeaderSettings(),
+            watch=watch,
         )
         self._retry_after_s = retry_after_s
         self._matcher = matches.Matcher(view, services, self._names, self._checker)
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -23,6 +23,7 @@
     measurements,
     metrics,
     operators,
+    overdues,
     placements,
     pools,
     samplers,
@@ -70,7 +71,13 @@
         self.view = watches.View(self._on_feed_message)
         self.client = clients.ControlClient(entry.control, entry.renew_s)
         self.services = pools.Services(
-            self.view, cfg.instance.failure_domain, entry.retries, entry.samples
+            self.view,
+            cfg.instance.failure_domain,
+            entry.retries,
+            entry.samples,
+            entry.hangs,
+            name=name,
+            states_cold=entry.headers.cold is not None,
         )
         self.feed = feeds.Feed()
         self._watcher = watches.Watcher(
@@ -165,6 +172,11 @@
             accounts=self.accounts,
             names=entry.headers,
             retry_after_s=entry.retry_after_s,
+            watch=(
+                overdues.Watch(self._sampler, self.metrics)
+                if entry.hangs.factor
+                else None
+            ),
         )
         self._instance.peer_address = await self._start_peer(entry.peer)
         self._instance.api_address = await self._start_api(entry.api)
