balancing, entry: use the usual terms for decisions, waits and retry times

Cause: names such as ruling, ruler, outlook and overdues are not the field's. Change: renamed to Decision, allotments, WaitOutcomes, retry_times and overdue_requests; no behaviour changes.

--- a/benchmarks/tests/test_overloads.py
+++ b/benchmarks/tests/test_overloads.py
@@ -8,11 +8,11 @@
 
 from benchmarks import overloads
 from coltsfootchute.balancing import (
-    outlooks,
     placements,
     response_times,
     second_attempts,
     urgencies,
+    wait_outcomes,
 )
 
 _MEDIAN_S = response_times.ResponseTimes.median_s
@@ -26,7 +26,7 @@
     ],
     "no_reserve": [(response_times.ResponseTimes, "median_s", lambda *_: 0.0)],
     "late_first": [(placements, "MIN_ROOM_FOR_LATE", 0.0)],
-    "late_refusal": [(outlooks.Outlook, "is_in_vain", lambda *_: False)],
+    "late_refusal": [(wait_outcomes.WaitOutcomes, "is_in_vain", lambda *_: False)],
     "hedges_always": [(second_attempts, "gains", lambda *_: True)],
     "no_second_slot": [
         (response_times, "useful_slots", response_times.uncrowded_slots)
--- a/coltsfootchute/balancing/allotments.py
+++ b/coltsfootchute/balancing/allotments.py
@@ -9,7 +9,7 @@
 
 from coltsfootchute import quotas
 
-__all__ = ["Allotments", "Outcome", "Ruling", "Throttle", "Use"]
+__all__ = ["Allotments", "Decision", "Outcome", "Throttle", "Use"]
 
 # The last fractions of the owner apply for this time. The owner sends a message at
 # least every second.
@@ -55,7 +55,7 @@
     admitted: int
 
 
-class Ruling(typing.NamedTuple):
+class Decision(typing.NamedTuple):
     """Decision on one request.
 
     Parameters
@@ -208,7 +208,7 @@
             account.unconfirmed = 0
             account.is_alone = False
 
-    def admit(self, workspace: str, now: float) -> Ruling | None:
+    def admit(self, workspace: str, now: float) -> Decision | None:
         """Decide on a request.
 
         Parameters
@@ -220,7 +220,7 @@
 
         Returns
         -------
-        Ruling or None
+        Decision or None
             None if the workspace has no limit.
         """
         account = self._accounts.get(workspace)
@@ -244,23 +244,23 @@
         account.level -= 1
         account.unconfirmed += 1
         self._count(account)
-        return Ruling(workspace, Outcome.ADMITTED, epoch=self._epoch)
+        return Decision(workspace, Outcome.ADMITTED, epoch=self._epoch)
 
-    def give_back(self, ruling: Ruling) -> None:
+    def give_back(self, decision: Decision) -> None:
         """Return the token of an admitted request that did not run."""
-        account = self._accounts.get(ruling.workspace)
+        account = self._accounts.get(decision.workspace)
         if account is None:
             return
-        if ruling.outcome is Outcome.ADMITTED_ALONE:
+        if decision.outcome is Outcome.ADMITTED_ALONE:
             if account.is_alone:
                 account.used -= 1
         else:
             account.level = min(account.limit.capacity, account.level + 1)
             account.unconfirmed = max(0, account.unconfirmed - 1)
-        if ruling.epoch == self._epoch and self._is_connected:
+        if decision.epoch == self._epoch and self._is_connected:
             # Only the owner that has counted the request gets it back.
             account.admitted -= 1
-            self._pending.add(ruling.workspace)
+            self._pending.add(decision.workspace)
 
     def take_usage(self) -> list[Use]:
         """Return the usage since the last report, and count it as reported."""
@@ -279,7 +279,7 @@
         tokens = account.level + account.limit.rate_per_s * passed_s
         account.level = min(account.limit.capacity, tokens)
 
-    def _admit_alone(self, workspace: str, account: _Account, now: float) -> Ruling:
+    def _admit_alone(self, workspace: str, account: _Account, now: float) -> Decision:
         if not self._entries:
             return self._refuse(workspace, Outcome.REFUSED_ALONE, OWNER_TIMEOUT_S)
         limit = account.limit
@@ -295,7 +295,7 @@
             return self._refuse(workspace, Outcome.REFUSED_ALONE, room_s)
         account.used += 1
         self._count(account)
-        return Ruling(workspace, Outcome.ADMITTED_ALONE, epoch=self._epoch)
+        return Decision(workspace, Outcome.ADMITTED_ALONE, epoch=self._epoch)
 
     def _count(self, account: _Account) -> None:
         """Count an admitted request for the next report."""
@@ -316,7 +316,7 @@
         ended_s = self._heard_s + OWNER_TIMEOUT_S
         account.issued_s = ended_s if math.isfinite(ended_s) else now
 
-    def _refuse(self, workspace: str, outcome: Outcome, room_s: float) -> Ruling:
+    def _refuse(self, workspace: str, outcome: Outcome, room_s: float) -> Decision:
         bounded_s = min(max(room_s, MIN_ROOM_S), MAX_ROOM_S)
         factor = self._rng.uniform(*RETURN_FACTORS)
-        return Ruling(workspace, outcome, bounded_s * factor)
+        return Decision(workspace, outcome, bounded_s * factor)
--- a/coltsfootchute/balancing/placements.py
+++ b/coltsfootchute/balancing/placements.py
@@ -13,7 +13,13 @@
 import typing
 
 from coltsfootchute import ids, registries, verdicts
-from coltsfootchute.balancing import outlooks, pools, response_times, returns, views
+from coltsfootchute.balancing import (
+    pools,
+    response_times,
+    retry_times,
+    views,
+    wait_outcomes,
+)
 
 __all__ = ["PLACEMENTS", "PROBE_INTERVAL_S", "Placement", "Waiting", "make"]
 
@@ -282,29 +288,29 @@
         spare_s = self._until_s - now
         objective_s = waiting.objective_s or spare_s
         # One probe interval is left for the refusal to be in time.
-        self._early_s = now + outlooks.EARLY_PART * objective_s - PROBE_INTERVAL_S
+        self._early_s = now + wait_outcomes.EARLY_PART * objective_s - PROBE_INTERVAL_S
         self._waits_long = False
         # Sort key in this entry. Least slack first within a rank lost: at four slots,
         # routes with a long objective fell from 1.0 to 0.85 of their value.
         self.order = (
             waiting.rank,
             self._end_s - self._work_s < now,
-            not returns.has_waited(now - waiting.asked_s, waiting.objective_s),
+            not retry_times.has_waited(now - waiting.asked_s, waiting.objective_s),
         )
         pool.urgencies.enter(self)
         self._settles_from_s = now + FAST_WAIT_PART * spare_s
 
     def step(self, now):
         """Return the best of the targets that answer in time."""
-        outlook, route = self._pool.outlook, self._waiting.route
+        outcomes, route = self._pool.wait_outcomes, self._waiting.route
         found = self._decide(now)
         if found is None and not self._waits_long and now >= self._early_s:
-            self._waits_long = not outlook.is_in_vain(route, self._pool.rng)
+            self._waits_long = not outcomes.is_in_vain(route, self._pool.rng)
             if not self._waits_long:
                 self._until_s = now
                 found = self._refusal(now)
         elif found is not None and self._waits_long:
-            outlook.record(route, isinstance(found, views.TargetView))
+            outcomes.record(route, isinstance(found, views.TargetView))
         if found is not None:
             self._pool.urgencies.leave(self)
         return found
@@ -345,7 +351,7 @@
             now,
             self._until_s,
             now + PROBE_INTERVAL_S > self._until_s,
-            returns.retry_after_s(
+            retry_times.retry_after_s(
                 self._waiting.objective_s, pool.urgencies.room, pool.rng
             ),
         )
--- a/coltsfootchute/balancing/pools.py
+++ b/coltsfootchute/balancing/pools.py
@@ -12,7 +12,6 @@
     hangs,
     hedges,
     loads,
-    outlooks,
     policies,
     probes,
     quarantines,
@@ -22,6 +21,7 @@
     target_sets,
     urgencies,
     views,
+    wait_outcomes,
 )
 
 __all__ = ["Pool"]
@@ -121,7 +121,7 @@
         self._hedge_delay = hedges.HedgeDelay()
         self.response_times = response_times.ResponseTimes()
         self.urgencies = urgencies.Urgencies()
-        self.outlook = outlooks.Outlook()
+        self.wait_outcomes = wait_outcomes.WaitOutcomes()
         # Typical response time in seconds; None before the first response.
         self.typical_response_s: float | None = None
 
--- a/coltsfootchute/balancing/tests/test_overloads.py
+++ b/coltsfootchute/balancing/tests/test_overloads.py
@@ -7,11 +7,11 @@
 
 from coltsfootchute import balancing, verdicts
 from coltsfootchute.balancing import (
-    outlooks,
     placements,
     response_times,
-    returns,
+    retry_times,
     urgencies,
+    wait_outcomes,
 )
 
 
@@ -19,13 +19,13 @@
     """Callers that return together find the service as full as before."""
     rng = random.Random(1)
     urgent, patient = (
-        [returns.retry_after_s(objective_s, 0.1, rng) for _ in range(100)]
+        [retry_times.retry_after_s(objective_s, 0.1, rng) for _ in range(100)]
         for objective_s in (0.5, 4.0)
     )
     assert max(urgent) < min(patient)
     assert max(urgent) - min(urgent) > 0.1
     assert max(urgent) <= 0.5 / 3 * 2
-    assert returns.retry_after_s(None, 0.1, rng) is None
+    assert retry_times.retry_after_s(None, 0.1, rng) is None
 
 
 @pytest.mark.parametrize(
@@ -161,7 +161,7 @@
     """Callers waited for their whole objective before they heard of the overload."""
     pool = make_pool(2)
     for _ in range(30):
-        pool.outlook.record("0", not is_in_vain)
+        pool.wait_outcomes.record("0", not is_in_vain)
     pool.rng.random = lambda: 0.5
     placement, now = place(pool, 0), 100.0
     while (found := placement.step(now)) is None:
@@ -175,11 +175,11 @@
 
 def test_waiting_is_tried_again_after_an_overload():
     """A service that has recovered must not refuse requests for ever."""
-    outlook, rng = outlooks.Outlook(), random.Random(1)
+    outcomes, rng = wait_outcomes.WaitOutcomes(), random.Random(1)
     for _ in range(30):
-        outlook.record("r", False)
-    waits = sum(not outlook.is_in_vain("r", rng) for _ in range(1000))
+        outcomes.record("r", False)
+    waits = sum(not outcomes.is_in_vain("r", rng) for _ in range(1000))
     assert 50 < waits < 200
     for _ in range(5):
-        outlook.record("r", True)
-    assert not any(outlook.is_in_vain("r", rng) for _ in range(100))
+        outcomes.record("r", True)
+    assert not any(outcomes.is_in_vain("r", rng) for _ in range(100))
--- a/coltsfootchute/balancing/outlooks.py
+++ b/coltsfootchute/balancing/wait_outcomes.py
@@ -7,7 +7,7 @@
 
 import random
 
-__all__ = ["Outlook"]
+__all__ = ["WaitOutcomes"]
 
 # Part of its objective within which a request is refused if waiting is in vain.
 EARLY_PART = 1 / 8
@@ -19,7 +19,7 @@
 TRIAL_PART = 0.1
 
 
-class Outlook:
+class WaitOutcomes:
     """Part of the requests of each route that were started after a longer wait."""
 
     def __init__(self):
--- a/coltsfootchute/control/tests/allotment_worlds.py
+++ b/coltsfootchute/control/tests/allotment_worlds.py
@@ -39,9 +39,9 @@
         world = self.world
         self.start_ms = int(world.now * 1000) + 1
         self.sequence = itertools.count(1)
-        self.ruler = allotments.Allotments(world.rng)
-        self.ruler.set_limits(world.limits, world.now)
-        self.ruler.set_entries(ENTRIES, world.now)
+        self.allotments = allotments.Allotments(world.rng)
+        self.allotments.set_limits(world.limits, world.now)
+        self.allotments.set_entries(ENTRIES, world.now)
         self.pacer = accounts.report_pacer()
         self.rank, self.reported_s = 0, -1.0
         self.connect(0)
@@ -53,7 +53,7 @@
         self.rank = rank % len(self.world.owners)
         self.heard_s = self.world.now
         self.returns_s = self.world.now + self.world.rng.uniform(3, 5)
-        self.ruler.connect()
+        self.allotments.connect()
 
     def step(self):
         now, world = self.world.now, self.world
@@ -65,19 +65,21 @@
             if world.owners[0].is_up and self.reaches(0):
                 world.owners[self.rank].leave(self)
                 self.connect(0)
-        is_due = self.ruler.has_usage or now - self.reported_s >= accounts.IDLE_REPORT_S
-        if is_due and self.pacer.due_s(now, self.ruler.is_urgent) <= now:
+        is_due = (
+            self.allotments.has_usage or now - self.reported_s >= accounts.IDLE_REPORT_S
+        )
+        if is_due and self.pacer.due_s(now, self.allotments.is_urgent) <= now:
             self.pacer.record(now)
             self.reported_s = now
             fields = {"entry": f"e{self.number}", "start_ms": self.start_ms}
-            uses = self.ruler.take_usage()
+            uses = self.allotments.take_usage()
             report = accounts.report_of(next(self.sequence), uses, **fields)
             world.send(self, world.owners[self.rank], report)
 
     def receive(self, message, rank):
         if rank == self.rank:
             self.heard_s = self.world.now
-            self.ruler.apply(accounts.throttles_of(message), self.world.now)
+            self.allotments.apply(accounts.throttles_of(message), self.world.now)
 
 
 class OwnerInstance:
@@ -162,7 +164,7 @@
         for owner in self.owners:
             owner.owner.set_limits(owner.owner.version + 1, self.limits, self.now)
         for entry in self.entries:
-            entry.ruler.set_limits(self.limits, self.now)
+            entry.allotments.set_limits(self.limits, self.now)
 
     def run(self, seconds, per_s, entries=None):
         """Offer requests at a rate, at random times and at random entries."""
@@ -175,7 +177,7 @@
                 self.offer(self.entries[number])
             for number in self._arrivals(OTHERS_PER_S * ENTRIES, range(ENTRIES)):
                 if self.entries[number].frozen_until <= self.now:
-                    self.entries[number].ruler.admit("others", self.now)
+                    self.entries[number].allotments.admit("others", self.now)
             for owner in self.owners:
                 owner.step()
             for entry in self.entries:
@@ -190,9 +192,9 @@
     def offer(self, entry):
         if entry.frozen_until > self.now:
             return
-        ruling = entry.ruler.admit("w", self.now)
-        self.outcomes[ruling.outcome] += 1
-        (self.ran if ruling.is_admitted else self.refused).append(self.now)
+        decision = entry.allotments.admit("w", self.now)
+        self.outcomes[decision.outcome] += 1
+        (self.ran if decision.is_admitted else self.refused).append(self.now)
 
     def worst(self, since=0.0, window_s=5.0):
         """Return the largest number of requests that ran within a sliding window."""
--- a/coltsfootchute/control/tests/test_allotments.py
+++ b/coltsfootchute/control/tests/test_allotments.py
@@ -175,9 +175,9 @@
     bucket.level += (new_share - share) * 5 * bucket.limit.capacity
 
 
-def forget_debts(ruler, account, rate, now):
+def forget_debts(allotments, account, rate, now):
     account.unconfirmed = 0
-    original_begin_alone(ruler, account, rate, now)
+    original_begin_alone(allotments, account, rate, now)
 
 
 original_begin_alone = rulers.Allotments._begin_alone
@@ -260,15 +260,18 @@
 
 
 def test_unknown_and_removed_workspaces_take_no_memory():
-    owner, ruler = new_owner(), allotment_worlds.World(10.0, 10.0).entries[0].ruler
+    owner, allotments = (
+        new_owner(),
+        allotment_worlds.World(10.0, 10.0).entries[0].allotments,
+    )
     for number in range(1, 100):
         owner.report(report(number, 1, workspace=f"w{number}"), 0.0)
-        assert ruler.admit(f"w{number}", 0.0) is None
-    assert (owner.workspaces, len(ruler)) == (2, 2)
-    ruler.admit("w", 0.0)
+        assert allotments.admit(f"w{number}", 0.0) is None
+    assert (owner.workspaces, len(allotments)) == (2, 2)
+    allotments.admit("w", 0.0)
     owner.set_limits(2, {}, 1.0)
-    ruler.set_limits({}, 1.0)
-    assert (owner.workspaces, len(ruler), ruler.take_usage()) == (0, 0, [])
+    allotments.set_limits({}, 1.0)
+    assert (owner.workspaces, len(allotments), allotments.take_usage()) == (0, 0, [])
 
 
 def test_reports_leave_early_after_a_pause_and_seldom_on_average():
--- a/coltsfootchute/entry/accounts.py
+++ b/coltsfootchute/entry/accounts.py
@@ -116,7 +116,7 @@
         self._owners = sorted(owners)
         self._meters = meters
         self._rng = rng or random.Random()
-        self._ruler = allotments.Allotments(self._rng)
+        self._allotments = allotments.Allotments(self._rng)
         self._routes = None
         self._sequence_numbers = itertools.count(1)
         self._is_limiting, self._wake = asyncio.Event(), asyncio.Event()
@@ -137,17 +137,17 @@
             limits = {}
             if self._routes is not None:
                 limits = quotas.limits_of(self._routes.declaration, self._cfg)
-            self._ruler.set_limits(limits, now)
-        if not self._ruler.is_limiting:
+            self._allotments.set_limits(limits, now)
+        if not self._allotments.is_limiting:
             self._is_limiting.clear()
             return
         self._is_limiting.set()
         stopping = coltsfootchute_pb2.INSTANCE_STATE_STOPPING
         known = self._view.instances.values()
-        self._ruler.set_entries(sum(i.state != stopping for i in known), now)
+        self._allotments.set_entries(sum(i.state != stopping for i in known), now)
 
     def admit(self, call: requests.Call) -> None:
-        """Admit a call, and keep the ruling in it.
+        """Admit a call, and keep the decision in it.
 
         Raises
         ------
@@ -156,41 +156,41 @@
         """
         if call.workspace is None:
             return
-        known = self._ruler.has_usage, self._ruler.is_urgent
+        known = self._allotments.has_usage, self._allotments.is_urgent
         now = watches.clock()
-        ruling = self._ruler.admit(call.workspace.name, now)
-        if ruling is None:
+        decision = self._allotments.admit(call.workspace.name, now)
+        if decision is None:
             return
-        if known != (self._ruler.has_usage, self._ruler.is_urgent):
+        if known != (self._allotments.has_usage, self._allotments.is_urgent):
             self._wake.set()
-        self._meters.allotments.labels(ruling.outcome.value).inc()
-        if ruling.is_admitted:
-            call.ruling = ruling
+        self._meters.allotments.labels(decision.outcome.value).inc()
+        if decision.is_admitted:
+            call.admission = decision
             return
-        if self._episodes.record(ruling.workspace, now):
+        if self._episodes.record(decision.workspace, now):
             logs.log_event(
                 "entry",
                 "refuses requests over the allotment",
-                workspace=ruling.workspace,
-                outcome=ruling.outcome.value,
+                workspace=decision.workspace,
+                outcome=decision.outcome.value,
                 owner=self.owner,
             )
         raise pools.RefusedError(
             verdicts.Refusal(
                 verdicts.Verdict.NOT_RUN,
                 verdicts.Reason.OVER_ALLOTMENT,
-                f"workspace {ruling.workspace!r} has used its allotment",
-                round(ruling.retry_after_s, 2),
+                f"workspace {decision.workspace!r} has used its allotment",
+                round(decision.retry_after_s, 2),
             )
         )
 
     def settle(self, call: requests.Call) -> None:
         """Give the token of a call back that has ended and certainly did not run."""
-        ruling, call.ruling = call.ruling, None
-        if ruling is None or call.may_have_run:
+        decision, call.admission = call.admission, None
+        if decision is None or call.may_have_run:
             return
         self._meters.allotments.labels("given_back").inc()
-        self._ruler.give_back(ruling)
+        self._allotments.give_back(decision)
         self._wake.set()
 
     @property
@@ -220,7 +220,7 @@
         except _STREAM_ERRORS as exc:
             reason = repr(exc)
         finally:
-            self._ruler.disconnect()
+            self._allotments.disconnect()
             self._meters.owner_connected.set(0)
         if self.owner == address:
             self.owner = ""
@@ -229,7 +229,7 @@
 
     async def _exchange(self, stream: _Stream, owners: list[str], rank: int) -> int:
         self._last_run_s = watches.clock()
-        self._ruler.connect()
+        self._allotments.connect()
         tasks = [
             asyncio.ensure_future(work)
             for work in (
@@ -257,7 +257,7 @@
             timeout_s = IDLE_TIMEOUT_S
             if message.version >= self._version:
                 applied_s = now
-                self._ruler.apply(throttles_of(message), now)
+                self._allotments.apply(throttles_of(message), now)
             elif now - applied_s > IDLE_TIMEOUT_S:
                 # It does not know limits that are in force here.
                 raise _LostError(f"its declaration has version {message.version}")
@@ -276,13 +276,13 @@
             self._last_run_s = now
             self._log_ended(now)
             due_s = reported_s + IDLE_REPORT_S
-            if self._ruler.has_usage:
-                due_s = min(due_s, pacer.due_s(now, self._ruler.is_urgent))
+            if self._allotments.has_usage:
+                due_s = min(due_s, pacer.due_s(now, self._allotments.is_urgent))
             if due_s <= now:
                 pacer.record(now)
                 reported_s = now
                 number = next(self._sequence_numbers)
-                uses = self._ruler.take_usage()
+                uses = self._allotments.take_usage()
                 await stream.send_message(report_of(number, uses, **self._identity))
                 continue
             self._wake.clear()
@@ -293,7 +293,7 @@
     async def _find_earlier(self, owners: list[str], rank: int) -> int:
         """Wait until an earlier owner answers, or the owners or the limits change."""
         due_s = watches.clock() + self._rng.uniform(*RETURN_AFTER_S)
-        while self._ruler.is_limiting:
+        while self._allotments.is_limiting:
             await asyncio.sleep(CHECK_INTERVAL_S)
             if self._owners != owners:
                 same = (n for n, a in enumerate(self._owners) if a == owners[rank])
--- a/coltsfootchute/entry/calls.py
+++ b/coltsfootchute/entry/calls.py
@@ -18,7 +18,7 @@
     keys,
     matches,
     metrics,
-    overdues,
+    overdue_requests,
     phases,
     placements,
     pools,
@@ -96,7 +96,7 @@
         accounts: accounts.Accounts | None = None,
         names: settings.HeaderSettings | None = None,
         retry_after_s: float = answers.RETRY_AFTER_S,
-        watch: overdues.Watch | None = None,
+        watch: overdue_requests.Watch | None = None,
     ):
         super().__init__(
             view=view,
--- a/coltsfootchute/entry/daemons.py
+++ b/coltsfootchute/entry/daemons.py
@@ -23,7 +23,7 @@
     measurements,
     metrics,
     operators,
-    overdues,
+    overdue_requests,
     placements,
     pools,
     samplers,
@@ -173,7 +173,7 @@
             names=entry.headers,
             retry_after_s=entry.retry_after_s,
             watch=(
-                overdues.Watch(self._sampler, self.metrics)
+                overdue_requests.Watch(self._sampler, self.metrics)
                 if entry.hangs.factor
                 else None
             ),
--- a/coltsfootchute/entry/dispatches.py
+++ b/coltsfootchute/entry/dispatches.py
@@ -11,7 +11,7 @@
     forwards,
     keys,
     metrics,
-    overdues,
+    overdue_requests,
     phases,
     placements,
     pools,
@@ -73,7 +73,7 @@
         placer: placements.Placer | None,
         recorder: statements.Recorder,
         names: settings.HeaderSettings,
-        watch: overdues.Watch | None = None,
+        watch: overdue_requests.Watch | None = None,
     ):
         self._watch = watch
         self._view = view
--- a/coltsfootchute/entry/requests.py
+++ b/coltsfootchute/entry/requests.py
@@ -163,6 +163,7 @@
 
     __slots__ = (
         "_earlier_wait_s",
+        "admission",
         "attempts",
         "body",
         "claim",
@@ -183,7 +184,6 @@
         "route",
         "routes",
         "rule",
-        "ruling",
         "service",
         "started_s",
         "target_line",
@@ -214,7 +214,7 @@
         self.routes = routes
         self.route = route
         # Admission under the limit of the workspace; None if it has none.
-        self.ruling: balancing.allotments.Ruling | None = None
+        self.admission: balancing.allotments.Decision | None = None
         self.names = names
         self.service = service
         self.rule = rule
--- a/coltsfootchute/entry/tests/test_accounts.py
+++ b/coltsfootchute/entry/tests/test_accounts.py
@@ -34,7 +34,7 @@
 
 
 def limit_of(harness):
-    return harness.entry.accounts._ruler._accounts["small"].limit
+    return harness.entry.accounts._allotments._accounts["small"].limit
 
 
 @pytest.fixture
@@ -120,7 +120,9 @@
         await asyncio.sleep(0.5)
         assert {a.status for a in await send(harness, 30)} == {200}
         await declare(cluster, 3, 0.0)
-        await fakes.wait_until(lambda: not accounts.owner or len(accounts._ruler) == 0)
+        await fakes.wait_until(
+            lambda: not accounts.owner or len(accounts._allotments) == 0
+        )
         await fakes.wait_until(lambda: not cluster.daemons["a"].accounts._connections)
 
     run_limited(scenario, test_declared.echo())
