control: let a restarted owner of limits answer once entries have connected

Ruled out: a shorter silence alone.

Change: the owner answers once no entry has begun to report for 0.2 s, at the latest after the time of before, and looks for that every 0.1 s. By then those that restarted together have connected, and the limits are divided by them.

--- a/coltsfootchute/control/accounts.py
+++ b/coltsfootchute/control/accounts.py
@@ -17,6 +17,9 @@
 # Half the time for which entries apply the last message.
 SEND_INTERVAL_S = 0.5
 TICK_S = 0.1
+# No entry has begun to report for this time once those that restarted together have
+# connected.
+SETTLE_S = 0.2
 INSTANCES_INTERVAL_S = 1.0
 # Minimum interval between two checks for news, which cost time for each workspace.
 CHECK_GAP_S = 0.02
@@ -179,20 +182,30 @@
         for connection in self._connections:
             connection.changed.set()
 
+    def _knows_entries(self, now: float) -> bool:
+        """Tell whether nearly all entries that can report here have done so.
+
+        Before that, a control instance that has just started would grant a few entries
+        the whole limit. After a restart of all processes, entries connect within some
+        tenths of a second, and refuse the requests of limited workspaces until then.
+        """
+        is_settled = now - self.owner.joined_s >= SETTLE_S
+        return is_settled or now >= self._maintenance.publish_instances_from_s
+
     async def _send(self, stream, connection: _Connection) -> None:
         """Send the latest message after each change, and at an interval."""
         with contextlib.suppress(*_STREAM_ERRORS):
             while True:
                 connection.changed.clear()
                 now = feeds.clock()
-                # Before all entries have reported to a control instance that has just
-                # started, it would grant a few of them the whole limit.
-                if now >= self._maintenance.publish_instances_from_s:
+                interval_s = TICK_S
+                if self._knows_entries(now):
+                    interval_s = SEND_INTERVAL_S
                     if self._message.version != self.owner.version:
                         self._message = self.owner.throttles(now)
                     await stream.send_message(self._message)
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(SEND_INTERVAL_S):
+                    async with asyncio.timeout(interval_s):
                         await connection.changed.wait()
 
 
--- a/coltsfootchute/control/allotments.py
+++ b/coltsfootchute/control/allotments.py
@@ -118,6 +118,8 @@
     ----------
     version
         Version of the declaration that the limits come from.
+    joined_s
+        Time in seconds at which an entry last began to report; infinite before.
 
     Notes
     -----
@@ -128,6 +130,7 @@
 
     def __init__(self):
         self.version = 0
+        self.joined_s = math.inf
         self._buckets: dict[str, _Bucket] = {}
         self._reporters: dict[str, _Reporter] = {}
         self._known: dict[str, float] = {}
@@ -197,6 +200,7 @@
         self._reporters[report.entry] = _Reporter(*order, now)
         self._known[report.entry] = now
         if known is None:
+            self.joined_s = now
             self._update_share(now)
         for use in report.uses:
             bucket = self._buckets.get(use.workspace)
--- a/coltsfootchute/control/tests/test_allotments.py
+++ b/coltsfootchute/control/tests/test_allotments.py
@@ -1,10 +1,12 @@
 """Guards against workspaces that exceed their limit, or are refused below it."""
 
+import types
+
 import pytest
 
-from coltsfootchute import quotas
+from coltsfootchute import quotas, settings
 from coltsfootchute.balancing import allotments as rulers
-from coltsfootchute.control import allotments
+from coltsfootchute.control import accounts, allotments
 from coltsfootchute.control.tests import allotment_worlds
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 
@@ -282,3 +284,21 @@
         sent.append(now)
     assert sent[2] <= 0.05
     assert sent[-1] >= 0.25 * 36
+
+
+def test_a_restarted_owner_answers_once_the_entries_have_connected():
+    """After a restart of all processes, all requests were refused for 2.5 s."""
+    started = types.SimpleNamespace(publish_instances_from_s=10.0)
+    own = accounts.Accounts(None, started, settings.QuotaSettings())
+    assert not own._knows_entries(5.0)
+    for number, now in enumerate((5.0, 5.1, 5.25)):
+        report = pb.UsageReport(entry=f"e{number}", start_ms=1, sequence_number=1)
+        assert own.owner.report(report, now)
+        assert not own._knows_entries(now + accounts.SETTLE_S - 0.01)
+    # Further reports of a known entry do not delay the first message.
+    report = pb.UsageReport(entry="e2", start_ms=1, sequence_number=2)
+    assert own.owner.report(report, 5.4)
+    assert own._knows_entries(5.25 + accounts.SETTLE_S)
+    # Entries that keep joining do not silence it for ever.
+    own.owner.joined_s = 10.0
+    assert own._knows_entries(10.0)
