entry: connect to owners of limits by the function that connects to sources

Cause: accounts opened its channel with a copy of searches.connect: the same address, time-out of 0.5 s and close. Change: accounts calls it; behaviour is the same.

--- a/coltsfootchute/entry/accounts.py
+++ b/coltsfootchute/entry/accounts.py
@@ -14,15 +14,13 @@
 
 from coltsfootchute import cancellations, logs, quotas, settings, verdicts
 from coltsfootchute.balancing import allotments
-from coltsfootchute.control import feed_streams
-from coltsfootchute.entry import metrics, pools, requests, watches
+from coltsfootchute.entry import metrics, pools, requests, searches, watches
 from coltsfootchute.proto import coltsfootchute_grpc, coltsfootchute_pb2
 
 __all__ = ["IDLE_TIMEOUT_S", "Accounts", "report_of", "report_pacer", "throttles_of"]
 
 # An owner sends a message at least every 0.5 s.
 IDLE_TIMEOUT_S = 1.5
-CONNECT_TIMEOUT_S = 0.5
 # An owner sends its first message at once, unless it has just started.
 FIRST_TIMEOUT_S = 0.5
 # Usage that is not urgent is reported four times a second at most, on average.
@@ -322,11 +320,7 @@
 @contextlib.asynccontextmanager
 async def _open(address: str) -> collections.abc.AsyncIterator[_Stream]:
     """Open a stream to an owner."""
-    host, _, port = address.rpartition(":")
-    channel = feed_streams.open_channel(host.strip("[]"), int(port))
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            await channel.__connect__()
+    async with searches.connect(address) as channel:
         stub = coltsfootchute_grpc.ControlStub(channel)
         async with stub.Account.open() as stream:
             await stream.send_request()
@@ -335,8 +329,6 @@
             finally:
                 with contextlib.suppress(*_STREAM_ERRORS):
                     await stream.cancel()
-    finally:
-        channel.close()
 
 
 async def _answers(address: str, version: int) -> bool:
--- a/coltsfootchute/entry/searches.py
+++ b/coltsfootchute/entry/searches.py
@@ -20,7 +20,7 @@
 
 @contextlib.asynccontextmanager
 async def connect(address: str) -> typing.AsyncIterator[grpclib.client.Channel]:
-    """Connect to a source of the feed.
+    """Connect to the gRPC listener of an instance.
 
     Raises
     ------
