review: a service without load reports is refused for good after a hang

Cause: a trial request for a target that hung needs a load report, and a probe's answer without one is not recorded as such. Targets whose service states no load are never tried again.

Change: case 7, as a script: servers that answer no request for 5 s, with good status checks.

--- a/review/common-2/servers.py
+++ b/review/common-2/servers.py
@@ -12,6 +12,7 @@
 __all__ = ["Server", "config"]
 
 BEAT_S = 1.5
+PROBE_S = 0.006
 REPORT_TIMEOUT_S = 1.0
 
 
@@ -27,7 +28,8 @@
     version
         Its version.
     routes
-        Routes with `prefix`, `service` and `kind`, and optionally `timeout_s`.
+        Routes with `prefix`, `service` and `kind`, and optionally `timeout_s` and
+        `objective_s`.
     tenants
         Tenants with their keys; None for none.
     """
@@ -38,7 +40,7 @@
             "path_prefix": route["prefix"],
             "type": route["kind"],
             "timeout_s": route.get("timeout_s", 2.0),
-            "target_latency_s": 0.5,
+            "target_latency_s": route.get("objective_s", 0.5),
             "priority": 1,
             "service": route["service"],
             "attempts": 2,
@@ -87,6 +89,8 @@
         Seconds for which it works on a request.
     on_run
         Called with the server and the headers of each request that it begins to run.
+    states_load
+        Whether its responses state its load.
     """
 
     def __init__(
@@ -97,6 +101,7 @@
         slots: int = 8,
         work_s: float = 0.02,
         on_run: collections.abc.Callable[["Server", dict[str, str]], None],
+        states_load: bool = True,
     ):
         self.id = f"i-{random.getrandbits(32):08x}"
         self.ip = machines.next_ip("server")
@@ -107,10 +112,15 @@
         self._machines = machines
         self._work_s = work_s
         self._on_run = on_run
+        self._states_load = states_load
         self._born = int(time.time() * 1000)
         self._reports = 0
         self._free = asyncio.Semaphore(slots)
         self._writers: set[asyncio.StreamWriter] = set()
+        # Part of the requests that it never answers; status checks are not affected.
+        self.unanswered_part = 0.0
+        # Part of the requests that it runs and answers with status 500.
+        self.failing_part = 0.0
 
     async def start(self) -> None:
         """Listen, and report to the core from now on."""
@@ -168,6 +178,7 @@
                 first, headers = await http1.read_head(reader)
                 await http1.read_body(reader, headers)
                 if first.split()[1] == "/health":
+                    await asyncio.sleep(PROBE_S)
                     self._write(writer, 200, {"Instance-Id": self.id}, b"")
                 else:
                     await self._handle(writer, headers)
@@ -184,6 +195,9 @@
         if headers.get("expect-instance", self.id) != self.id:
             self._write(writer, 421, {**echoed, "Not-Executed": "1"}, b"")
             return
+        if random.random() < self.unanswered_part:
+            # Nor does it answer anything later on this connection.
+            await asyncio.Future()
         async with self._free:
             self.running += 1
             self._on_run(self, headers)
@@ -192,7 +206,8 @@
             finally:
                 self.running -= 1
         body = f"{echoed['Request-Id']} by {self.id}".encode()
-        self._write(writer, 200, {**echoed, "Response-Seal": "seal"}, body)
+        status = 500 if random.random() < self.failing_part else 200
+        self._write(writer, status, {**echoed, "Response-Seal": "seal"}, body)
 
     def _write(
         self,
@@ -201,12 +216,9 @@
         headers: dict[str, str],
         body: bytes,
     ) -> None:
-        load = f"{self.running},0,{self.slots}"
-        fields = {
-            **headers,
-            "Server-Load": load,
-            "Content-Length": str(len(body)),
-        }
+        fields = {**headers, "Content-Length": str(len(body))}
+        if self._states_load:
+            fields["Server-Load"] = f"{self.running},0,{self.slots}"
         lines = [f"HTTP/1.1 {status} X"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
