--- a/review/common-2/servers.py
+++ b/review/common-2/servers.py
@@ -28,8 +28,7 @@
     version
         Its version.
     routes
-        Routes with `prefix`, `service` and `kind`, and optionally `timeout_s` and
-        `objective_s`.
+        Routes with `prefix`, `service` and `kind`, and optionally `timeout_s`.
     tenants
         Tenants with their keys; None for none.
     """
@@ -40,7 +39,7 @@
             "path_" + "prefix": route["prefix"],
             "type": route["kind"],
             "timeout_s": route.get("timeout_s", 2.0),
-            "target_latency_s": route.get("objective_s", 0.5),
+            "target_latency_s": 0.5,
             "priority": 1,
             "service": route["service"],
             "attempts": 2,
@@ -119,8 +118,6 @@
         self._writers: set[asyncio.StreamWriter] = set()
         # Part of the requests that it never answers; status checks are not affected.
         self.unanswered_part = 0.0
-        # Part of the requests that it runs and answers with status 500.
-        self.failing_part = 0.0
 
     async def start(self) -> None:
         """Listen, and report to the core from now on."""
@@ -206,8 +203,7 @@
             finally:
                 self.running -= 1
         body = f"{echoed[http1.REQUEST_ID]} by {self.id}".encode()
-        status = 500 if random.random() < self.failing_part else 200
-        self._write(writer, status, {**echoed, http1.SEAL: "seal"}, body)
+        self._write(writer, 200, {**echoed, http1.SEAL: "seal"}, body)
 
     def _write(
         self,
