review: end a case that could not run with code 2, and all of its processes

Cause: an exception in a script, or its time limit, ended it with code 1, which states a broken rule, or with the code of the limit.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import os
 import pathlib
 import sys
 
@@ -76,4 +75,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run(os.environ.get("TROUBLE", "1") != "0")))
+    sys.exit(deployment.run_case(run))
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,7 @@
 # TROUBLE=0 leaves the disruption out. What happened stands in record.txt.
 set -uo pipefail
 cd "$(dirname "$0")"
-exec timeout --kill-after=5 115 python3 case.py
+timeout --kill-after=5 112 python3 case.py
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import json
 import os
 import pathlib
@@ -16,10 +17,19 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 import http1
 
-__all__ = ["Deployment", "Machine", "Record", "is_ready", "put_config", "read_config"]
+__all__ = [
+    "Deployment",
+    "Machine",
+    "Record",
+    "is_ready",
+    "put_config",
+    "read_config",
+    "run_case",
+]
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 INHERITED = ("PATH", "HOME", "LANG")
@@ -320,3 +330,22 @@
             return True
         await asyncio.sleep(0.1)
     return False
+
+
+def run_case(
+    run: collections.abc.Callable[[bool], collections.abc.Coroutine[None, None, int]],
+) -> int:
+    """Run a case, and return its exit code; 2 if it could not run.
+
+    Parameters
+    ----------
+    run
+        Runs the case with or without the disruption.
+    """
+    # The time limit of the script ends the case by SIGTERM; its processes end as well.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        return asyncio.run(run(os.environ.get("TROUBLE", "1") != "0"))
+    except (Exception, KeyboardInterrupt):
+        traceback.print_exc()
+        return 2
