soak: begin the fault of a target only once the target listens

Ruled out: the product. The error is the refused connection of the harness itself. Change: the harness waits up to 10 s for the target to listen. A fault that still can't begin, or that the target refuses, is a problem of the run.

--- a/tests/soak/hard_loads.py
+++ b/tests/soak/hard_loads.py
@@ -6,6 +6,7 @@
 
 import argparse
 import asyncio
+import http
 import pathlib
 import random
 import shutil
@@ -14,7 +15,9 @@
 import time
 import typing
 
-from coltsfootchute import registries
+import aiohttp
+
+from coltsfootchute import errors, registries
 from coltsfootchute.standins import arrivals, fleets
 from tests.end_to_end import harnesses
 from tests.soak import hard_callers, hard_rules, plans, runs
@@ -46,6 +49,16 @@
 DISTURBING_KINDS = ("kill", "pause")
 AFTEREFFECT_S = 4.0
 SETTLE_S = 3.0
+# Time for a target that was restarted to listen, before a fault begins at it.
+LISTEN_TIMEOUT_S = 10.0
+# Errors of a fault that can't begin. They fail the run, but do not end it.
+FAULT_ERRORS = (
+    aiohttp.ClientError,
+    errors.ColtsfootchuteError,
+    OSError,
+    RuntimeError,
+    TimeoutError,
+)
 
 
 def draw(
@@ -88,10 +101,31 @@
         addresses = {f"e{n}": a for n, a in enumerate(harness.cluster.calls, 1)}
         self.callers = hard_callers.Callers(addresses, self.record, seed)
 
-    async def post_to_target(self, fault: plans.Fault, path: str) -> None:
-        """Start a fault at a target."""
-        address = self.harness.cluster.target_addresses[int(fault.names[0][1:]) - 1]
-        await self.harness.post(address, path, {"for_s": fault.for_s})
+    async def post_to_target(
+        self, fault: plans.Fault, path: str, timeout_s: float = LISTEN_TIMEOUT_S
+    ) -> None:
+        """Start a fault at a target, once the target listens.
+
+        Raises
+        ------
+        coltsfootchute.standins.fleets.StartError
+            If the target does not listen within `timeout_s`, or refuses the fault.
+        """
+        name = fault.names[0]
+        address = self.harness.cluster.target_addresses[int(name[1:]) - 1]
+
+        async def is_listening() -> bool:
+            try:
+                _, writer = await asyncio.open_connection(*address.rsplit(":", 1))
+            except OSError:
+                return False
+            writer.close()
+            return True
+
+        await fleets.wait_until(is_listening, f"{name} listens", timeout_s)
+        status, _ = await self.harness.post(address, path, {"for_s": fault.for_s})
+        if status != http.HTTPStatus.OK:
+            raise fleets.StartError(f"{name} answered {path} with status {status}")
 
 
 FAULTS.register("kill")(runs.kill)
@@ -135,9 +169,8 @@
     began_s = time.time()
     try:
         await FAULTS[fault.kind](run, fault)
-    except (RuntimeError, OSError) as exc:
-        # A target may be down, and a part of the product may be missing.
-        run.problems.append(f"{fault}: {exc}")
+    except FAULT_ERRORS as exc:
+        run.problems.append(f"{fault} could not begin: {exc!r}")
     if fault.kind in DISTURBING_KINDS:
         until_s = time.time() + AFTEREFFECT_S
         run.record.disturbances.append((began_s, until_s))
--- a/tests/soak/test_hard_loads.py
+++ b/tests/soak/test_hard_loads.py
@@ -1,12 +1,17 @@
 """Short soak runs of hard load, and checks of their rules and plans."""
 
+import asyncio
 import itertools
+import types
 
+import aiohttp
+import aiohttp.web
 import pytest
 
 from coltsfootchute import verdicts
-from coltsfootchute.standins import arrivals, records, targets
-from tests.soak import hard_callers, hard_loads, hard_rules
+from coltsfootchute.standins import arrivals, fleets, records, targets
+from tests.end_to_end import harnesses
+from tests.soak import hard_callers, hard_loads, hard_rules, plans
 
 KINDS = tuple(hard_loads.KINDS)
 # Without the rule on targets that hang: seed 2 breaks it, see docs/findings.md.
@@ -160,6 +165,69 @@
             assert first.at_s + first.for_s < second.at_s
 
 
+async def play_hang(address, begin, timeout_s=5.0):
+    """Play the fault "hang" at a target while `begin` runs; return the problems."""
+    async with aiohttp.ClientSession() as session:
+        cluster = types.SimpleNamespace(fleet=None, target_addresses=[address])
+        run = types.SimpleNamespace(
+            harness=harnesses.ClusterHarness(cluster, session),
+            problems=[],
+        )
+
+        async def post_to_target(fault, path):
+            await hard_loads.Run.post_to_target(run, fault, path, timeout_s)
+
+        run.post_to_target = post_to_target
+        fault = plans.Fault("hang", 0.0, 1.0, ("t1",), "")
+        await asyncio.gather(hard_loads._inject(run, fault), begin())
+        return run.problems
+
+
+def test_a_fault_waits_for_a_target_that_is_restarting():
+    """Guards against faults that fail since a slow machine starts targets late."""
+    received = []
+    address = f"127.0.0.1:{fleets.free_ports(1)[0]}"
+
+    async def hang(request):
+        received.append(await request.json())
+        return aiohttp.web.json_response({})
+
+    async def start_late():
+        await asyncio.sleep(0.6)
+        app = aiohttp.web.Application()
+        app.router.add_post("/-/hang", hang)
+        runner = aiohttp.web.AppRunner(app)
+        await runner.setup()
+        host, port = address.split(":")
+        await aiohttp.web.TCPSite(runner, host, int(port)).start()
+        await fleets.wait_until(has_received, "the fault", 5.0)
+        await runner.cleanup()
+
+    async def has_received():
+        return bool(received)
+
+    assert asyncio.run(play_hang(address, start_late)) == []
+    assert received == [{"for_s": 1.0}]
+
+
+@pytest.mark.parametrize("status", [None, 404])
+def test_a_fault_that_cannot_begin_fails_the_run(status):
+    """Guards against runs that pass without one of their faults."""
+    address = f"127.0.0.1:{fleets.free_ports(1)[0]}"
+
+    async def start_without_faults():
+        if status is None:
+            return
+        runner = aiohttp.web.AppRunner(aiohttp.web.Application())
+        await runner.setup()
+        host, port = address.split(":")
+        await aiohttp.web.TCPSite(runner, host, int(port)).start()
+
+    problems = asyncio.run(play_hang(address, start_without_faults, 0.5))
+    assert len(problems) == 1
+    assert "could not begin" in problems[0]
+
+
 @pytest.mark.timeout(TIMEOUT_S)
 def test_a_short_soak_of_hard_load_keeps_the_rules(tmp_path):
     """Guards against faults that let a key or a workspace be mistaken."""
