agreement: remove each voter that the others can spare

A leader removed an unresponsive voter only from an even number of voters without learners. Two successors made seven voters, so the two that had left stayed: four of seven votes were needed, and each further loss counted. Ruled out: the join of the successors (voters within a second), and the restart with empty disks (the machines wait for a leader to add them). An unresponsive voter is removed whenever the others are enough by both figures, any number of them, before learners are promoted; otherwise none is, so voters that are only down stay. A voter that stops as planned leaves first (new call Leave), also if another one that stops has transferred the leadership to it. Changes follow each other without the pause of 0.2 s. At most 16 members in place of 8. Conclusion: the size needed decides, not the parity of the voters.

--- a/coltsfootchute/agreement/formations.py
+++ b/coltsfootchute/agreement/formations.py
@@ -132,7 +132,9 @@
     if any(m.name != name for m, name in zip(members, sorted(initial), strict=True)):
         return Decision(Step.WAIT, detail="an initial member replied with another name")
     cluster_id = f"{rng.getrandbits(CLUSTER_ID_BITS):032x}"
-    membership = pb.Membership(cluster_id=cluster_id, members=members)
+    membership = pb.Membership(
+        cluster_id=cluster_id, members=members, initial_size=len(members)
+    )
     return Decision(Step.FORM, membership=membership)
 
 
--- a/coltsfootchute/agreement/memberships.py
+++ b/coltsfootchute/agreement/memberships.py
@@ -9,8 +9,8 @@
 __all__ = [
     "MEMBERS_MAX",
     "MembershipHistory",
+    "can_spare",
     "find",
-    "has_surplus_voter",
     "is_voter",
     "quorum",
     "same_name_members",
@@ -20,7 +20,8 @@
     "without",
 ]
 
-MEMBERS_MAX = 8
+# Allows a planned replacement of all voters of a cluster of seven at once.
+MEMBERS_MAX = 16
 
 
 class MembershipHistory:
@@ -162,19 +163,29 @@
     return voters // 2 + 1
 
 
-def has_surplus_voter(membership: pb.Membership) -> bool:
-    """Return whether one voter fewer would tolerate as many failures.
+def can_spare(membership: pb.Membership, member_id: str, tolerated_losses: int) -> bool:
+    """Return whether the other voters are enough without a voter.
 
-    That is the case with an even number of voters and no learners: a learner's
-    promotion would make the number odd.
+    They are if at least as many remain as took part in the first start, and if a
+    majority of them is left after `tolerated_losses` of them are lost.
 
     Parameters
     ----------
     membership
-        The membership, without unresponsive learners.
+        The membership.
+    member_id
+        Id of the voter.
+    tolerated_losses
+        Number of voters that may be lost at the same time.
+
+    Notes
+    -----
+    A voter that is down can't be told from one that is gone for good. Only a voter in
+    excess is given up, so that a removal never reduces what the cluster bears.
     """
-    voters = sum(member.voter for member in membership.members)
-    return voters == len(membership.members) and voters % 2 == 0
+    remaining = len(voter_ids(membership) - {member_id})
+    bears = remaining - tolerated_losses >= quorum(remaining)
+    return bears and remaining >= membership.initial_size
 
 
 def same_name_members(membership: pb.Membership, member: pb.Member) -> list[pb.Member]:
@@ -191,7 +202,9 @@
     return [m for m in same_name if m.member_id != member.member_id]
 
 
-def with_learner(membership: pb.Membership, member: pb.Member) -> pb.Membership:
+def with_learner(
+    membership: pb.Membership, member: pb.Member, first_start: bool = False
+) -> pb.Membership:
     """Return a membership with one more learner.
 
     Parameters
@@ -200,6 +213,9 @@
         The current membership.
     member
         The new member.
+    first_start
+        Whether the member takes part in the first start of the system, so that it
+        counts in the initial size.
 
     Raises
     ------
@@ -216,6 +232,9 @@
     learner = new_membership.members.add()
     learner.CopyFrom(member)
     learner.voter = False
+    if first_start:
+        names = {m.name for m in new_membership.members}
+        new_membership.initial_size = max(new_membership.initial_size, len(names))
     return new_membership
 
 
@@ -265,4 +284,8 @@
     if find(membership, member_id) is None:
         raise errors.AgreementError(f"{member_id} is not a member")
     kept = [m for m in membership.members if m.member_id != member_id]
-    return pb.Membership(cluster_id=membership.cluster_id, members=kept)
+    return pb.Membership(
+        cluster_id=membership.cluster_id,
+        members=kept,
+        initial_size=membership.initial_size,
+    )
--- a/coltsfootchute/agreement/replicas.py
+++ b/coltsfootchute/agreement/replicas.py
@@ -1,6 +1,7 @@
 """The replicated log of one instance."""
 
 import math
+import random
 
 from coltsfootchute import errors
 from coltsfootchute.agreement import leaders, memberships, records, replication
@@ -50,10 +51,13 @@
         Source of randomness for election timeouts.
     timing
         Timeouts and size limits; the defaults if absent.
+    tolerated_losses
+        Number of voters that may be lost at the same time. No voter is removed for
+        being unresponsive if the others would bear fewer losses.
 
     Notes
     -----
-    An event costs O(new entries) with at most eight members. Only entries of the
+    An event costs O(new entries) with a bounded number of members. Only entries of the
     leader's own term are committed by counting the members that store them; entries
     of earlier terms are committed along with these.
 
@@ -62,6 +66,17 @@
     D. Ongaro, "Consensus: Bridging Theory and Practice", Stanford, 2014.
     """
 
+    def __init__(
+        self,
+        identity: records.Identity,
+        saved: records.SavedState,
+        rng: random.Random,
+        timing: records.Timing | None = None,
+        tolerated_losses: int = 0,
+    ):
+        super().__init__(identity, saved, rng, timing)
+        self.tolerated_losses = tolerated_losses
+
     @property
     def committed_membership(self) -> pb.Membership | None:
         """Latest committed membership, for `HelloReply`; `None` without a cluster."""
@@ -175,7 +190,9 @@
         self._request_election(now)
         return self._finish_event(now)
 
-    def add_learner(self, member: pb.Member, now: float) -> records.ProposedEntries:
+    def add_learner(
+        self, member: pb.Member, now: float, *, first_start: bool = False
+    ) -> records.ProposedEntries:
         """Add a member without a vote.
 
         Parameters
@@ -184,18 +201,20 @@
             The new member.
         now
             Time in seconds.
+        first_start
+            Whether the member takes part in the first start of the system.
 
         Raises
         ------
         coltsfootchute.errors.NotLeaderError
             If the replica doesn't lead or holds no lease.
         coltsfootchute.errors.AgreementError
-            If a member has the id, if there are eight members already, or if another
-            change is pending.
+            If a member has the id, if the membership is full, or if another change is
+            pending.
         """
         self._require_no_pending_change(now)
         return self._propose_membership(
-            memberships.with_learner(self.membership, member), now
+            memberships.with_learner(self.membership, member, first_start), now
         )
 
     def remove_member(self, member_id: str, now: float) -> records.ProposedEntries:
@@ -224,6 +243,43 @@
             memberships.without(self.membership, member_id), now
         )
 
+    def release(self, member_id: str, now: float) -> records.ProposedEntries:
+        """Remove a voter that stops as planned, if the others are enough.
+
+        Parameters
+        ----------
+        member_id
+            Id of the voter.
+        now
+            Time in seconds.
+
+        Raises
+        ------
+        coltsfootchute.errors.NotLeaderError
+            If the replica doesn't lead or holds no lease.
+        coltsfootchute.errors.AgreementError
+            If it is no voter or is the leader, if the others are not enough, or if
+            another change is pending.
+        """
+        self._require_no_pending_change(now)
+        if not memberships.is_voter(self.membership, member_id):
+            raise errors.AgreementError(f"{member_id} is not a voter")
+        if not self.can_spare(member_id):
+            raise errors.AgreementError(
+                f"the other voters are not enough without {member_id}"
+            )
+        return self.remove_member(member_id, now)
+
+    def can_spare(self, member_id: str) -> bool:
+        """Return whether the other voters are enough without a voter.
+
+        Parameters
+        ----------
+        member_id
+            Id of the voter.
+        """
+        return memberships.can_spare(self.membership, member_id, self.tolerated_losses)
+
     def promote(self, member_id: str, now: float) -> records.ProposedEntries:
         """Promote a learner that has caught up to a voter.
 
@@ -257,17 +313,16 @@
         The daemon calls it on the leader periodically. It proposes the first of these
         changes that is due:
 
-        1. For a learner that has caught up, it removes the other members with the
+        1. It removes an unresponsive voter that the others can spare, one per call:
+           one that was replaced by an instance of another name, of which there may be
+           several. It no longer counts as one of the losses that the others bear. A
+           voter that was only down joins again.
+        2. For a learner that has caught up, it removes the other members with the
            same instance name, one per call, then promotes the learner. While one of
            those members still acknowledges, two instances have the same name, and
            neither change is made.
-        2. If all learners are unresponsive or there are none, it removes an
-           unresponsive voter from an even number of voters, for example one that was
-           replaced by an instance of another name. The remaining voters tolerate as
-           many failures as before, and the removed one no longer counts as one of
-           them.
-        3. It removes an unresponsive learner, so that it doesn't occupy one of the
-           eight places permanently. It is part of no quorum, and can join again later.
+        3. It removes an unresponsive learner, so that it doesn't occupy a place
+           permanently. It is part of no quorum, and can join again later.
 
         Parameters
         ----------
@@ -282,6 +337,9 @@
         leadership = self._require_lease(now)
         if self._is_change_pending():
             return None
+        unresponsive_voter = leadership.unresponsive_voter(now)
+        if unresponsive_voter is not None and self.can_spare(unresponsive_voter):
+            return self.remove_member(unresponsive_voter, now)
         for learner in self.membership.members:
             if learner.voter:
                 continue
@@ -294,14 +352,6 @@
                 return self.remove_member(old_members[0].member_id, now)
             return self.promote(learner.member_id, now)
         unresponsive_learners = leadership.unresponsive_learners(now)
-        responsive_members = self.membership
-        for learner_id in unresponsive_learners:
-            responsive_members = memberships.without(responsive_members, learner_id)
-        unresponsive_voter = leadership.unresponsive_voter(now)
-        if unresponsive_voter is not None and memberships.has_surplus_voter(
-            responsive_members
-        ):
-            return self.remove_member(unresponsive_voter, now)
         if unresponsive_learners:
             return self.remove_member(unresponsive_learners[0], now)
         return None
--- a/coltsfootchute/agreement/replication.py
+++ b/coltsfootchute/agreement/replication.py
@@ -144,7 +144,8 @@
 
     Notes
     -----
-    Each reply sorts one number per voter, at most eight, to find the quorum.
+    Each reply sorts one number per voter, at most `memberships.MEMBERS_MAX`, to find
+    the quorum.
     """
 
     def __init__(
--- a/coltsfootchute/control/cores.py
+++ b/coltsfootchute/control/cores.py
@@ -48,6 +48,8 @@
         Called with the exception if the process must end.
     reopen
         Reopens the data folder after a failed write.
+    tolerated_losses
+        Number of voters that may be lost at the same time.
 
     Notes
     -----
@@ -66,6 +68,7 @@
         *,
         on_failure: collections.abc.Callable[[BaseException], None],
         reopen: collections.abc.Callable[[], agreement.FileStore],
+        tolerated_losses: int = 0,
     ):
         self.identity = identity
         self.store = store
@@ -78,6 +81,7 @@
         self._timing = timing
         self._on_failure = on_failure
         self._reopen = reopen
+        self._tolerated_losses = tolerated_losses
         self._proposals = proposals.ProposalQueue()
         self._is_flush_scheduled = False
         self._tick_timer: asyncio.TimerHandle | None = None
@@ -94,7 +98,9 @@
     def _start_replica(self, saved: agreement.SavedState) -> None:
         if saved.snapshot is not None:
             self._load_snapshot(saved.snapshot)
-        self.replica = agreement.Replica(self.identity, saved, self._rng, self._timing)
+        self.replica = agreement.Replica(
+            self.identity, saved, self._rng, self._timing, self._tolerated_losses
+        )
         self._update_peer_addresses()
 
     def _update_peer_addresses(self) -> None:
--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -37,13 +37,18 @@
 # Replacing a member that lost its disk takes three membership changes, and the next
 # disk may be lost seconds later.
 MEMBERSHIP_INTERVAL_S = 0.2
+# Time to commit a change of the membership. Between the promotion of a new voter and
+# the removal of the one that it replaces, the cluster bears one loss less.
+MEMBERSHIP_STEP_S = 0.03
 TRANSFER_TIMEOUT_S = 3.0
 TRANSFER_POLL_S = 0.02
+LEAVE_TIMEOUT_S = 2.0
 FLUSH_TIMEOUT_S = 1.0
 # Time for watchers to receive the end of the feed before their streams are cut.
 FEED_CLOSE_WAIT_S = 0.2
 # Upper bounds of the steps of a stop, as fractions of the time left for it.
 TRANSFER_FRACTION = 0.4
+LEAVE_FRACTION = 0.2
 FEED_CLOSE_FRACTION = 0.1
 FLUSH_FRACTION = 0.2
 
@@ -117,6 +122,7 @@
             self._timing,
             on_failure=self._report_failure,
             reopen=self._reopen_store,
+            tolerated_losses=cfg.control.wanted_losses(),
         )
         self.maintenance = maintenance.Maintenance(
             self.core, feeds.clock(), cfg.control.lease_s
@@ -211,10 +217,13 @@
                 return
 
     async def _advance_membership(self) -> None:
+        is_changing = False
         while True:
-            await asyncio.sleep(MEMBERSHIP_INTERVAL_S)
+            await asyncio.sleep(
+                MEMBERSHIP_STEP_S if is_changing else MEMBERSHIP_INTERVAL_S
+            )
             try:
-                self.maintenance.advance_membership()
+                is_changing = self.maintenance.advance_membership()
             except Exception as exc:
                 self._report_failure(exc)
                 return
@@ -237,7 +246,7 @@
             self.joiner.set_initial_members(cfg.control.initial)
 
     async def stop(self, end_s: float | None = None) -> None:
-        """Transfer the leadership, close the feed, then close everything else.
+        """Transfer the leadership, leave if spare, and close the feed and the rest.
 
         Parameters
         ----------
@@ -254,6 +263,7 @@
             left_s = max(0.0, end_s - asyncio.get_running_loop().time())
         self._log_step("stopping", leads=self.core.replica.is_leader)
         await self._transfer(min(TRANSFER_TIMEOUT_S, TRANSFER_FRACTION * left_s))
+        await self.joiner.leave(min(LEAVE_TIMEOUT_S, LEAVE_FRACTION * left_s))
         self._log_step("closing the feed", watchers=self.core.feed.watcher_count)
         self.core.feed.close()
         self.control.close()
--- a/coltsfootchute/control/joins.py
+++ b/coltsfootchute/control/joins.py
@@ -1,14 +1,15 @@
-"""Formation of a cluster at the first start, and joining one as a learner."""
+"""Formation of a cluster at the first start, joining one and leaving it."""
 
 import asyncio
 import collections.abc
+import contextlib
 import random
 
 import grpclib.exceptions
 from loguru import logger
 
-from coltsfootchute import errors, settings
-from coltsfootchute.agreement import formations
+from coltsfootchute import errors, ids, settings
+from coltsfootchute.agreement import formations, memberships
 from coltsfootchute.control import cores, links
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
@@ -19,6 +20,7 @@
 MIN_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 2.0
 REMOVAL_CHECK_INTERVAL_S = 1.0
+LEAVE_RETRY_DELAY_S = 0.05
 # A first start waits for the slowest member; one in this many attempts is logged.
 ATTEMPTS_PER_LOG_LINE = 30
 
@@ -31,7 +33,7 @@
 
 
 class Joiner:
-    """Makes this instance a member of a cluster, and serves others that join.
+    """Makes this instance a member of a cluster, and serves others that join or leave.
 
     Parameters
     ----------
@@ -55,6 +57,7 @@
         self._may_form = may_form
         self.set_initial_members(initial)
         self.has_formed = False
+        self._is_leaving = False
 
     def set_initial_members(
         self, initial: collections.abc.Sequence[settings.InitialMember]
@@ -101,12 +104,30 @@
             return pb.JoinReply(leader_address=address, detail="not the leader")
         try:
             replica = self._core.replica
-            self._core.change_membership(lambda now: replica.add_learner(member, now))
+            self._core.change_membership(
+                lambda now: replica.add_learner(
+                    member, now, first_start=request.first_start
+                )
+            )
         except errors.AgreementError as exc:
             return pb.JoinReply(detail=str(exc))
         logger.info("agreement: {} added as a learner", member.name)
         return pb.JoinReply(accepted=True)
 
+    def release(self, request: pb.LeaveRequest) -> pb.LeaveReply:
+        """Remove a voter that stops as planned, if this instance is the leader."""
+        if not self._core.is_leader:
+            return pb.LeaveReply(detail="not the leader")
+        try:
+            replica = self._core.replica
+            self._core.change_membership(
+                lambda now: replica.release(request.member_id, now)
+            )
+        except errors.AgreementError as exc:
+            return pb.LeaveReply(detail=str(exc))
+        logger.info("agreement: {} removed, as it stops", request.member_id)
+        return pb.LeaveReply(accepted=True)
+
     # Start of this instance.
 
     async def run(self) -> None:
@@ -137,7 +158,7 @@
         """
         while True:
             await asyncio.sleep(REMOVAL_CHECK_INTERVAL_S)
-            if self._core.replica.leader_id:
+            if self._core.replica.leader_id or self._is_leaving:
                 continue
             replies = await self._say_hello(self._known_addresses())
             for reply in replies.values():
@@ -151,6 +172,44 @@
                     )
                     break
 
+    async def leave(self, timeout_s: float) -> None:
+        """Give up the vote of this instance before it stops, if the others are enough.
+
+        Without it, an instance that is stopped for good counts as a voter until the
+        others have noticed its absence, and bears no loss meanwhile. An instance that
+        is only restarted joins again.
+
+        Parameters
+        ----------
+        timeout_s
+            Time in seconds after which the instance stops as a voter.
+        """
+        self._is_leaving = True
+        own_id = self._core.identity.member_id
+        detail = "no leader"
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._is_spare_voter(own_id):
+                    if self._core.replica.is_leader:
+                        # Another instance that stops may have transferred it here.
+                        with contextlib.suppress(errors.AgreementError):
+                            self._core.transfer()
+                    elif address := self._core.leader_address:
+                        request = pb.LeaveRequest(member_id=own_id)
+                        reply = await _call(address, "Leave", request)
+                        if reply is not None and reply.accepted:
+                            logger.info("agreement: left the cluster before the stop")
+                            return
+                        detail = reply.detail if reply else f"no answer from {address}"
+                    await asyncio.sleep(LEAVE_RETRY_DELAY_S)
+        except TimeoutError:
+            logger.warning("agreement: stops as a voter: {}", detail)
+
+    def _is_spare_voter(self, own_id: ids.MemberId) -> bool:
+        replica = self._core.replica
+        is_voter = memberships.is_voter(replica.membership, own_id)
+        return is_voter and replica.can_spare(own_id)
+
     def _known_addresses(self) -> dict[str, str]:
         """Return the addresses of other members and initial members, by name."""
         members = self._core.replica.membership.members
@@ -208,7 +267,10 @@
         await asyncio.gather(*calls)
 
     async def _request_join(self, address: str) -> str:
-        request = pb.JoinRequest(member=self._core.identity.member())
+        is_first = self._may_form and self._core.replica.membership is None
+        request = pb.JoinRequest(
+            member=self._core.identity.member(), first_start=is_first
+        )
         reply = await _call(address, "Join", request)
         if reply is None:
             return f"no answer from {address}"
--- a/coltsfootchute/control/maintenance.py
+++ b/coltsfootchute/control/maintenance.py
@@ -105,17 +105,23 @@
             commands.append(pb.Command())
         return commands
 
-    def advance_membership(self) -> None:
-        """Propose the next change of the membership, if this instance is the leader."""
+    def advance_membership(self) -> bool:
+        """Propose the next change of the membership, if this instance is the leader.
+
+        Returns
+        -------
+        bool
+            Whether a change was proposed, so that another one may be due soon.
+        """
         if not self._core.is_leader:
-            return
+            return False
         try:
             proposed = self._core.change_membership(
                 self._core.replica.advance_membership
             )
         except errors.AgreementError as exc:
             logger.debug("agreement: no change of the membership was proposed: {}", exc)
-            return
+            return False
         if proposed is not None:
             members = self._core.replica.membership.members
             voters = ", ".join(sorted(m.name for m in members if m.voter))
@@ -125,6 +131,7 @@
                 voters,
                 learners or "none",
             )
+        return proposed is not None
 
     def publish_instances(self, now: float) -> None:
         """Publish the list of instances in the feed, once it is complete."""
--- a/coltsfootchute/control/services.py
+++ b/coltsfootchute/control/services.py
@@ -94,6 +94,11 @@
         """Add an instance as a learner."""
         return self._joiner.join(request)
 
+    @_unary
+    async def Leave(self, request, stream) -> pb.LeaveReply:  # noqa: N802
+        """Remove a voter that stops as planned, if the others are enough."""
+        return self._joiner.release(request)
+
 
 class ControlService(rpc.ControlBase):
     """The gRPC service for entries and operators.
--- a/coltsfootchute/proto/coltsfootchute_grpc.py
+++ b/coltsfootchute/proto/coltsfootchute_grpc.py
@@ -30,6 +30,10 @@
     async def Join(self, stream: 'grpclib.server.Stream[coltsfootchute.proto.coltsfootchute_pb2.JoinRequest, coltsfootchute.proto.coltsfootchute_pb2.JoinReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def Leave(self, stream: 'grpclib.server.Stream[coltsfootchute.proto.coltsfootchute_pb2.LeaveRequest, coltsfootchute.proto.coltsfootchute_pb2.LeaveReply]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/coltsfootchute.Peer/Exchange': grpclib.const.Handler(
@@ -56,6 +60,12 @@
                 coltsfootchute.proto.coltsfootchute_pb2.JoinRequest,
                 coltsfootchute.proto.coltsfootchute_pb2.JoinReply,
             ),
+            '/coltsfootchute.Peer/Leave': grpclib.const.Handler(
+                self.Leave,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                coltsfootchute.proto.coltsfootchute_pb2.LeaveRequest,
+                coltsfootchute.proto.coltsfootchute_pb2.LeaveReply,
+            ),
         }
 
 
@@ -86,6 +96,12 @@
             coltsfootchute.proto.coltsfootchute_pb2.JoinRequest,
             coltsfootchute.proto.coltsfootchute_pb2.JoinReply,
         )
+        self.Leave = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/coltsfootchute.Peer/Leave',
+            coltsfootchute.proto.coltsfootchute_pb2.LeaveRequest,
+            coltsfootchute.proto.coltsfootchute_pb2.LeaveReply,
+        )
 
 
 class ControlBase(abc.ABC):
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -95,6 +95,10 @@
         IP address and port of the HTTP listener for metrics; None for no listener.
     quotas
         Tolerance of the limits on workspaces.
+    tolerated_losses
+        Number of control instances that may be lost at the same time, by default as
+        many as the initial instances bear. Once replaced instances have left, at least
+        twice as many and one more vote.
     """
 
     peer: Address
@@ -107,6 +111,15 @@
     lease_s: typing.Annotated[float, msgspec.Meta(ge=1, le=3600)] = 30.0
     metrics: Address | None = None
     quotas: QuotaSettings = QuotaSettings()
+    tolerated_losses: (
+        typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_CONTROL_MEMBERS)] | None
+    ) = None
+
+    def wanted_losses(self) -> int:
+        """Return the number of control instances that may be lost at the same time."""
+        if self.tolerated_losses is not None:
+            return self.tolerated_losses
+        return (len(self.initial) - 1) // 2
 
 
 class HeaderSettings(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/coltsfootchute/settings/tests/test_schemas.py
+++ b/coltsfootchute/settings/tests/test_schemas.py
@@ -2,6 +2,7 @@
 
 import json
 
+import msgspec
 import pytest
 
 from coltsfootchute import errors, settings
@@ -66,6 +67,19 @@
     assert caught.value.problems[0][0] == "line 2"
 
 
+@pytest.mark.parametrize(("initial", "losses"), [(1, 0), (3, 1), (4, 1), (5, 2)])
+def test_the_initial_instances_determine_the_tolerated_losses(initial, losses):
+    """Guards against a cluster that gives up voters that it needs."""
+    members = [
+        settings.InitialMember(name=f"c{n}", address=f"127.0.0.1:{n}")
+        for n in range(initial)
+    ]
+    cfg = settings.ControlSettings(peer="127.0.0.1:1", data="d", initial=members)
+    assert cfg.wanted_losses() == losses
+    more = msgspec.structs.replace(cfg, tolerated_losses=2)
+    assert more.wanted_losses() == 2
+
+
 def test_settings_without_a_role_are_refused():
     with pytest.raises(errors.SettingsError, match="needs `control`"):
         settings.parse('{"instance": {"name": "a", "failure_domain": "b"}}')
--- a/tests/scenario_language/controls.py
+++ b/tests/scenario_language/controls.py
@@ -5,7 +5,7 @@
 
 from coltsfootchute import agreement, errors
 from coltsfootchute.agreement import formations
-from coltsfootchute.control import cores, daemons, maintenance, services
+from coltsfootchute.control import cores, daemons, joins, maintenance, services
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
 from tests import checkers
 from tests.scenario_language import clocks, links
@@ -133,6 +133,7 @@
             reopen=self._reopen_store,
         )
         self.maintenance = maintenance.Maintenance(self.core, self.world.loop.now)
+        self.joiner = joins.Joiner(self.core, ())
         self.control = services.ControlService(self.core, self.maintenance)
         self.core.start()
         coroutines = (self._run_maintenance(), self._advance_membership())
