entry: reject responses whose status is not one of HTTP

The parser of the HTTP library accepts any three digits, and the entry compares the status with upper bounds only. Ruled out: that the parser or the answer's writer rejects it. Before the change the caller got "HTTP/1.1 0", and with a statement that the request had not run a 503 that allows a repetition. Change: a status outside of 100 to 599 fails the attempt as unreadable bytes do: the request may have run, the connection is closed. Probes take the same path. Conclusion: one check where heads are read, so that no later comparison has to know it.

--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -31,6 +31,7 @@
 MAX_HEAD_FIELD_BYTES = 1 << 15
 # Error messages of the parser quote the input that it could not parse.
 MAX_DETAIL_CHARS = 200
+VALID_STATUSES = range(100, 600)  # RFC 9110, section 15.
 
 HOP_BY_HOP = (
     "Connection",
@@ -329,13 +330,13 @@
 
     async def _read_head(self) -> None:
         skipped = 0
-        message, payload = await self._protocol.read()
+        message, payload = await self._read_message()
         while 100 <= message.code < 200 or self._is_for_other_request(message):
             if message.code == 101:
                 raise aiohttp.ClientPayloadError("the target switched protocols")
             if message.code >= 200:
                 skipped = await self._skip(payload, skipped)
-            message, payload = await self._protocol.read()
+            message, payload = await self._read_message()
         self._check_owner(message)
         self._protocol.accept_response(payload)
         self.message = message
@@ -343,6 +344,15 @@
         self.headers = multidict.CIMultiDict(message.headers)
         strip_hop_by_hop(self.headers)
 
+    async def _read_message(self) -> tuple[typing.Any, aiohttp.StreamReader]:
+        """Return the next head with its body; the parser accepts any three digits."""
+        message, payload = await self._protocol.read()
+        if message.code not in VALID_STATUSES:
+            raise aiohttp.http.HttpProcessingError(
+                message=f"invalid status {message.code:03d} of a response"
+            )
+        return message, payload
+
     def _is_for_other_request(self, message: typing.Any) -> bool:
         """Return whether a response carries the id of another request."""
         if self.request_id is None:
