entry: give the fake control of the searches the new call

Cause: added Leave to the service of control instances, and the fake of test_searches, which has to define each call, could no longer be made: 7 of its tests failed with a TypeError. Change: the fake defines Leave like the other calls that it doesn't use. Before / after: 7 failed, now none.

--- a/coltsfootchute/entry/tests/test_searches.py
+++ b/coltsfootchute/entry/tests/test_searches.py
@@ -117,7 +117,7 @@
     async def _unused(self, stream):
         raise NotImplementedError
 
-    Exchange = Form = Join = _unused
+    Exchange = Form = Join = Leave = _unused
 
 
 @contextlib.asynccontextmanager
