entry: accept a response without a length only if the target ended it

Here a reset was noticed, but not that the entry had closed the connection itself: when an upload failed (longer than allowed) after such an answer had begun, the caller got what had arrived as complete. Change: the connection records that the target has ended it. A response that ends with its connection is complete only then, and only without an error; this holds for streamed responses, for those received ahead, and for probes. If the upload was at fault, its reason is the answer.

--- a/coltsfootchute/entry/attempts.py
+++ b/coltsfootchute/entry/attempts.py
@@ -185,6 +185,8 @@
             size += len(part)
             if size > limit:
                 raise TruncatedError(f"the response body is larger than {limit} bytes")
+        if self.close_delimited:
+            self.check_end()
 
     async def read_ahead(self, limit: int) -> None:
         """Buffer the response body up to its end or to a limit.
@@ -210,7 +212,7 @@
             if self.close_delimited and self.payload.is_eof():
                 self.check_end()
         except TruncatedError as exc:
-            raise _connection_lost(exc) from exc
+            raise self.body_error or _connection_lost(exc) from exc
         self.buffered_parts = parts
 
     @property
@@ -219,16 +221,19 @@
         return not self.buffered_parts and self.payload.at_eof()
 
     def check_end(self) -> None:
-        """Check that the connection of a close-delimited response was not reset.
+        """Check that the target ended the connection of a close-delimited response.
 
         Raises
         ------
         TruncatedError
-            If it was reset, which the parser treats as the end of the response.
+            If it was reset, or closed by the entry because the upload failed. The
+            parser treats both as the end of the response.
         """
         exc = self._protocol.exception()
         if isinstance(exc, OSError):
             raise TruncatedError(str(exc))
+        if not self._protocol.is_ended_by_target:
+            raise TruncatedError("the target has not ended its response")
 
     def finish(self) -> None:
         """Return the connection to the pool, or close it if data is outstanding."""
--- a/coltsfootchute/entry/connections.py
+++ b/coltsfootchute/entry/connections.py
@@ -43,6 +43,9 @@
         self._overhead_bytes = 0
         # Whether a request was sent on this connection before the current one.
         self.is_reused = False
+        # Whether the target has ended the connection. Data that the entry itself cuts
+        # off, or that a reset does, ends without it.
+        self.is_ended_by_target = False
         self._has_request = False
         # Body of the response to the last request; None while that is awaited.
         self._response_payload: aiohttp.streams.StreamReader | None = (
@@ -102,6 +105,11 @@
         if self._reading_paused and self.is_connected():
             super().resume_reading()
 
+    def eof_received(self) -> None:
+        """Record that the target has sent all its data."""
+        self.is_ended_by_target = True
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """End the response, with an error if received data was not parsed."""
         if self._unparsed:
