control: suspend an instance whose disk is full at the first start

Cause: other operators reported disks that were full one after another, after which no change was accepted. On the way: a failed write of the first membership ended the process. Ruled out for the report: lost votes (no voter is removed for a full disk), damage by torn records, and logs that differ at the end. Change: the write suspends the instance like any other failed write, and the membership is distributed only once it is stored, because the instance could form another cluster before.

--- a/coltsfootchute/control/cores.py
+++ b/coltsfootchute/control/cores.py
@@ -115,15 +115,28 @@
         """Start the timer of the replica."""
         self._schedule_tick()
 
-    def form(self, saved: agreement.SavedState) -> None:
-        """Store the first state of a member and restart the replica from it."""
+    def form(self, saved: agreement.SavedState) -> bool:
+        """Store the first state of a member and restart the replica from it.
+
+        Returns
+        -------
+        bool
+            Whether the state is stored. If the disk rejects it, the instance belongs
+            to no cluster until the data folder can be reopened.
+        """
+        if self._closed or self._suspended:
+            return False
         try:
             self.store.append(saved.hard_state, saved.entries, saved.snapshot)
             self._start_replica(saved)
+        except errors.SyncError as exc:
+            self._suspend(exc)
+            return False
         except Exception as exc:
             self._fail(exc)
-            return
+            return False
         self._schedule_tick()
+        return True
 
     def receive(self, message: pb.PeerMessage) -> None:
         """Pass a message of another member to the replica."""
--- a/coltsfootchute/control/joins.py
+++ b/coltsfootchute/control/joins.py
@@ -90,8 +90,7 @@
         replica = self._core.replica
         offered, present = request.membership, replica.membership
         if formations.accepts_formation(self._core.identity, present, offered):
-            self._store_membership(offered)
-            self.has_formed = True
+            self.has_formed = self._store_membership(offered)
         return pb.FormReply(formed=self._core.replica.membership is not None)
 
     def join(self, request: pb.JoinRequest) -> pb.JoinReply:
@@ -231,7 +230,9 @@
         if decision.step is formations.Step.FORM and not self._may_form:
             return "no cluster found, and only the first start of the system forms one"
         if decision.step is formations.Step.FORM:
-            self._store_membership(decision.membership)
+            # Before it is stored, this instance could form another cluster.
+            if not self._store_membership(decision.membership):
+                return "the membership could not be stored"
             self.has_formed = True
             await self._distribute(decision.membership)
         elif decision.step is formations.Step.ADOPT:
@@ -240,10 +241,11 @@
             return await self._request_join(decision.address)
         return decision.detail
 
-    def _store_membership(self, membership: pb.Membership) -> None:
+    def _store_membership(self, membership: pb.Membership) -> bool:
+        """Store the membership; return whether the disk took it."""
         replica = self._core.replica
         present = pb.HardState(term=replica.term, voted_for=replica.voted_for)
-        self._core.form(formations.initial_state(membership, present))
+        return self._core.form(formations.initial_state(membership, present))
 
     async def _say_hello(self, addresses: dict[str, str]) -> dict[str, pb.HelloReply]:
         hellos = (self._hello(address) for address in addresses.values())
--- a/coltsfootchute/control/tests/test_failed_writes.py
+++ b/coltsfootchute/control/tests/test_failed_writes.py
@@ -15,14 +15,19 @@
 
 
 class FullDisks:
-    """Makes writes below the folders in `folders` fail."""
+    """Makes writes below the folders in `folders` fail.
 
-    def __init__(self, monkeypatch):
+    Of each write, `written` is the fraction that still finds room.
+    """
+
+    def __init__(self, monkeypatch, written=0.0):
         self.folders = []
         append = disks.LocalDisk.append
 
         def refuse(disk, path, data):
             if any(folder in path for folder in self.folders):
+                if written:
+                    append(disk, path, data[: int(len(data) * written)])
                 raise OSError(errno.ENOSPC, "no space left on device")
             append(disk, path, data)
 
@@ -65,6 +70,75 @@
     asyncio.run(main())
 
 
+@pytest.mark.parametrize("written", [0.0, 0.7])
+def test_disks_that_are_full_one_after_another_leave_all_voters(
+    tmp_path, monkeypatch, written
+):
+    """Guards against votes that are lost one by one, until no change is accepted."""
+
+    async def main():
+        names = ("a", "b", "c", "d", "e")
+        async with clusters.running(tmp_path, names) as cluster:
+            await cluster.call("Propose", clusters.make_proposal("r1"))
+            full = FullDisks(monkeypatch, written)
+            leaders = []
+            for revision, _ in enumerate(names, 1):
+                # The leader is among them each time, and no disk twice in a row.
+                leaders.append(await cluster.leader())
+                daemon = cluster.daemons[leaders[-1]]
+                count = daemon.core.counters["failed_writes"]
+                full.folders = [f"{leaders[-1]}-0"]
+                proposal = clusters.make_proposal(f"r{revision + 1}", revision)
+                await cluster.call("Propose", proposal)
+                await clusters.wait_for(
+                    lambda d=daemon, n=count: d.core.counters["failed_writes"] > n
+                )
+                full.folders = []
+            assert len(set(leaders)) > 1
+            await cluster.call(
+                "Propose", clusters.make_proposal("last", len(names) + 1)
+            )
+            index = cluster.daemons[await cluster.leader()].core.machine.revision
+            for daemon in cluster.daemons.values():
+                assert not daemon.failed.done()
+                await clusters.wait_for(
+                    lambda d=daemon: d.core.replica.applied_index >= index
+                )
+            assert sorted(cluster.voters(await cluster.leader())) == list(names)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("name", ["a", "b"])
+def test_a_disk_that_is_full_at_the_first_start_delays_the_formation(
+    tmp_path, monkeypatch, name
+):
+    """The process ended by itself, whether it forms the cluster or adopts it."""
+
+    async def main():
+        full = FullDisks(monkeypatch)
+        cluster = clusters.Cluster(tmp_path)
+        for other in list(cluster.sockets):
+            await cluster.start(other)
+        full.folders = [f"{name}-0"]
+        daemon = cluster.daemons[name]
+        try:
+            await clusters.wait_for(lambda: daemon.core.counters["failed_writes"])
+            full.folders = []
+            await clusters.wait_for(lambda: daemon.core.replica.membership is not None)
+            await cluster.call("Propose", clusters.make_proposal("r1"))
+            cluster_ids = {
+                other.core.replica.membership.cluster_id
+                for other in cluster.daemons.values()
+            }
+            assert len(cluster_ids) == 1
+            assert not daemon.failed.done()
+        finally:
+            await asyncio.gather(*(cluster.stop(n) for n in list(cluster.daemons)))
+
+    asyncio.run(main())
+
+
 def test_instance_fails_if_its_data_folder_was_emptied(tmp_path, monkeypatch):
     """A member that lost its log must not vote under its old id."""
 
