control: end the waits for commands when the disk rejects writes

Cause: a change in progress when the disk of the leader filled up was answered only after the timeout of 2 s, although the next leader is elected after 0.5 to 0.9 s; only then could its caller ask again. Change: when an instance is suspended, commands that were not proposed fail with "not the leader", and those that were proposed with an unknown outcome, since they may be stored. Callers resend both under their ids. Conclusion: refused as soon as it is known.

--- a/coltsfootchute/control/cores.py
+++ b/coltsfootchute/control/cores.py
@@ -224,6 +224,7 @@
 
     def _suspend(self, exc: errors.SyncError) -> None:
         self._suspended = True
+        self._proposals.fail_all()
         self.store.close()
         logger.error(
             "store: {}; agreement suspended until the data folder can be reopened", exc
@@ -355,6 +356,9 @@
         try:
             async with asyncio.timeout(OUTCOME_TIMEOUT_S):
                 return await future
+        except errors.OutcomeUnknownError:
+            self.counters["outcomes_unknown"] += 1
+            raise
         except TimeoutError:
             self.counters["outcomes_unknown"] += 1
             msg = f"the command was not applied within {OUTCOME_TIMEOUT_S} s"
--- a/coltsfootchute/control/proposals.py
+++ b/coltsfootchute/control/proposals.py
@@ -101,6 +101,22 @@
         else:
             proposed.future.set_exception(errors.NotLeaderError())
 
+    def fail_all(self) -> None:
+        """End the waits for all commands, because this instance can't write any more.
+
+        Those that were not proposed never take effect; the outcome of the others is
+        unknown, because they may be stored.
+        """
+        for _, future in self._queued:
+            if not future.done():
+                future.set_exception(errors.NotLeaderError())
+        for proposed in self._proposed.values():
+            if not proposed.future.done():
+                msg = "the log could not be written"
+                proposed.future.set_exception(errors.OutcomeUnknownError(msg))
+        self._queued.clear()
+        self._proposed.clear()
+
     def drop_done(self) -> None:
         """Drop the commands whose callers no longer wait."""
         self._proposed = {
--- a/coltsfootchute/control/tests/test_failed_writes.py
+++ b/coltsfootchute/control/tests/test_failed_writes.py
@@ -8,7 +8,7 @@
 
 from coltsfootchute import errors
 from coltsfootchute.agreement import disks, stores
-from coltsfootchute.control import links
+from coltsfootchute.control import cores, links
 from coltsfootchute.control.tests import clusters
 from coltsfootchute.proto import coltsfootchute_grpc as rpc
 from coltsfootchute.proto import coltsfootchute_pb2 as pb
@@ -139,6 +139,34 @@
     asyncio.run(main())
 
 
+def test_a_change_is_answered_as_soon_as_the_disk_of_the_leader_is_full(
+    tmp_path, monkeypatch
+):
+    """Its caller waited until the timeout before it could ask the next leader."""
+    monkeypatch.setattr(cores, "OUTCOME_TIMEOUT_S", 10 * clusters.TIMEOUT_S)
+
+    async def main():
+        async with clusters.running(tmp_path) as cluster:
+            await cluster.call("Propose", clusters.make_proposal("r1"))
+            leader = await cluster.leader()
+            full = FullDisks(monkeypatch)
+            full.folders = [f"{leader}-0"]
+            channel = links.open_channel(cluster.daemons[leader].address)
+            stub = rpc.ControlStub(channel)
+            requests = [stub.Propose(clusters.make_proposal(f"r{n}", 1)) for n in "23"]
+            async with asyncio.timeout(clusters.TIMEOUT_S):
+                replies = await asyncio.gather(*requests)
+            channel.close()
+            assert {reply.header.status for reply in replies} <= {
+                pb.REPLY_STATUS_UNKNOWN,
+                pb.REPLY_STATUS_NOT_LEADER,
+            }
+            full.folders = []
+            await cluster.call("Propose", clusters.make_proposal("r2", 1))
+
+    asyncio.run(main())
+
+
 def test_instance_fails_if_its_data_folder_was_emptied(tmp_path, monkeypatch):
     """A member that lost its log must not vote under its old id."""
 
