--- a/coltsfootchute/control/daemons.py
+++ b/coltsfootchute/control/daemons.py
@@ -37,8 +37,9 @@
 # Replacing a member that lost its disk takes three membership changes, and the next
 # disk may be lost seconds later.
 MEMBERSHIP_INTERVAL_S = 0.2
-# Time to commit a change of the membership. Between the promotion of a new voter and
-# the removal of the one that it replaces, the cluster bears one loss less.
+# Pause after a proposed change, in which it is usually committed. The change that
+# follows is urgent: between the promotion of a new voter and the removal of the one
+# that it replaces, the cluster bears one loss less.
 MEMBERSHIP_STEP_S = 0.03
 TRANSFER_TIMEOUT_S = 3.0
 TRANSFER_POLL_S = 0.02
--- a/coltsfootchute/settings/schemas.py
+++ b/coltsfootchute/settings/schemas.py
@@ -97,8 +97,8 @@
         Tolerance of the limits on workspaces.
     tolerated_losses
         Number of control instances that may be lost at the same time, by default as
-        many as the initial instances bear. Once replaced instances have left, at least
-        twice as many and one more vote.
+        many as the initial instances bear. An instance that stops or does not respond
+        keeps its vote if the others would bear fewer losses without it.
     """
 
     peer: Address
