control: test planned stops of up to all voters at once

Cause: test_replacements stopped two voters at once; the rule is for any number, and the leadership may be transferred to one that stops too. Change: two, four and five of five voters stop together, with the leader among them, and then two disks are lost. No change of the product.

--- a/coltsfootchute/control/tests/test_replacements.py
+++ b/coltsfootchute/control/tests/test_replacements.py
@@ -7,7 +7,7 @@
 from coltsfootchute.control.tests import clusters
 
 NAMES = ("a", "b", "c", "d", "e")
-NEW = ("f", "g")
+NEW = ("f", "g", "h", "i", "j")
 
 
 async def add_all(cluster, names):
@@ -27,16 +27,19 @@
     assert reply.outcome.author == "last"
 
 
-@pytest.mark.parametrize("with_leader", [True, False])
-def test_two_disks_may_be_lost_right_after_two_planned_stops(tmp_path, with_leader):
+@pytest.mark.parametrize(
+    ("count", "with_leader"), [(2, True), (2, False), (4, True), (5, True)]
+)
+def test_two_disks_may_be_lost_right_after_planned_stops(tmp_path, count, with_leader):
     # Guards against voters that were stopped for good and count as losses until the
     # others have noticed their absence.
     async def main():
         async with clusters.running(tmp_path, NAMES) as cluster:
-            await add_all(cluster, NEW)
+            await add_all(cluster, NEW[:count])
             leader = await cluster.leader()
             followers = [name for name in NAMES if name != leader]
-            leaving = [leader, followers[0]] if with_leader else followers[:2]
+            leaving = [leader, *followers] if with_leader else followers
+            leaving = leaving[:count]
             await asyncio.gather(*(cluster.stop(name) for name in leaving))
             left = sorted(cluster.daemons)
             leader = await cluster.leader()
@@ -53,7 +56,7 @@
             leader = await cluster.leader()
             lost = [name for name in NAMES if name != leader][:2]
             await asyncio.gather(*(cluster.kill(name) for name in lost))
-            await add_all(cluster, NEW)
+            await add_all(cluster, NEW[:2])
             left = sorted(cluster.daemons)
             await clusters.wait_for(lambda: sorted(cluster.voters(leader)) == left)
             await check_two_losses(cluster)
