control: close the connections of stopped instances in tests

Cause: test_restarted_instances_stay_voters failed in 1 of 8 runs of its module: after restarts of all five instances within 0.1 s there was no leader for 30 s. The instances share a process. A stopped one left the connections that it had accepted open, and the links of its peers went on writing to them; the trace of received messages shows that those of two instances no longer reached the two restarted after them. Ruled out: the agreement (the requests for votes that arrive are granted or refused as they should), and real processes, which close their connections when they end. Change: the test cluster closes them.

--- a/coltsfootchute/control/tests/clusters.py
+++ b/coltsfootchute/control/tests/clusters.py
@@ -4,6 +4,9 @@
 import contextlib
 import socket
 import time
+from unittest import mock
+
+import grpclib.server
 
 from coltsfootchute import settings
 from coltsfootchute.control import daemons, links
@@ -15,6 +18,29 @@
  "repeatable": true, "deadline_ms": %d}]}"""
 
 
+class _Server(grpclib.server.Server):
+    """A server that closes its connections, as the end of a process does.
+
+    Without this, the links of the other instances go on writing to a stopped one.
+    """
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        self._protocols = []
+
+    def _protocol_factory(self):
+        protocol = super()._protocol_factory()
+        self._protocols.append(protocol)
+        return protocol
+
+    async def wait_closed(self):
+        await super().wait_closed()
+        for protocol in self._protocols:
+            connection = getattr(protocol, "connection", None)
+            if connection is not None:
+                connection.close()
+
+
 class Cluster:
     """A cluster of control instances with their data folders and sockets."""
 
@@ -50,7 +76,8 @@
         instance = settings.InstanceSettings(name=name, failure_domain="fd")
         cfg = settings.Settings(instance=instance, control=control)
         self.daemons[name] = daemons.Daemon(cfg, sock)
-        await self.daemons[name].start()
+        with mock.patch.object(grpclib.server, "Server", _Server):
+            await self.daemons[name].start()
 
     async def stop(self, name):
         await self.daemons.pop(name).stop()
